--- /dev/null
+++ b/apps/admin/admin.cc
@@ -0,0 +1,303 @@
+#include "apps/admin/admin.h"
+
+#include "base/log.h"
+
+namespace pomelopond::apps {
+namespace {
+
+constexpr Duration kHostsInterval = std::chrono::milliseconds(500);
+constexpr Duration kHostsTimeout = std::chrono::seconds(2);
+constexpr Duration kPeerTimeout = std::chrono::milliseconds(500);
+constexpr Duration kForwardTimeout = std::chrono::seconds(15);
+constexpr Duration kHolderFresh = std::chrono::seconds(3);
+constexpr size_t kMaxTasks = 100;
+
+}  // namespace
+
+Admin::Admin(const EntrySettings& settings, uint64_t incarnation)
+    : settings_(settings),
+      own_(OwnHost(settings)),
+      incarnation_(incarnation),
+      store_(settings.store, settings.store_timeout),
+      host_list_(settings.host_list),
+      scheduler_(own_.scheduler),
+      release_(release::EmptyRelease()) {
+  for (const EntryHost& it : settings.entry_hosts) {
+    if (it.id == own_.id) continue;
+    peers_[it.id] = std::make_unique<peer::PeerClient>(it.peer);
+  }
+}
+
+Admin::~Admin() { Stop(); }
+
+void Admin::Start() {
+  store_thread_ = std::thread([this] { FollowStore(); });
+  hosts_thread_ = std::thread([this] { FollowHosts(); });
+  task_thread_ = std::thread([this] { RunTasks(); });
+}
+
+void Admin::Stop() {
+  stopping_.store(true);
+  wake_store_.notify_all();
+  wake_tasks_.notify_all();
+  for (std::thread* it : {&store_thread_, &hosts_thread_, &task_thread_}) {
+    if (it->joinable()) it->join();
+  }
+}
+
+void Admin::Adopt(release::Release found) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (found.version <= release_.version) return;
+  Log(LogLevel::kInfo, "release", "adopted", {{"version", found.version}});
+  metrics_.Set("release_version", found.version);
+  release_ = std::move(found);
+}
+
+void Admin::FollowStore() {
+  ReleaseStore releases(&store_);
+  while (!stopping_.load()) {
+    int64_t have = 0;
+    {
+      std::unique_lock<std::mutex> lock(mutex_);
+      wake_store_.wait_for(lock, settings_.release_poll,
+                           [this] { return notified_ || stopping_.load(); });
+      notified_ = false;
+      have = release_.version;
+    }
+    Result<release::Release> found = releases.ReadIfNewer(have);
+    if (!found.ok()) {
+      AskPeers();
+      continue;
+    }
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      store_seen_ = Now();
+      confirmed_ = true;
+    }
+    Adopt(std::move(found.value));
+  }
+}
+
+// In a store outage the highest version among more than half of all admins is used: a release that
+// more than half of them hold cannot be missed.
+void Admin::AskPeers() {
+  int64_t have = 0;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    have = release_.version;
+  }
+  size_t answers = 1;
+  for (const auto& [host, client] : peers_) {
+    const Result<peer::Message> answer =
+        client->Call({"release.get", "admin", incarnation_, {{"have", have}}}, kPeerTimeout);
+    if (!answer.ok()) continue;
+    answers += 1;
+    const auto document = answer.value.body.find("release");
+    if (document == answer.value.body.end()) continue;
+    FieldErrors errors;
+    release::Release found = release::ReadRelease(*document, &errors);
+    if (errors.empty()) Adopt(std::move(found));
+  }
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (answers * 2 > settings_.entry_hosts.size() && release_.version > 0) confirmed_ = true;
+}
+
+void Admin::FollowHosts() {
+  while (!stopping_.load()) {
+    http::HttpRequest request;
+    request.path = "/v1/hosts";
+    const http::HttpResult result = host_list_.Call(std::move(request), kHostsTimeout);
+    if (!result.ec && result.response.status == 200) {
+      FieldErrors errors;
+      const Result<Json> document = ParseJson(result.response.body);
+      const membership::HostList found =
+          membership::ReadHostList(document.ok() ? document.value : Json(), &errors);
+      const std::lock_guard<std::mutex> lock(mutex_);
+      if (errors.empty()) hosts_ = membership::Merge(hosts_, found);
+    }
+    std::this_thread::sleep_for(kHostsInterval);
+  }
+}
+
+void Admin::Post(std::function<void()> task) {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    tasks_.push_back(std::move(task));
+  }
+  wake_tasks_.notify_one();
+}
+
+void Admin::RunTasks() {
+  for (;;) {
+    std::function<void()> task;
+    {
+      std::unique_lock<std::mutex> lock(mutex_);
+      wake_tasks_.wait(lock, [this] { return !tasks_.empty() || stopping_.load(); });
+      if (tasks_.empty()) return;
+      task = std::move(tasks_.front());
+      tasks_.pop_front();
+    }
+    task();
+  }
+}
+
+void Admin::NotifyPeers() {
+  for (const auto& [host, client] : peers_) {
+    client->Call({"release.notify", "admin", incarnation_, Json::object()}, kPeerTimeout);
+  }
+}
+
+http::HttpResponse Admin::ApplyNote(const std::string& body, const std::string& approver) {
+  const Result<Json> document = ParseJson(body);
+  if (!document.ok()) return http::ErrorResponse(ResultCode::kBadJson, "the note is not JSON");
+  FieldErrors errors;
+  const release::Note note = release::ReadNote(document.value, &errors);
+  Result<release::Release> accepted;
+  if (errors.empty()) {
+    ReleaseStore releases(&store_);
+    const Json audit = {
+        {"approver", approver}, {"time_ms", WallClockMs()}, {"note", document.value}};
+    accepted = releases.Accept(note, audit, &errors);
+  }
+  if (!errors.empty()) {
+    const ResultCode code = errors.front().code;
+    return http::JsonResponse(HttpStatusOf(code), {{"code", static_cast<int>(code)},
+                                                   {"result", ResultName(code)},
+                                                   {"errors", ToJson(errors)}});
+  }
+  if (!accepted.ok()) {
+    return http::ErrorResponse(static_cast<ResultCode>(accepted.ec.value()),
+                               "the note was not accepted, or it is not known whether it was");
+  }
+  const int64_t version = accepted.value.version;
+  Adopt(std::move(accepted.value));
+  // Peers poll the store as well, so nothing depends on these messages.
+  NotifyPeers();
+  return http::JsonResponse(200, {{"version", version}, {"accepted", true}});
+}
+
+Json Admin::LocalStatus() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  Json processes = Json::object();
+  processes["admin"] = release_.version;
+  for (const auto& [program, holder] : holders_) {
+    if (Now() - holder.seen < kHolderFresh) processes[program] = holder.release;
+  }
+  return {{"host", own_.id}, {"processes", processes}};
+}
+
+http::HttpResponse Admin::Status() {
+  std::vector<Json> hosts{LocalStatus()};
+  for (const auto& [host, client] : peers_) {
+    const Result<peer::Message> answer =
+        client->Call({"status.get", "admin", incarnation_, Json::object()}, kPeerTimeout);
+    hosts.push_back(answer.ok() ? answer.value.body : Json{{"host", host}});
+  }
+  int64_t version = 0;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    version = release_.version;
+  }
+  int64_t in_force = 0;
+  Json laggards = Json::array();
+  for (const Json& host : hosts) {
+    const Json processes = host.value("processes", Json::object());
+    for (const char* program : {"admin", "router", "scheduler"}) {
+      if (processes.value(program, int64_t{-1}) >= version) {
+        in_force += 1;
+        continue;
+      }
+      laggards.push_back(host.value("host", "") + "/" + program);
+    }
+  }
+  return http::JsonResponse(200, {{"version", version},
+                                  {"in_force", in_force},
+                                  {"processes", hosts.size() * 3},
+                                  {"laggards", laggards}});
+}
+
+http::HttpResponse Admin::Ready() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const bool fresh =
+      store_seen_ != TimePoint{} && Now() - store_seen_ < 10 * settings_.release_poll;
+  const bool ready = confirmed_ && !stopping_.load();
+  return http::JsonResponse(ready ? 200 : 503, {{"ready", ready},
+                                                {"state", fresh ? "ok" : "unconfirmed"},
+                                                {"release", release_.version},
+                                                {"hosts", hosts_.hosts.size()}});
+}
+
+void Admin::ForwardJobs(const http::HttpRequest& request, const http::Reply& reply) {
+  http::HttpRequest copy = request;
+  copy.headers.erase("Authorization");
+  copy.headers.erase("Connection");
+  scheduler_.Send(std::move(copy), kForwardTimeout, [reply](http::HttpResult result) {
+    if (!result.ec) return reply(std::move(result.response));
+    const bool sent = result.ec != ResultCode::kTargetUnreachable;
+    reply(http::ErrorResponse(sent ? ResultCode::kOutcomeUnknown : ResultCode::kNotOwner,
+                              "the scheduler of this host did not answer"));
+  });
+}
+
+void Admin::Handle(const http::HttpRequest& request, const http::Reply& reply) {
+  const std::string path = http::PathOf(request);
+  if (path == "/healthz") return reply(http::JsonResponse(200, {{"status", "ok"}}));
+  if (path == "/readyz") return reply(Ready());
+  if (path == "/metrics") {
+    http::HttpResponse response;
+    response.headers["Content-Type"] = "text/plain; version=0.0.4";
+    response.body = metrics_.Text();
+    return reply(std::move(response));
+  }
+  const AccessKey* key = FindKey(settings_.keys, request);
+  const bool post = request.method == "POST";
+  const bool note = path == "/v1/release" && post;
+  const Role needed = note ? Role::kApprove : post ? Role::kOperate : Role::kRead;
+  if (const std::error_code ec = CheckRole(key, needed)) {
+    return reply(http::ErrorResponse(static_cast<ResultCode>(ec.value()), "access refused"));
+  }
+  if (path.rfind("/v1/jobs", 0) == 0 || path == "/v1/shards") return ForwardJobs(request, reply);
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (tasks_.size() >= kMaxTasks) {
+      return reply(http::ErrorResponse(ResultCode::kQueueFull, "too many calls wait"));
+    }
+  }
+  if (note) {
+    return Post([this, reply, body = request.body, approver = key->name] {
+      reply(ApplyNote(body, approver));
+    });
+  }
+  if (path == "/v1/status") return Post([this, reply] { reply(Status()); });
+  if (path == "/v1/release") {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return reply(http::JsonResponse(200, release::ToJson(release_)));
+  }
+  reply(http::ErrorResponse(ResultCode::kNotFound, "no such path: " + path));
+}
+
+peer::Message Admin::OnMessage(const peer::Message& message) {
+  peer::Message answer{message.type, own_.id, incarnation_, Json::object()};
+  if (message.type == "status.get") {
+    answer.body = LocalStatus();
+    return answer;
+  }
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (message.type == "release.notify") {
+    notified_ = true;
+    wake_store_.notify_one();
+  } else if (message.type == "release.get") {
+    const int64_t have = message.body.value("have", int64_t{0});
+    if (message.from != "admin") holders_[message.from] = {have, Now()};
+    // A release that is not confirmed yet is not handed to processes that would act on it.
+    const bool give = confirmed_ || message.from == "admin";
+    if (give && release_.version > have) answer.body["release"] = release::ToJson(release_);
+  } else if (message.type == "hosts.get") {
+    if (hosts_.version > message.body.value("have", int64_t{0})) {
+      answer.body["hosts"] = membership::ToJson(hosts_);
+    }
+  }
+  return answer;
+}
+
+}  // namespace pomelopond::apps
--- /dev/null
+++ b/apps/admin/admin.h
@@ -0,0 +1,91 @@
+// The administration of one entry host: release notes, host list, and what other processes hold.
+#ifndef POMELOPOND_APPS_ADMIN_ADMIN_H_
+#define POMELOPOND_APPS_ADMIN_ADMIN_H_
+
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "apps/admin/access.h"
+#include "apps/admin/release_store.h"
+#include "base/entry_settings.h"
+#include "http/http_client.h"
+#include "http/http_server.h"
+#include "membership/host_list.h"
+#include "metrics/registry.h"
+#include "peer/peer_client.h"
+#include "peer/peer_server.h"
+#include "release/release.h"
+
+namespace pomelopond::apps {
+
+class Admin {
+ public:
+  Admin(const EntrySettings& settings, uint64_t incarnation);
+  ~Admin();
+  Admin(const Admin&) = delete;
+  Admin& operator=(const Admin&) = delete;
+
+  // Starts the threads that follow the store and the host list.
+  void Start();
+  void Stop();
+
+  void Handle(const http::HttpRequest& request, const http::Reply& reply);
+  peer::Message OnMessage(const peer::Message& message);
+
+ private:
+  // What a local process holds.
+  struct Holder {
+    int64_t release = 0;
+    TimePoint seen;
+  };
+
+  void FollowStore();
+  void FollowHosts();
+  void RunTasks();
+  void Post(std::function<void()> task);
+  void Adopt(release::Release found);
+  void AskPeers();
+  void NotifyPeers();
+  http::HttpResponse ApplyNote(const std::string& body, const std::string& approver);
+  http::HttpResponse Status();
+  http::HttpResponse Ready();
+  Json LocalStatus();
+  void ForwardJobs(const http::HttpRequest& request, const http::Reply& reply);
+
+  const EntrySettings settings_;
+  const EntryHost own_;
+  const uint64_t incarnation_;
+  metrics::Registry metrics_;
+  store::StoreClient store_;
+  http::HttpClient host_list_;
+  http::HttpClient scheduler_;
+  std::map<std::string, std::unique_ptr<peer::PeerClient>> peers_;  // by host, others only
+  std::atomic<bool> stopping_{false};
+  std::thread store_thread_;
+  std::thread hosts_thread_;
+  std::thread task_thread_;
+
+  // Lock order: mutex_ only; not held during store calls and messages.
+  std::mutex mutex_;
+  std::condition_variable wake_store_;
+  std::condition_variable wake_tasks_;
+  bool notified_ = false;
+  release::Release release_;
+  bool confirmed_ = false;  // by the store, or by more than half of all admins
+  TimePoint store_seen_;
+  membership::HostList hosts_;
+  std::map<std::string, Holder> holders_;
+  std::deque<std::function<void()>> tasks_;
+};
+
+}  // namespace pomelopond::apps
+
+#endif  // POMELOPOND_APPS_ADMIN_ADMIN_H_
--- /dev/null
+++ b/apps/admin/main.cc
@@ -0,0 +1,48 @@
+// pomelopond-admin: release notes, operators' API, and the feed of the other processes of its host.
+#include "apps/admin/admin.h"
+#include "base/log.h"
+#include "base/program.h"
+#include "base/random_id.h"
+#include "base/stop_signal.h"
+
+namespace pomelopond::apps {
+namespace {
+
+constexpr int kPeerThreads = 4;
+constexpr Duration kDrainLimit = std::chrono::seconds(30);
+
+int Main(int argc, char** argv) {
+  const ProgramStart start =
+      StartProgram(argc, argv, "pomelopond-admin", "Accepts and distributes release notes");
+  if (!start.settings) return start.exit_status;
+  InstallStopSignal();
+  const EntrySettings& settings = *start.settings;
+  const EntryHost own = OwnHost(settings);
+  http::InitThreads(settings.http_threads);
+  Admin admin(settings, RandomIncarnation());
+  peer::PeerServer peers(own.peer, kPeerThreads,
+                         [&admin](const peer::Message& it) { return admin.OnMessage(it); });
+  http::HttpServer server(own.admin, settings.max_body_bytes,
+                          [&admin](const http::HttpRequest& request, const http::Reply& reply) {
+                            admin.Handle(request, reply);
+                          });
+  const std::error_code peer_ec = peers.Start();
+  const std::error_code http_ec = server.Start();
+  if (peer_ec || http_ec) {
+    Log(LogLevel::kError, "main", "listen_failed",
+        {{"admin", ToString(own.admin)}, {"peer", ToString(own.peer)}});
+    return kExitFailure;
+  }
+  Log(LogLevel::kInfo, "main", "started", {{"host", own.id}, {"endpoint", ToString(own.admin)}});
+  admin.Start();
+  while (!WaitForStop(std::chrono::seconds(1))) continue;
+  Log(LogLevel::kInfo, "main", "stopping", {});
+  server.Stop(kDrainLimit);
+  admin.Stop();
+  return kExitOk;
+}
+
+}  // namespace
+}  // namespace pomelopond::apps
+
+int main(int argc, char** argv) { return pomelopond::apps::Main(argc, argv); }
--- /dev/null
+++ b/apps/admin/release_store.cc
@@ -0,0 +1,119 @@
+#include "apps/admin/release_store.h"
+
+#include <thread>
+
+#include "base/random_id.h"
+#include "base/result_code.h"
+#include "base/time.h"
+
+namespace pomelopond::apps {
+namespace {
+
+constexpr int kCommitAttempts = 5;
+constexpr Duration kResolvePause = std::chrono::milliseconds(200);
+
+}  // namespace
+
+ReleaseStore::ReleaseStore(store::StoreClient* store) : store_(store) {}
+
+Result<store::KeyValue> ReleaseStore::ReadHead() { return store_->Get(release::kHeadKey); }
+
+Result<release::Release> ReleaseStore::Load(const release::Manifest& manifest) {
+  std::map<std::string, std::string> chunks;
+  for (const auto& [section, digests] : manifest.chunks) {
+    for (const std::string& it : digests) {
+      const auto known = chunks_.find(it);
+      if (known != chunks_.end()) {
+        chunks[it] = known->second;
+        continue;
+      }
+      const Result<store::KeyValue> chunk = store_->Get(release::ChunkKey(it));
+      if (!chunk.ok()) return {chunk.ec, {}};
+      chunks[it] = chunk.value.value;
+    }
+  }
+  Result<release::Release> joined = release::Join(manifest, chunks);
+  if (joined.ok()) chunks_ = std::move(chunks);
+  return joined;
+}
+
+Result<release::Release> ReleaseStore::ReadIfNewer(int64_t have) {
+  const Result<store::KeyValue> head = ReadHead();
+  if (!head.ok()) return {head.ec, {}};
+  if (head.value.mod_revision == 0) return {{}, release::EmptyRelease()};
+  const Result<release::Manifest> manifest = release::DecodeManifest(head.value.value);
+  if (!manifest.ok()) return {manifest.ec, {}};
+  if (manifest.value.version <= have) {
+    release::Release same = release::EmptyRelease();
+    same.version = manifest.value.version;
+    return {{}, std::move(same)};
+  }
+  return Load(manifest.value);
+}
+
+std::error_code ReleaseStore::PutChunks(const release::ChunkedRelease& next) {
+  for (const auto& [digest, bytes] : next.chunks) {
+    if (chunks_.count(digest) != 0) continue;
+    store::Txn txn;
+    // Chunks are named by their contents, so writing one twice changes nothing.
+    txn.puts.push_back({release::ChunkKey(digest), bytes, 0});
+    const Result<store::TxnResult> put = store_->Commit(txn);
+    if (!put.ok()) return ResultCode::kStoreUnavailable;
+  }
+  return {};
+}
+
+std::error_code ReleaseStore::Resolve(int64_t version, const std::string& write_id) {
+  const Result<store::KeyValue> log = store_->Get(release::LogKey(version));
+  if (!log.ok()) return ResultCode::kStoreAnswerLost;
+  if (log.value.mod_revision == 0) return ResultCode::kStoreAnswerLost;
+  const Result<Json> entry = ParseJson(log.value.value);
+  if (!entry.ok()) return ResultCode::kStoreBadAnswer;
+  return entry.value.value("write_id", "") == write_id ? ResultCode::kOk : ResultCode::kStaleBase;
+}
+
+std::error_code ReleaseStore::Commit(const store::Txn& txn, int64_t version,
+                                     const std::string& write_id) {
+  bool sent = false;
+  for (int n = 0; n < kCommitAttempts; ++n) {
+    if (n > 0) std::this_thread::sleep_for(kResolvePause);
+    // The same transaction may be sent again: at most one copy passes the comparison.
+    const Result<store::TxnResult> result = store_->Commit(txn);
+    if (result.ok() && result.value.succeeded) return {};
+    if (result.ec == ResultCode::kStoreUnavailable && !sent) return result.ec;
+    if (result.ec != ResultCode::kStoreUnavailable) sent = true;
+    const std::error_code ec = Resolve(version, write_id);
+    if (!ec || ec == ResultCode::kStaleBase) return ec;
+  }
+  return ResultCode::kOutcomeUnknown;
+}
+
+Result<release::Release> ReleaseStore::Accept(const release::Note& note, const Json& audit,
+                                              FieldErrors* errors) {
+  const Result<store::KeyValue> head = ReadHead();
+  if (!head.ok()) return {ResultCode::kStoreUnavailable, {}};
+  Result<release::Release> current{{}, release::EmptyRelease()};
+  if (head.value.mod_revision != 0) {
+    const Result<release::Manifest> manifest = release::DecodeManifest(head.value.value);
+    if (!manifest.ok()) return {manifest.ec, {}};
+    current = Load(manifest.value);
+    if (!current.ok()) return {ResultCode::kStoreUnavailable, {}};
+  }
+  release::Release next = release::ApplyNote(current.value, note, errors);
+  if (!errors->empty()) return {errors->front().code, {}};
+  const std::string write_id = RandomId();
+  const release::ChunkedRelease chunked = release::Split(next, write_id);
+  if (const std::error_code ec = PutChunks(chunked)) return {ec, {}};
+  Json entry = audit;
+  entry["write_id"] = write_id;
+  entry["version"] = next.version;
+  store::Txn txn;
+  txn.compares.push_back({release::kHeadKey, head.value.mod_revision});
+  txn.puts.push_back({release::kHeadKey, release::Encode(chunked.manifest), 0});
+  txn.puts.push_back({release::LogKey(next.version), entry.dump(), 0});
+  if (const std::error_code ec = Commit(txn, next.version, write_id)) return {ec, {}};
+  chunks_ = chunked.chunks;
+  return {{}, std::move(next)};
+}
+
+}  // namespace pomelopond::apps
--- /dev/null
+++ b/apps/admin/release_store.h
@@ -0,0 +1,43 @@
+// Releases in the platform's store.
+#ifndef POMELOPOND_APPS_ADMIN_RELEASE_STORE_H_
+#define POMELOPOND_APPS_ADMIN_RELEASE_STORE_H_
+
+#include <map>
+#include <string>
+
+#include "base/result.h"
+#include "release/chunks.h"
+#include "release/note.h"
+#include "store/store_client.h"
+
+namespace pomelopond::apps {
+
+// Reads and writes releases. Blocks on store calls; not thread-safe.
+class ReleaseStore {
+ public:
+  explicit ReleaseStore(store::StoreClient* store);
+
+  // The accepted release, or version 0 when there is none. Reads only the head when `have` is
+  // still the version in force; `value` is then an empty release with that version.
+  Result<release::Release> ReadIfNewer(int64_t have);
+
+  // Accepts a note on the release in force. Errors of the note are added to `errors` and nothing
+  // changes. kStaleBase: another note was accepted first. kOutcomeUnknown: the store did not tell
+  // whether the note was accepted. `audit` is kept beside the note.
+  Result<release::Release> Accept(const release::Note& note, const Json& audit,
+                                  FieldErrors* errors);
+
+ private:
+  Result<store::KeyValue> ReadHead();
+  Result<release::Release> Load(const release::Manifest& manifest);
+  std::error_code PutChunks(const release::ChunkedRelease& next);
+  std::error_code Commit(const store::Txn& txn, int64_t version, const std::string& write_id);
+  std::error_code Resolve(int64_t version, const std::string& write_id);
+
+  store::StoreClient* store_;
+  std::map<std::string, std::string> chunks_;  // of the last release read or written, by digest
+};
+
+}  // namespace pomelopond::apps
+
+#endif  // POMELOPOND_APPS_ADMIN_RELEASE_STORE_H_
--- /dev/null
+++ b/apps/router/main.cc
@@ -0,0 +1,64 @@
+// pomelopond-router: takes callers' requests and sends them to targets.
+#include <algorithm>
+#include <thread>
+
+#include "apps/common/admin_feed.h"
+#include "apps/router/router.h"
+#include "base/log.h"
+#include "base/program.h"
+#include "base/random_id.h"
+#include "base/stop_signal.h"
+#include "http/http_server.h"
+
+namespace pomelopond::apps {
+namespace {
+
+constexpr Duration kFeedTimeout = std::chrono::seconds(1);
+constexpr Duration kDrainLimit = std::chrono::minutes(11);  // above the longest request timeout
+
+int Main(int argc, char** argv) {
+  const ProgramStart start =
+      StartProgram(argc, argv, "pomelopond-router", "Routes callers' requests to targets");
+  if (!start.settings) return start.exit_status;
+  InstallStopSignal();
+  const EntrySettings& settings = *start.settings;
+  const EntryHost own = OwnHost(settings);
+  http::InitThreads(settings.http_threads);
+  const uint64_t incarnation = RandomIncarnation();
+  Router router(settings, incarnation);
+  http::HttpServer server(own.router, settings.max_body_bytes,
+                          [&router](const http::HttpRequest& request, const http::Reply& reply) {
+                            router.Handle(request, reply);
+                          });
+  if (const std::error_code ec = server.Start()) {
+    Log(LogLevel::kError, "main", "listen_failed",
+        {{"endpoint", ToString(own.router)}, {"error", ec.message()}});
+    return kExitFailure;
+  }
+  Log(LogLevel::kInfo, "main", "started",
+      {{"host", own.id}, {"endpoint", ToString(own.router)}, {"incarnation", incarnation}});
+  AdminFeed feed(own.peer, "router", incarnation);
+  while (!WaitForStop(kFeedInterval)) {
+    router.Tick(Now());
+    if (!feed.Poll(kFeedTimeout)) continue;
+    router.UpdateRelease(feed.release());
+    router.UpdateHosts(feed.hosts());
+  }
+  router.BeginStop();
+  Log(LogLevel::kInfo, "main", "stopping", {{"in_flight", server.InFlight()}});
+  // The balancer needs this long to see /readyz and to send new requests elsewhere.
+  const TimePoint closing = Now() + settings.drain_grace;
+  while (Now() < closing) {
+    std::this_thread::sleep_for(std::min<Duration>(kFeedInterval, closing - Now()));
+    if (!feed.Poll(kFeedTimeout)) continue;
+    router.UpdateHosts(feed.hosts());
+  }
+  const int64_t cut = server.Stop(kDrainLimit);
+  Log(LogLevel::kInfo, "main", "stopped", {{"cut", cut}});
+  return cut == 0 ? kExitOk : kExitFailure;
+}
+
+}  // namespace
+}  // namespace pomelopond::apps
+
+int main(int argc, char** argv) { return pomelopond::apps::Main(argc, argv); }
--- /dev/null
+++ b/apps/scheduler/main.cc
@@ -0,0 +1,51 @@
+// pomelopond-scheduler: accepts jobs and runs their tasks on the workers of the shards it owns.
+#include "apps/common/admin_feed.h"
+#include "apps/scheduler/scheduler.h"
+#include "base/log.h"
+#include "base/program.h"
+#include "base/random_id.h"
+#include "base/stop_signal.h"
+#include "http/http_server.h"
+
+namespace pomelopond::apps {
+namespace {
+
+constexpr Duration kFeedTimeout = std::chrono::seconds(1);
+constexpr Duration kDrainLimit = std::chrono::seconds(30);
+
+int Main(int argc, char** argv) {
+  const ProgramStart start =
+      StartProgram(argc, argv, "pomelopond-scheduler", "Places and supervises tasks on workers");
+  if (!start.settings) return start.exit_status;
+  InstallStopSignal();
+  const EntrySettings& settings = *start.settings;
+  const EntryHost own = OwnHost(settings);
+  http::InitThreads(settings.http_threads);
+  const uint64_t incarnation = RandomIncarnation();
+  Scheduler scheduler(settings, incarnation);
+  http::HttpServer server(own.scheduler, settings.max_body_bytes,
+                          [&scheduler](const http::HttpRequest& request, const http::Reply& reply) {
+                            scheduler.Handle(request, reply);
+                          });
+  if (const std::error_code ec = server.Start()) {
+    Log(LogLevel::kError, "main", "listen_failed",
+        {{"endpoint", ToString(own.scheduler)}, {"error", ec.message()}});
+    return kExitFailure;
+  }
+  Log(LogLevel::kInfo, "main", "started",
+      {{"host", own.id}, {"endpoint", ToString(own.scheduler)}, {"incarnation", incarnation}});
+  AdminFeed feed(own.peer, "scheduler", incarnation);
+  while (!WaitForStop(kFeedInterval)) {
+    if (feed.Poll(kFeedTimeout)) scheduler.UpdateHosts(feed.hosts());
+    scheduler.Tick(Now());
+  }
+  Log(LogLevel::kInfo, "main", "stopping", {});
+  scheduler.Stop();
+  server.Stop(kDrainLimit);
+  return kExitOk;
+}
+
+}  // namespace
+}  // namespace pomelopond::apps
+
+int main(int argc, char** argv) { return pomelopond::apps::Main(argc, argv); }
--- /dev/null
+++ b/apps/scheduler/scheduler.cc
@@ -0,0 +1,347 @@
+#include "apps/scheduler/scheduler.h"
+
+#include <algorithm>
+#include <vector>
+
+#include "base/log.h"
+#include "base/result_code.h"
+#include "membership/rendezvous.h"
+#include "membership/shard_assignment.h"
+
+namespace pomelopond::apps {
+namespace {
+
+constexpr const char* kMemberPrefix = "member/scheduler/";
+constexpr const char* kJobsPath = "/v1/jobs";
+constexpr Duration kForwardTimeout = std::chrono::seconds(10);
+constexpr Duration kMembersInterval = std::chrono::seconds(1);
+constexpr Duration kStoreFresh = std::chrono::seconds(10);
+
+// "/v1/jobs/<id>" or "/v1/jobs/<id>/cancel" without the prefix.
+std::string JobOf(const std::string& path) {
+  const std::string rest = path.substr(std::string(kJobsPath).size() + 1);
+  return rest.substr(0, rest.find('/'));
+}
+
+void ReplyDecided(const http::Reply& reply, std::error_code ec, const std::string& job,
+                  const std::string& shard) {
+  if (ec) {
+    const auto code = ec.category() == ResultCategory() ? static_cast<ResultCode>(ec.value())
+                                                        : ResultCode::kInternal;
+    return reply(http::ErrorResponse(code, "job " + job + ": " + ec.message()));
+  }
+  http::HttpResponse response =
+      http::JsonResponse(200, {{"job", job}, {"shard", shard}, {"accepted", true}});
+  response.headers[http::kOutcomeHeader] = OutcomeName(Outcome::kDone);
+  reply(std::move(response));
+}
+
+}  // namespace
+
+Scheduler::Scheduler(const EntrySettings& settings, uint64_t incarnation)
+    : settings_(settings),
+      own_(OwnHost(settings)),
+      incarnation_(incarnation),
+      store_(settings.store, settings.store_timeout) {
+  for (const EntryHost& it : settings.entry_hosts) {
+    peers_[it.id] = std::make_shared<http::HttpClient>(it.scheduler);
+  }
+}
+
+void Scheduler::UpdateHosts(const membership::HostList& hosts) {
+  std::vector<std::shared_ptr<ShardRunner>> runners;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (hosts == hosts_) return;
+    hosts_ = hosts;
+    for (const auto& [shard, runner] : runners_) runners.push_back(runner);
+  }
+  for (const auto& it : runners) it->SetHosts(hosts);
+}
+
+bool Scheduler::RenewMembership() {
+  const TimePoint now = Now();
+  if (lease_ != 0 && now < next_renewal_) return true;
+  const std::error_code ec = lease_ == 0 ? ResultCode::kNotFound : store_.KeepAlive(lease_);
+  if (!ec) {
+    next_renewal_ = now + settings_.member_ttl / 3;
+    return true;
+  }
+  if (ec != ResultCode::kNotFound) return false;
+  lease_ = 0;
+  const Result<int64_t> lease = store_.GrantLease(settings_.member_ttl);
+  if (!lease.ok()) return false;
+  store::Txn txn;
+  txn.puts.push_back({kMemberPrefix + own_.id,
+                      Json{{"host", own_.id}, {"incarnation", std::to_string(incarnation_)}}.dump(),
+                      lease.value});
+  const Result<store::TxnResult> put = store_.Commit(txn);
+  if (!put.ok()) return false;
+  lease_ = lease.value;
+  next_renewal_ = now + settings_.member_ttl / 3;
+  return true;
+}
+
+bool Scheduler::ReadMembers() {
+  const Result<std::vector<store::KeyValue>> values = store_.List(kMemberPrefix, 0);
+  if (!values.ok()) return false;
+  std::map<std::string, Member> members;
+  for (const store::KeyValue& it : values.value) {
+    const Result<Json> document = ParseJson(it.value);
+    if (!document.ok()) continue;
+    FieldErrors errors;
+    JsonReader reader(document.value, it.key, &errors);
+    Member member;
+    member.host = reader.String("host");
+    member.incarnation = std::strtoull(reader.String("incarnation").c_str(), nullptr, 10);
+    if (!errors.empty()) continue;
+    members[member.host] = member;
+  }
+  const std::lock_guard<std::mutex> lock(mutex_);
+  members_ = std::move(members);
+  store_seen_ = Now();
+  std::set<std::string> ids;
+  for (const auto& [id, member] : members_) ids.insert(id);
+  table_ = membership::AssignShards(membership::ShardsOf(hosts_), ids);
+  return true;
+}
+
+void Scheduler::Tick(TimePoint now) {
+  DropShards();
+  if (now < next_read_) return;
+  next_read_ = now + kMembersInterval;
+  if (!RenewMembership() || !ReadMembers()) return;
+  TakeShards();
+}
+
+void Scheduler::DropShards() {
+  std::vector<std::pair<std::shared_ptr<ShardRunner>, bool>> drop;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    for (auto it = runners_.begin(); it != runners_.end();) {
+      const auto owner = table_.find(it->first);
+      const bool moved = owner != table_.end() && owner->second != own_.id;
+      if (!moved && !it->second->replaced()) {
+        ++it;
+        continue;
+      }
+      drop.emplace_back(it->second, moved);
+      it = runners_.erase(it);
+    }
+  }
+  for (const auto& [runner, release] : drop) runner->Stop(release);
+}
+
+void Scheduler::TakeShards() {
+  std::vector<std::string> wanted;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    for (const auto& [shard, host] : table_) {
+      if (host == own_.id && runners_.count(shard) == 0) wanted.push_back(shard);
+    }
+  }
+  for (const std::string& it : wanted) TakeOver(it);
+}
+
+bool Scheduler::OwnerAlive(const store::ShardHead& head) const {
+  const auto it = members_.find(head.owner);
+  return it != members_.end() && it->second.incarnation == head.incarnation &&
+         head.incarnation != incarnation_;
+}
+
+bool Scheduler::OwnerStopped(const store::ShardHead& head) const {
+  if (head.owner.empty() || head.released) return true;
+  // Two processes of one host cannot listen on the same address, so a new one proves the old ended.
+  if (head.owner == own_.id) return true;
+  const auto it = members_.find(head.owner);
+  return it != members_.end() && it->second.incarnation != head.incarnation;
+}
+
+void Scheduler::TakeOver(const std::string& shard) {
+  store::ShardLog log(shard, &store_);
+  const Result<store::VersionedHead> head = log.Read();
+  if (!head.ok()) return;
+  bool owner_stopped = false;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (!head.value.head.released && OwnerAlive(head.value.head)) return;
+    owner_stopped = OwnerStopped(head.value.head);
+  }
+  const Result<store::ShardContents> contents = log.TakeOver(head.value, own_.id, incarnation_);
+  if (!contents.ok()) {
+    Log(LogLevel::kWarn, "shard", "takeover_failed",
+        {{"shard", shard}, {"error", contents.ec.message()}});
+    return;
+  }
+  Result<planning::ShardState> state =
+      planning::Rebuild(contents.value.snapshot, contents.value.records);
+  if (!state.ok()) {
+    Log(LogLevel::kError, "shard", "rebuild_failed",
+        {{"shard", shard}, {"error", state.ec.message()}});
+    return;
+  }
+  Log(LogLevel::kInfo, "shard", "taken_over",
+      {{"shard", shard}, {"epoch", log.epoch()}, {"tasks", state.value.tasks.size()}});
+  const auto runner = std::make_shared<ShardRunner>(
+      settings_, shard, std::move(log), std::move(state.value), owner_stopped, &metrics_);
+  membership::HostList hosts;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    runners_[shard] = runner;
+    hosts = hosts_;
+  }
+  runner->SetHosts(hosts);
+  runner->Start();
+}
+
+void Scheduler::Stop() {
+  stopping_.store(true);
+  std::map<std::string, std::shared_ptr<ShardRunner>> runners;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    runners.swap(runners_);
+  }
+  for (const auto& [shard, runner] : runners) runner->Stop(true);
+  if (lease_ != 0) store_.Revoke(lease_);
+}
+
+std::string Scheduler::HomeShard(const std::string& job) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::string best;
+  uint64_t best_weight = 0;
+  for (const std::string& it : membership::ShardsOf(hosts_)) {
+    const uint64_t weight = membership::RendezvousWeight(job, it);
+    if (!best.empty() && weight <= best_weight) continue;
+    best = it;
+    best_weight = weight;
+  }
+  return best;
+}
+
+std::shared_ptr<ShardRunner> Scheduler::RunnerOf(const std::string& shard) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto it = runners_.find(shard);
+  return it == runners_.end() ? nullptr : it->second;
+}
+
+http::HttpResponse Scheduler::Ready() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const bool fresh = store_seen_ != TimePoint{} && Now() - store_seen_ < kStoreFresh;
+  const bool ready = !stopping_.load() && store_seen_ != TimePoint{} && !table_.empty();
+  return http::JsonResponse(
+      ready ? 200 : 503,
+      {{"ready", ready}, {"state", fresh ? "ok" : "degraded"}, {"shards", runners_.size()}});
+}
+
+http::HttpResponse Scheduler::Shards() {
+  std::vector<std::shared_ptr<ShardRunner>> runners;
+  Json table = Json::object();
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    for (const auto& [shard, runner] : runners_) runners.push_back(runner);
+    for (const auto& [shard, host] : table_) table[shard] = host;
+  }
+  Json owned = Json::array();
+  for (const auto& it : runners) owned.push_back(it->Summary());
+  return http::JsonResponse(200, {{"host", own_.id}, {"owned", owned}, {"assignment", table}});
+}
+
+void Scheduler::Handle(const http::HttpRequest& request, const http::Reply& reply) {
+  const std::string path = http::PathOf(request);
+  if (path == "/healthz") return reply(http::JsonResponse(200, {{"status", "ok"}}));
+  if (path == "/readyz") return reply(Ready());
+  if (path == "/v1/shards") return reply(Shards());
+  if (path == "/v1/metrics") return reply(http::JsonResponse(200, metrics_.Snapshot()));
+  if (path == "/metrics") {
+    http::HttpResponse response;
+    response.headers["Content-Type"] = "text/plain; version=0.0.4";
+    response.body = metrics_.Text();
+    return reply(std::move(response));
+  }
+  if (path == kJobsPath || path.rfind(std::string(kJobsPath) + "/", 0) == 0) {
+    return HandleJobs(request, reply);
+  }
+  reply(http::ErrorResponse(ResultCode::kNotFound, "no such path: " + path));
+}
+
+void Scheduler::HandleJobs(const http::HttpRequest& request, const http::Reply& reply) {
+  const std::string path = http::PathOf(request);
+  if (path == kJobsPath) {
+    if (request.method == "POST") return SubmitJob(request, reply);
+    return reply(http::ErrorResponse(ResultCode::kMethodNotAllowed, "use POST"));
+  }
+  const std::string job = JobOf(path);
+  const bool cancel = path == std::string(kJobsPath) + "/" + job + "/cancel";
+  if (cancel && request.method == "POST") return CancelJob(request, job, reply);
+  if (path == std::string(kJobsPath) + "/" + job && request.method == "GET") {
+    return DescribeJob(request, job, reply);
+  }
+  reply(http::ErrorResponse(ResultCode::kMethodNotAllowed,
+                            "use GET /v1/jobs/<id> or POST /v1/jobs/<id>/cancel"));
+}
+
+void Scheduler::SubmitJob(const http::HttpRequest& request, const http::Reply& reply) {
+  const Result<Json> document = ParseJson(request.body);
+  if (!document.ok()) return reply(http::ErrorResponse(ResultCode::kBadJson, "body is not JSON"));
+  FieldErrors errors;
+  planning::JobSpec spec = planning::ReadJobSpec(document.value, "", &errors);
+  if (!errors.empty()) {
+    return reply(http::ErrorResponse(errors.front().code, ToString(errors)));
+  }
+  const std::string job = spec.id;
+  const std::string shard = HomeShard(job);
+  const std::shared_ptr<ShardRunner> runner = RunnerOf(shard);
+  if (!runner) return Forward(request, shard, reply);
+  runner->Accept(std::move(spec),
+                 [reply, job, shard](std::error_code ec) { ReplyDecided(reply, ec, job, shard); });
+}
+
+void Scheduler::CancelJob(const http::HttpRequest& request, const std::string& job,
+                          const http::Reply& reply) {
+  const std::string shard = HomeShard(job);
+  const std::shared_ptr<ShardRunner> runner = RunnerOf(shard);
+  if (!runner) return Forward(request, shard, reply);
+  runner->Cancel(job,
+                 [reply, job, shard](std::error_code ec) { ReplyDecided(reply, ec, job, shard); });
+}
+
+void Scheduler::DescribeJob(const http::HttpRequest& request, const std::string& job,
+                            const http::Reply& reply) {
+  const std::string shard = HomeShard(job);
+  const std::shared_ptr<ShardRunner> runner = RunnerOf(shard);
+  if (!runner) return Forward(request, shard, reply);
+  const Json found = runner->Describe(job);
+  if (found.is_null()) {
+    return reply(http::ErrorResponse(ResultCode::kNotFound, "no such job: " + job));
+  }
+  reply(http::JsonResponse(200, found));
+}
+
+void Scheduler::Forward(const http::HttpRequest& request, const std::string& shard,
+                        const http::Reply& reply) {
+  std::string owner;
+  std::shared_ptr<http::HttpClient> client;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto it = table_.find(shard);
+    if (it != table_.end()) owner = it->second;
+    const auto peer = peers_.find(owner);
+    if (peer != peers_.end()) client = peer->second;
+  }
+  const bool forwarded = !http::HeaderOf(request.headers, http::kForwardedHeader).empty();
+  if (forwarded || owner == own_.id || !client) {
+    return reply(http::ErrorResponse(ResultCode::kNotOwner,
+                                     "shard " + shard + " has no owner yet; try again"));
+  }
+  http::HttpRequest copy = request;
+  copy.headers[http::kForwardedHeader] = "1";
+  copy.headers.erase("Connection");
+  client->Send(std::move(copy), kForwardTimeout, [reply, owner](http::HttpResult result) {
+    if (!result.ec) return reply(std::move(result.response));
+    const bool sent = result.ec != ResultCode::kTargetUnreachable;
+    reply(http::ErrorResponse(sent ? ResultCode::kOutcomeUnknown : ResultCode::kNotOwner,
+                              "scheduler on " + owner + " did not answer"));
+  });
+}
+
+}  // namespace pomelopond::apps
--- /dev/null
+++ b/fakes/store/main.cc
@@ -0,0 +1,134 @@
+// Stand-in for the platform's key-value store: the etcd v3 JSON gateway, in memory, with faults.
+#include <map>
+#include <mutex>
+
+#include "fakes/common/fake_program.h"
+#include "fakes/store/key_space.h"
+#include "fakes/store/store_faults.h"
+#include "http/http_client.h"
+#include "http/http_server.h"
+
+namespace pomelopond::fakes {
+namespace {
+
+constexpr int64_t kMaxBodyBytes = 8 << 20;
+constexpr int kThreads = 4;
+constexpr int kHttpTooManyRequests = 429;
+constexpr int kHttpUnavailable = 503;
+constexpr int kHttpBadRequest = 400;
+
+using KeySpaceCall = Result<Json> (KeySpace::*)(const Json&, TimePoint);
+
+struct Operation {
+  KeySpaceCall call;
+  bool write;
+};
+
+const std::map<std::string, Operation>& Operations() {
+  static const std::map<std::string, Operation> operations = {
+      {"/v3/kv/range", {&KeySpace::Range, false}},
+      {"/v3/kv/txn", {&KeySpace::Txn, true}},
+      {"/v3/lease/grant", {&KeySpace::GrantLease, true}},
+      {"/v3/lease/keepalive", {&KeySpace::KeepAlive, true}},
+      {"/v3/lease/revoke", {&KeySpace::Revoke, true}}};
+  return operations;
+}
+
+struct FakeStore {
+  std::mutex mutex;  // guards all members below
+  KeySpace keys;
+  StoreFaults faults;
+  RateWindow writes;
+  RateWindow reads;
+  int64_t write_calls = 0;
+  int64_t read_calls = 0;
+  int64_t refused_calls = 0;
+};
+
+http::HttpResponse Refuse(int status, const std::string& text) {
+  return http::JsonResponse(status, {{"error", text}, {"code", 14}});
+}
+
+http::HttpResponse Run(FakeStore* fake, const Operation& operation, const std::string& body) {
+  const Result<Json> request = ParseJson(body);
+  if (!request.ok() || !request.value.is_object()) return Refuse(kHttpBadRequest, "bad request");
+  const TimePoint now = Now();
+  const std::lock_guard<std::mutex> lock(fake->mutex);
+  (operation.write ? fake->write_calls : fake->read_calls) += 1;
+  const bool admitted = operation.write ? Admit(&fake->writes, fake->faults.writes_per_second, now)
+                                        : Admit(&fake->reads, fake->faults.reads_per_second, now);
+  if (!admitted) {
+    fake->refused_calls += 1;
+    return Refuse(kHttpTooManyRequests, "too many requests");
+  }
+  const Result<Json> answer = (fake->keys.*operation.call)(request.value, now);
+  if (!answer.ok()) return Refuse(kHttpBadRequest, answer.ec.message());
+  if (operation.write && fake->faults.lose_answers > 0) {
+    fake->faults.lose_answers -= 1;
+    return Refuse(kHttpUnavailable, "answer lost");
+  }
+  return http::JsonResponse(200, answer.value);
+}
+
+http::HttpResponse SetFaults(FakeStore* fake, const std::string& body) {
+  const Result<Json> document = ParseJson(body);
+  if (!document.ok()) return http::ErrorResponse(ResultCode::kBadJson, "not JSON");
+  FieldErrors errors;
+  const StoreFaults faults = ReadStoreFaults(document.value, &errors);
+  if (!errors.empty()) return http::ErrorResponse(ResultCode::kBadField, ToString(errors));
+  const std::lock_guard<std::mutex> lock(fake->mutex);
+  fake->faults = faults;
+  return http::JsonResponse(200, Json::object());
+}
+
+http::HttpResponse Statistics(FakeStore* fake) {
+  const std::lock_guard<std::mutex> lock(fake->mutex);
+  return http::JsonResponse(200, {{"writes", fake->write_calls},
+                                  {"reads", fake->read_calls},
+                                  {"refused", fake->refused_calls}});
+}
+
+void Serve(FakeStore* fake, const http::HttpRequest& request, const http::Reply& reply) {
+  const std::string path = http::PathOf(request);
+  if (path == "/fault") return reply(SetFaults(fake, request.body));
+  if (path == "/statistics") return reply(Statistics(fake));
+  const auto it = Operations().find(path);
+  if (it == Operations().end()) return reply(Refuse(404, "not found"));
+  Duration latency;
+  {
+    const std::lock_guard<std::mutex> lock(fake->mutex);
+    // A refused connection cannot be imitated by a listening process; 429 means "not run" as well.
+    if (fake->faults.outage) return reply(Refuse(kHttpTooManyRequests, "outage"));
+    latency = fake->faults.latency;
+  }
+  const Operation operation = it->second;
+  if (latency == Duration::zero()) return reply(Run(fake, operation, request.body));
+  http::RunAfter(latency, [fake, operation, reply, body = request.body] {
+    reply(Run(fake, operation, body));
+  });
+}
+
+int Main(int argc, char** argv) {
+  InstallStopSignal();
+  cxxopts::Options options("fake-store", "Stand-in for the platform's key-value store");
+  options.add_options()("listen", "address and port", cxxopts::value<std::string>());
+  const auto args = ParseArguments(&options, argc, argv);
+  if (!args || args->count("listen") == 0) return kExitUsage;
+  const Result<Endpoint> endpoint = ParseEndpoint((*args)["listen"].as<std::string>());
+  if (!endpoint.ok()) return kExitUsage;
+  http::InitThreads(kThreads);
+  FakeStore fake;
+  http::HttpServer server(endpoint.value, kMaxBodyBytes,
+                          [&fake](const http::HttpRequest& request, const http::Reply& reply) {
+                            Serve(&fake, request, reply);
+                          });
+  if (server.Start()) return kExitFailure;
+  ServeUntilStopped();
+  server.Stop(std::chrono::seconds(1));
+  return kExitOk;
+}
+
+}  // namespace
+}  // namespace pomelopond::fakes
+
+int main(int argc, char** argv) { return pomelopond::fakes::Main(argc, argv); }
--- /dev/null
+++ b/src/base/program.h
@@ -0,0 +1,34 @@
+// Command line handling common to the programs of an entry host.
+#ifndef POMELOPOND_BASE_PROGRAM_H_
+#define POMELOPOND_BASE_PROGRAM_H_
+
+#include <optional>
+#include <string>
+
+#include "base/entry_settings.h"
+
+namespace pomelopond {
+
+inline constexpr const char* kVersion = "0.1.0";
+
+// Exit statuses of all programs.
+inline constexpr int kExitOk = 0;
+inline constexpr int kExitFailure = 1;
+inline constexpr int kExitUsage = 2;
+
+struct ProgramStart {
+  std::optional<EntrySettings> settings;  // set when the program should run
+  int exit_status = kExitOk;              // otherwise the status to end with
+};
+
+// Handles --settings FILE, --host ID (replaces the member "host"), --check-settings,
+// --print-settings, --version and --help, and starts the log. Errors go to standard error.
+ProgramStart StartProgram(int argc, char** argv, const std::string& name,
+                          const std::string& description);
+
+// The contents of a file; fails with kNotFound.
+Result<std::string> ReadFile(const std::string& path);
+
+}  // namespace pomelopond
+
+#endif  // POMELOPOND_BASE_PROGRAM_H_
--- /dev/null
+++ b/src/base/random_id.cc
@@ -0,0 +1,38 @@
+#include "base/random_id.h"
+
+#include <openssl/rand.h>
+
+#include <array>
+#include <cstdlib>
+
+namespace pomelopond {
+namespace {
+
+// Ends the process when the system has no randomness: ids that repeat would break every promise
+// that rests on them.
+void Fill(unsigned char* buf, int n) {
+  if (RAND_bytes(buf, n) != 1) std::abort();
+}
+
+}  // namespace
+
+std::string RandomId() {
+  static constexpr char kDigits[] = "0123456789abcdef";
+  std::array<unsigned char, 16> buf{};
+  Fill(buf.data(), static_cast<int>(buf.size()));
+  std::string id;
+  id.reserve(2 * buf.size());
+  for (const unsigned char it : buf) {
+    id.push_back(kDigits[it >> 4]);
+    id.push_back(kDigits[it & 15]);
+  }
+  return id;
+}
+
+uint64_t RandomIncarnation() {
+  uint64_t value = 0;
+  while (value == 0) Fill(reinterpret_cast<unsigned char*>(&value), sizeof(value));
+  return value;
+}
+
+}  // namespace pomelopond
--- /dev/null
+++ b/src/base/resources.h
@@ -0,0 +1,36 @@
+// Amounts of processor, memory and accelerators.
+#ifndef POMELOPOND_BASE_RESOURCES_H_
+#define POMELOPOND_BASE_RESOURCES_H_
+
+#include <cstdint>
+#include <tuple>
+
+namespace pomelopond {
+
+struct Resources {
+  int64_t cpu_milli = 0;     // thousandths of a core
+  int64_t memory_mb = 0;     // mebibytes
+  int64_t accelerators = 0;  // whole devices
+
+  friend bool operator==(const Resources& a, const Resources& b) {
+    return std::tie(a.cpu_milli, a.memory_mb, a.accelerators) ==
+           std::tie(b.cpu_milli, b.memory_mb, b.accelerators);
+  }
+  friend bool operator!=(const Resources& a, const Resources& b) { return !(a == b); }
+  friend Resources operator+(const Resources& a, const Resources& b) {
+    return {a.cpu_milli + b.cpu_milli, a.memory_mb + b.memory_mb, a.accelerators + b.accelerators};
+  }
+  friend Resources operator-(const Resources& a, const Resources& b) {
+    return {a.cpu_milli - b.cpu_milli, a.memory_mb - b.memory_mb, a.accelerators - b.accelerators};
+  }
+};
+
+// True when `need` is at most `room` in every dimension.
+inline bool Fits(const Resources& need, const Resources& room) {
+  return need.cpu_milli <= room.cpu_milli && need.memory_mb <= room.memory_mb &&
+         need.accelerators <= room.accelerators;
+}
+
+}  // namespace pomelopond
+
+#endif  // POMELOPOND_BASE_RESOURCES_H_
--- /dev/null
+++ b/src/store/shard_log.cc
@@ -0,0 +1,158 @@
+#include "store/shard_log.h"
+
+#include "base/json.h"
+#include "base/random_id.h"
+#include "base/result_code.h"
+
+namespace pomelopond::store {
+namespace {
+
+// A record in the journal carries the write id of its append, which tells a writer whether the
+// record at its position is its own.
+std::string Wrap(const std::string& record, const std::string& write_id) {
+  return write_id + record;
+}
+
+constexpr size_t kWriteIdBytes = 32;
+
+std::string WriteIdOf(const std::string& entry) { return entry.substr(0, kWriteIdBytes); }
+
+std::string RecordOf(const std::string& entry) {
+  return entry.size() < kWriteIdBytes ? std::string() : entry.substr(kWriteIdBytes);
+}
+
+ShardHead Next(const ShardHead& head, const std::string& write_id) {
+  ShardHead next = head;
+  next.position += 1;
+  next.write_id = write_id;
+  return next;
+}
+
+}  // namespace
+
+ShardLog::ShardLog(std::string shard, StoreClient* store)
+    : shard_(std::move(shard)), store_(store) {}
+
+Result<VersionedHead> ShardLog::Read() {
+  const Result<KeyValue> value = store_->Get(HeadKey(shard_));
+  if (!value.ok()) return {value.ec, {}};
+  return ToVersionedHead(value.value);
+}
+
+Result<ShardContents> ShardLog::TakeOver(const VersionedHead& from, const std::string& owner,
+                                         uint64_t incarnation) {
+  const std::string write_id = RandomId();
+  ShardHead to = Next(from.head, write_id);
+  to.epoch += 1;
+  to.owner = owner;
+  to.incarnation = incarnation;
+  to.released = false;
+  head_ = from;
+  // The record of a takeover is empty; it only takes the position.
+  const std::error_code ec = Write(to, MakeAppend(shard_, from, to, Wrap({}, write_id)));
+  if (ec == ResultCode::kNotOwner) return {ResultCode::kStoreCompareFailed, {}};
+  if (ec) return {ec, {}};
+  return Load(from.head);
+}
+
+Result<ShardContents> ShardLog::Load(const ShardHead& previous) {
+  ShardContents contents;
+  contents.previous = previous;
+  for (int64_t n = 0; n < previous.snapshot_size; ++n) {
+    const Result<KeyValue> chunk = store_->Get(SnapshotKey(shard_, previous.snapshot, n));
+    if (!chunk.ok()) return {chunk.ec, {}};
+    if (chunk.value.mod_revision == 0) return {ResultCode::kStoreBadAnswer, {}};
+    contents.snapshot += chunk.value.value;
+  }
+  for (int64_t n = previous.snapshot + 1; n <= previous.position; ++n) {
+    const Result<KeyValue> entry = store_->Get(JournalKey(shard_, n));
+    if (!entry.ok()) return {entry.ec, {}};
+    if (entry.value.mod_revision == 0) return {ResultCode::kStoreBadAnswer, {}};
+    std::string record = RecordOf(entry.value.value);
+    if (!record.empty()) contents.records.push_back(std::move(record));
+  }
+  return {{}, std::move(contents)};
+}
+
+std::error_code ShardLog::Append(const std::string& record, const std::string& write_id) {
+  const ShardHead to = Next(head_.head, write_id);
+  return Write(to, MakeAppend(shard_, head_, to, Wrap(record, write_id)));
+}
+
+std::error_code ShardLog::Compact(const std::string& snapshot, const std::string& write_id) {
+  ShardHead to = Next(head_.head, write_id);
+  to.snapshot = head_.head.position;
+  to.snapshot_size = 0;
+  for (size_t from = 0; from < snapshot.size(); from += kSnapshotChunkBytes) {
+    Txn chunk;
+    chunk.compares.push_back({HeadKey(shard_), head_.mod_revision});
+    chunk.puts.push_back({SnapshotKey(shard_, to.snapshot, to.snapshot_size),
+                          snapshot.substr(from, kSnapshotChunkBytes), 0});
+    const Result<TxnResult> put = store_->Commit(chunk);
+    // Chunks count only once the head names them, so a lost answer costs nothing but the attempt.
+    if (!put.ok()) return ResultCode::kStoreUnavailable;
+    if (!put.value.succeeded) return ResultCode::kNotOwner;
+    to.snapshot_size += 1;
+  }
+  Txn txn = MakeAppend(shard_, head_, to, Wrap({}, write_id));
+  txn.deletes.push_back({JournalKey(shard_, 0), JournalKey(shard_, to.snapshot + 1)});
+  if (head_.head.snapshot > 0) {
+    txn.deletes.push_back({SnapshotKey(shard_, 0, 0), SnapshotKey(shard_, to.snapshot, 0)});
+  }
+  return Write(to, txn);
+}
+
+std::error_code ShardLog::Release(const std::string& write_id) {
+  ShardHead to = Next(head_.head, write_id);
+  to.released = true;
+  return Write(to, MakeAppend(shard_, head_, to, Wrap({}, write_id)));
+}
+
+std::error_code ShardLog::Write(const ShardHead& to, const Txn& txn) {
+  const Result<TxnResult> result = store_->Commit(txn);
+  if (result.ec == ResultCode::kStoreUnavailable) return result.ec;
+  if (result.ok() && result.value.succeeded) {
+    head_ = {to, result.value.revision};
+    return {};
+  }
+  pending_to_ = to;
+  pending_txn_ = txn;
+  pending_ = true;
+  return Resolve();
+}
+
+std::error_code ShardLog::Resolve() {
+  if (!pending_) return {};
+  const Result<VersionedHead> found = Read();
+  if (!found.ok()) return ResultCode::kStoreAnswerLost;
+  const Result<KeyValue> entry = store_->Get(JournalKey(shard_, pending_to_.position));
+  if (!entry.ok()) return ResultCode::kStoreAnswerLost;
+  switch (ResolveAppend(head_, pending_to_, found.value, WriteIdOf(entry.value.value))) {
+    case AppendOutcome::kApplied:
+      pending_ = false;
+      head_ = found.value;
+      return {};
+    case AppendOutcome::kNotApplied:
+      return Resend();
+    case AppendOutcome::kReplaced:
+      pending_ = false;
+      return ResultCode::kNotOwner;
+    case AppendOutcome::kAppliedReplaced:
+    case AppendOutcome::kUnknown:
+      pending_ = false;
+      return ResultCode::kOutcomeUnknown;
+  }
+  return ResultCode::kOutcomeUnknown;
+}
+
+// The first copy may still be on its way, so the record may not be given up. The same transaction
+// can be sent again: at most one copy passes the comparison.
+std::error_code ShardLog::Resend() {
+  const Result<TxnResult> result = store_->Commit(pending_txn_);
+  if (!result.ok() || !result.value.succeeded) return ResultCode::kStoreAnswerLost;
+  pending_ = false;
+  head_ = {pending_to_, result.value.revision};
+  return {};
+}
+
+}  // namespace pomelopond::store
--- /dev/null
+++ b/tests/base/json_test.cc
@@ -0,0 +1,40 @@
+#include "base/json.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "base/entry_settings.h"
+
+namespace pomelopond {
+namespace {
+
+// Guards against a parser stack that hostile nesting exhausts.
+TEST(JsonTest, RefusesDeepNesting) {
+  EXPECT_TRUE(ParseJson(std::string(60, '[') + std::string(60, ']')).ok());
+  EXPECT_FALSE(ParseJson(std::string(100, '[') + std::string(100, ']')).ok());
+  EXPECT_FALSE(ParseJson(std::string(1000000, '[')).ok());
+}
+
+// Guards against two members of one name, of which different readers would use different ones.
+TEST(JsonTest, RefusesDuplicateKeys) { EXPECT_FALSE(ParseJson(R"({"a":1,"a":2})").ok()); }
+
+TEST(JsonTest, RefusesInvalidUtf8) { EXPECT_FALSE(ParseJson("\"\xff\xfe\"").ok()); }
+
+// Guards against settings errors that show up one at a time, and against misspelt members.
+TEST(EntrySettingsTest, ReportsEveryErrorByPath) {
+  const Json document = Json::parse(R"({
+    "host": "a", "entry_hosts": [{"id": "b", "failure_domain": "d", "router": "localhost:1",
+    "scheduler": "127.0.0.1:2", "admin": "127.0.0.1:3", "peer": "127.0.0.1:4"}],
+    "store": "127.0.0.1:5", "host_list": "127.0.0.1:0", "lease_tll_ms": 5,
+    "exchange_interval_ms": 9000})");
+  FieldErrors errors;
+  ReadEntrySettings(document, &errors);
+  std::set<std::string> paths;
+  for (const FieldError& it : errors) paths.insert(it.path);
+  EXPECT_EQ(paths, (std::set<std::string>{"entry_hosts[0].router", "exchange_interval_ms", "host",
+                                          "host_list", "lease_tll_ms"}));
+}
+
+}  // namespace
+}  // namespace pomelopond
--- /dev/null
+++ b/tests/planning/shard_state_test.cc
@@ -0,0 +1,79 @@
+#include "planning/shard_state.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include "planning/placement.h"
+
+namespace pomelopond::planning {
+namespace {
+
+JobSpec Job(const std::string& id, int64_t count, Resources need) {
+  JobSpec spec;
+  spec.id = id;
+  spec.team = "team";
+  spec.count = count;
+  spec.need = need;
+  spec.run_time = std::chrono::seconds(1);
+  return spec;
+}
+
+// A random event that may or may not fit the state.
+Event AnyEvent(const std::vector<HostRoom>& hosts, const ShardState& state) {
+  const auto type = static_cast<EventType>(*rc::gen::inRange(0, 8));
+  const std::string job = "job-" + std::to_string(*rc::gen::inRange(0, 5));
+  if (type == EventType::kAccept) return AcceptEvent(Job(job, 3, {1000, 100, 0}));
+  if (type == EventType::kCancel) return CancelEvent(job);
+  if (type == EventType::kGrant) {
+    const std::vector<Event> grants = PlaceTasks(state, hosts, 1);
+    if (!grants.empty()) return grants.front();
+  }
+  Event event = TaskEvent(type, TaskId(job, *rc::gen::inRange(0, 3)), *rc::gen::inRange(0, 4));
+  event.host = hosts.front().id;
+  event.checkpoint = *rc::gen::inRange(0, 9);
+  if (type == EventType::kGrant) event.attempt = 1000;  // never fits
+  return event;
+}
+
+// Guards against grants above a host's capacity, and against a state that a replay of its journal
+// or a snapshot would not give again.
+TEST(ShardStateTest, CapacityAndReplayHoldForAnyEvents) {
+  const std::vector<HostRoom> hosts = {{"w1", {2000, 1000, 0}, true}, {"w2", {3000, 250, 0}, true}};
+  ASSERT_TRUE(rc::check("capacity and replay", [&hosts] {
+    ShardState state;
+    std::vector<std::string> records;
+    const int count = *rc::gen::inRange(0, 60);
+    for (int n = 0; n < count; ++n) {
+      const Event event = AnyEvent(hosts, state);
+      records.push_back(EncodeEvents({event}));
+      Apply(&state, event);
+      for (const HostRoom& it : hosts) RC_ASSERT(Fits(GrantedOn(state, it.id), it.capacity));
+    }
+    RC_ASSERT(Rebuild("", records).value == state);
+    RC_ASSERT(DecodeSnapshot(EncodeSnapshot(state)).value == state);
+  }));
+}
+
+// Guards against resuming evicted work from an older checkpoint than it has reached.
+TEST(ShardStateTest, EvictedTaskResumesFromItsCheckpointWithANewAttempt) {
+  ShardState state;
+  Apply(&state, AcceptEvent(Job("job", 1, {1000, 100, 0})));
+  Event event = TaskEvent(EventType::kGrant, "job/0", 1);
+  event.host = "w1";
+  ASSERT_TRUE(Apply(&state, event));
+  ASSERT_TRUE(Apply(&state, TaskEvent(EventType::kStop, "job/0", 1)));
+  EXPECT_EQ(GrantedOn(state, "w1"), (Resources{1000, 100, 0}));
+  event = TaskEvent(EventType::kStopped, "job/0", 1);
+  event.checkpoint = 5;
+  ASSERT_TRUE(Apply(&state, event));
+  EXPECT_EQ(GrantedOn(state, "w1"), Resources{});
+  EXPECT_EQ(state.tasks.at("job/0").checkpoint, 5);
+  EXPECT_FALSE(Apply(&state, event));
+  event = TaskEvent(EventType::kGrant, "job/0", 2);
+  event.host = "w2";
+  EXPECT_TRUE(Apply(&state, event));
+  EXPECT_FALSE(Apply(&state, TaskEvent(EventType::kFinished, "job/0", 1)));
+}
+
+}  // namespace
+}  // namespace pomelopond::planning
--- /dev/null
+++ b/tests/release/note_test.cc
@@ -0,0 +1,75 @@
+#include "release/note.h"
+
+#include <gtest/gtest.h>
+
+#include "release/chunks.h"
+
+namespace pomelopond::release {
+namespace {
+
+Note Parse(const std::string& text, FieldErrors* errors) {
+  return ReadNote(ParseJson(text).value, errors);
+}
+
+TEST(NoteTest, AddsChangesAndWithdraws) {
+  FieldErrors errors;
+  const Release first = ApplyNote(
+      EmptyRelease(),
+      Parse(R"({"base":0,"author":"a","add":{"services":{"x":{"team":"t"},"y":{"team":"t"}}}})",
+            &errors),
+      &errors);
+  const Release second =
+      ApplyNote(first,
+                Parse(R"({"base":1,"author":"a","change":{"services":{"x":{"team":"u"}}},
+                "withdraw":{"services":["y"]}})",
+                      &errors),
+                &errors);
+  EXPECT_TRUE(errors.empty()) << ToString(errors);
+  EXPECT_EQ(second.version, 2);
+  EXPECT_EQ(ServicesOf(second).at("x").team, "u");
+  EXPECT_EQ(ServicesOf(second).count("y"), 0u);
+}
+
+// Guards against notes that are accepted in part, and against errors reported one at a time.
+TEST(NoteTest, AllErrorsAreReportedByPath) {
+  FieldErrors errors;
+  Parse(R"({"base":-1,"author":"","add":{"services":{"x":{"objective_ratio":2}},"shops":{}}})",
+        &errors);
+  std::set<std::string> paths;
+  for (const FieldError& it : errors) paths.insert(it.path);
+  EXPECT_EQ(paths, (std::set<std::string>{"add.services.x.objective_ratio", "add.services.x.team",
+                                          "add.shops", "author", "base"}));
+}
+
+// Guards against an operator's change undoing one that was accepted in between.
+TEST(NoteTest, StaleBaseIsRefused) {
+  FieldErrors errors;
+  Release release = EmptyRelease();
+  release.version = 5;
+  const Note note =
+      Parse(R"({"base":4,"author":"a","add":{"services":{"x":{"team":"t"}}}})", &errors);
+  ASSERT_TRUE(errors.empty());
+  ApplyNote(release, note, &errors);
+  ASSERT_EQ(errors.size(), 1u);
+  EXPECT_EQ(errors[0].code, ResultCode::kStaleBase);
+}
+
+// Guards against releases above the store's 1 MB a value, and against damaged chunks.
+TEST(ChunksTest, LargeReleaseSurvivesSplitAndJoin) {
+  Release release = EmptyRelease();
+  release.version = 3;
+  for (int n = 0; n < 20000; ++n) {
+    release.sections["services"]["service-" + std::to_string(n)] = {
+        {"team", "team-" + std::string(50, 'x')}};
+  }
+  ChunkedRelease chunked = Split(release, "w");
+  EXPECT_GT(chunked.manifest.chunks.at("services").size(), 2u);
+  for (const auto& [digest, bytes] : chunked.chunks) EXPECT_LE(bytes.size(), kMaxChunkBytes);
+  EXPECT_EQ(DecodeManifest(Encode(chunked.manifest)).value, chunked.manifest);
+  EXPECT_EQ(Join(chunked.manifest, chunked.chunks).value, release);
+  chunked.chunks.begin()->second[0] ^= 1;
+  EXPECT_FALSE(Join(chunked.manifest, chunked.chunks).ok());
+}
+
+}  // namespace
+}  // namespace pomelopond::release
