Resolve members' rules by votes, with the chair's casting vote

Cause: sections of a release were stored without being checked, and nothing decided between conflicting rules. Change: every section has a checked shape; rules on one subject are resolved by votes, the chair's only where the others tie; an accepted release holds the resolved policy. Drains of hosts and failure domains mark hosts as leaving in the feed of every process. Ruled out: counting the chair's vote with the others and again in a tie, which would let the chair outvote a majority of one. Conclusion: a tie without the chair is refused.

--- a/apps/common/admin_feed.h
+++ b/apps/common/admin_feed.h
@@ -27,7 +27,10 @@
   bool Poll(Duration timeout);
 
   const release::Release& release() const { return release_; }
-  const membership::HostList& hosts() const { return hosts_; }
+  // The host list with the drains of the release applied.
+  membership::HostList hosts() const {
+    return membership::ApplyDrains(hosts_, release::DrainsOf(release_));
+  }
 
  private:
   bool PollRelease(Duration timeout);
--- a/src/release/chunks.cc
+++ b/src/release/chunks.cc
@@ -31,7 +31,9 @@
   ChunkedRelease result;
   result.manifest.version = release.version;
   result.manifest.write_id = write_id;
-  for (const auto& [name, section] : release.sections) {
+  std::map<std::string, Section> sections = release.sections;
+  sections["resolved"] = release.resolved;
+  for (const auto& [name, section] : sections) {
     std::vector<std::string>& digests = result.manifest.chunks[name];
     const std::string bytes = Json(section).dump();
     for (size_t from = 0; from < bytes.size(); from += kMaxChunkBytes) {
--- a/src/release/note.cc
+++ b/src/release/note.cc
@@ -2,6 +2,8 @@
 
 #include <limits>
 
+#include "release/policy.h"
+
 namespace pomelopond::release {
 namespace {
 
@@ -86,6 +88,8 @@
           {"add." + section + "." + name, ResultCode::kConflict, "is in the release already"});
     }
   }
+  // Rules are resolved only on a release that is right otherwise: they refer to its members.
+  if (errors->empty()) next.resolved = ValuesOf(ResolvePolicies(next, errors));
   return next;
 }
 
--- a/src/release/note.h
+++ b/src/release/note.h
@@ -30,7 +30,7 @@
 
 // The release that the note makes of `release`, with the next version. Errors: adding a name that
 // exists, changing or withdrawing one that does not (kConflict), a base that is not the release's
-// version (kStaleBase).
+// version (kStaleBase), rules that tie (kTieWithoutVote).
 Release ApplyNote(const Release& release, const Note& note, FieldErrors* errors);
 
 }  // namespace pomelopond::release
--- a/src/release/release.cc
+++ b/src/release/release.cc
@@ -2,10 +2,15 @@
 
 #include <limits>
 
+#include "planning/worker_protocol.h"
+#include "release/policy.h"
+
 namespace pomelopond::release {
 namespace {
 
 constexpr double kMaxObjectiveMs = 3600000;
+constexpr double kMaxShare = 1000000;
+constexpr int64_t kMaxPerSecond = 1000000;
 
 std::vector<std::string> ReadStrings(JsonReader* reader, const std::string& key) {
   std::vector<std::string> values;
@@ -19,6 +24,45 @@
   return values;
 }
 
+// A job of the sections jobs and watches; its name is its id.
+planning::JobSpec ReadReleaseJob(const std::string& section, const std::string& name,
+                                 const Json& object, const std::string& path, FieldErrors* errors) {
+  Json spec = object;
+  if (!spec.is_object()) return planning::ReadJobSpec(spec, path, errors);
+  if (spec.contains("id")) {
+    errors->push_back({path + ".id", ResultCode::kUnknownField, "the name is the id"});
+  }
+  spec["id"] = name;
+  const bool watch = section == "watches";
+  if (watch && spec.value("kind", Json("watch")) != "watch") {
+    errors->push_back({path + ".kind", ResultCode::kBadField, "must be watch"});
+  }
+  if (watch) spec["kind"] = "watch";
+  return planning::ReadJobSpec(spec, path, errors);
+}
+
+void CheckQuota(const Json& object, const std::string& path, FieldErrors* errors) {
+  JsonReader reader(object, path, errors);
+  reader.NumberOr("share", 0, kMaxShare, 1);
+  planning::ReadResources(reader.ObjectOr("most"), path + ".most", errors);
+  reader.Finish();
+}
+
+void CheckLimit(const Json& object, const std::string& path, FieldErrors* errors) {
+  JsonReader reader(object, path, errors);
+  reader.Int("per_second", 1, kMaxPerSecond);
+  reader.Finish();
+}
+
+void CheckDrain(const Json& object, const std::string& path, FieldErrors* errors) {
+  JsonReader reader(object, path, errors);
+  const std::string kind = reader.String("kind");
+  if (kind != "host" && kind != "failure_domain") {
+    reader.Fail("kind", ResultCode::kBadField, "must be host or failure_domain");
+  }
+  reader.Finish();
+}
+
 }  // namespace
 
 bool IsSection(const std::string& name) {
@@ -37,6 +81,7 @@
 Json ToJson(const Release& release) {
   Json document = {{"version", release.version}};
   for (const auto& [name, section] : release.sections) document[name] = Json(section);
+  document["resolved"] = Json(release.resolved);
   return document;
 }
 
@@ -50,6 +95,9 @@
       release.sections[section][it.key()] = it.value();
     }
   }
+  for (const auto& it : reader.ObjectOr("resolved").items()) {
+    release.resolved[it.key()] = it.value();
+  }
   reader.Finish();
   return release;
 }
@@ -73,7 +121,45 @@
     ReadServiceSpec(name, object, path, errors);
     return;
   }
-  if (!object.is_object()) errors->push_back({path, ResultCode::kBadField, "must be an object"});
+  if (section == "jobs" || section == "watches") {
+    ReadReleaseJob(section, name, object, path, errors);
+  } else if (section == "limits") {
+    CheckLimit(object, path, errors);
+  } else if (section == "quotas") {
+    CheckQuota(object, path, errors);
+  } else if (section == "policies") {
+    CheckPolicy(object, path, errors);
+  } else if (section == "members") {
+    CheckMember(object, path, errors);
+  } else if (section == "votes") {
+    CheckVote(object, path, errors);
+  } else if (section == "drains") {
+    CheckDrain(object, path, errors);
+  }
+}
+
+membership::Drains DrainsOf(const Release& release) {
+  membership::Drains drains;
+  const auto section = release.sections.find("drains");
+  if (section == release.sections.end()) return drains;
+  for (const auto& [name, object] : section->second) {
+    const bool host = object.value("kind", "") == "host";
+    (host ? drains.hosts : drains.failure_domains).insert(name);
+  }
+  return drains;
+}
+
+std::vector<planning::JobSpec> JobsOf(const Release& release) {
+  std::vector<planning::JobSpec> jobs;
+  FieldErrors ignored;  // the objects were checked when the release was accepted
+  for (const char* section : {"jobs", "watches"}) {
+    const auto objects = release.sections.find(section);
+    if (objects == release.sections.end()) continue;
+    for (const auto& [name, object] : objects->second) {
+      jobs.push_back(ReadReleaseJob(section, name, object, name, &ignored));
+    }
+  }
+  return jobs;
 }
 
 std::map<std::string, ServiceSpec> ServicesOf(const Release& release) {
--- a/src/release/release.h
+++ b/src/release/release.h
@@ -8,12 +8,14 @@
 #include <vector>
 
 #include "base/json_reader.h"
+#include "membership/drain.h"
+#include "planning/task.h"
 
 namespace pomelopond::release {
 
 // The parts of a release. Each maps names to objects; a note adds, changes or withdraws names.
-inline constexpr const char* kSections[] = {"services", "jobs",     "watches", "limits",
-                                            "quotas",   "policies", "members", "votes"};
+inline constexpr const char* kSections[] = {"services", "jobs",    "watches", "limits", "quotas",
+                                            "policies", "members", "votes",   "drains"};
 
 // Names of one section with their checked objects.
 using Section = std::map<std::string, Json>;
@@ -22,9 +24,10 @@
 struct Release {
   int64_t version = 0;
   std::map<std::string, Section> sections;  // all of kSections
+  std::map<std::string, Json> resolved;     // policy values by subject, computed at acceptance
 
   friend bool operator==(const Release& a, const Release& b) {
-    return a.version == b.version && a.sections == b.sections;
+    return a.version == b.version && a.sections == b.sections && a.resolved == b.resolved;
   }
 };
 
@@ -58,6 +61,12 @@
 ServiceSpec ReadServiceSpec(const std::string& name, const Json& object, const std::string& path,
                             FieldErrors* errors);
 
+// The hosts and failure domains that the release drains.
+membership::Drains DrainsOf(const Release& release);
+
+// The batch jobs, services and watches of the sections jobs and watches.
+std::vector<planning::JobSpec> JobsOf(const Release& release);
+
 // All services of a release, by name.
 std::map<std::string, ServiceSpec> ServicesOf(const Release& release);
 
