Give operators history, explain, rebase, drain and tables

Cause: pomelopondctl could only apply notes and submit jobs; a stale note showed no reason. Change: a note on an old base is answered with what both touch, and can be rebased where nothing overlaps; history, explain, hosts, drain, restore, diff and cancel of many; exit statuses by result class; tables by default. Ruled out: comparing releases for the overlap, which would miss a name that was changed and changed back.

--- a/apps/admin/admin.cc
+++ b/apps/admin/admin.cc
@@ -1,6 +1,10 @@
 #include "apps/admin/admin.h"
 
+#include <algorithm>
+#include <cstdlib>
+
 #include "base/log.h"
+#include "release/policy.h"
 
 namespace pomelopond::apps {
 namespace {
@@ -11,6 +15,7 @@
 constexpr Duration kForwardTimeout = std::chrono::seconds(15);
 constexpr Duration kHolderFresh = std::chrono::seconds(3);
 constexpr size_t kMaxTasks = 100;
+constexpr int64_t kHistoryLimit = 100;  // entries of one answer
 
 }  // namespace
 
@@ -147,7 +152,8 @@
   }
 }
 
-http::HttpResponse Admin::ApplyNote(const std::string& body, const std::string& approver) {
+http::HttpResponse Admin::ApplyNote(const std::string& body, bool rebase,
+                                    const std::string& approver) {
   const Result<Json> document = ParseJson(body);
   if (!document.ok()) return http::ErrorResponse(ResultCode::kBadJson, "the note is not JSON");
   FieldErrors errors;
@@ -157,7 +163,7 @@
     ReleaseStore releases(&store_);
     const Json audit = {
         {"approver", approver}, {"time_ms", WallClockMs()}, {"note", document.value}};
-    accepted = releases.Accept(note, audit, &errors);
+    accepted = releases.Accept(note, rebase, audit, &errors);
   }
   if (!errors.empty()) {
     const ResultCode code = errors.front().code;
@@ -239,6 +245,38 @@
   });
 }
 
+http::HttpResponse Admin::History(const http::HttpRequest& request) {
+  const int64_t from = std::atoll(http::QueryOf(request, "from").c_str());
+  ReleaseStore releases(&store_);
+  const Result<std::vector<Json>> entries =
+      releases.History(std::max<int64_t>(1, from), kHistoryLimit);
+  if (!entries.ok()) {
+    return http::ErrorResponse(ResultCode::kStoreUnavailable, "the store did not answer");
+  }
+  return http::JsonResponse(200, {{"entries", entries.value}});
+}
+
+http::HttpResponse Admin::Explain() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  FieldErrors ignored;  // an accepted release has no errors
+  Json decisions = Json::array();
+  for (const release::Decision& it : release::ResolvePolicies(release_, &ignored)) {
+    decisions.push_back(release::ToJson(it));
+  }
+  return http::JsonResponse(200, {{"version", release_.version}, {"decisions", decisions}});
+}
+
+// Calls that wait for the store or for peers run on the task thread, never on the HTTP pool.
+void Admin::HandlePosted(const http::HttpRequest& request, const AccessKey& key,
+                         const http::Reply& reply) {
+  const std::string path = http::PathOf(request);
+  Post([this, request, reply, path, approver = key.name] {
+    if (path == "/v1/status") return reply(Status());
+    if (path == "/v1/history") return reply(History(request));
+    reply(ApplyNote(request.body, http::QueryOf(request, "rebase") == "1", approver));
+  });
+}
+
 void Admin::Handle(const http::HttpRequest& request, const http::Reply& reply) {
   const std::string path = http::PathOf(request);
   if (path == "/healthz") return reply(http::JsonResponse(200, {{"status", "ok"}}));
@@ -263,12 +301,15 @@
       return reply(http::ErrorResponse(ResultCode::kQueueFull, "too many calls wait"));
     }
   }
-  if (note) {
-    return Post([this, reply, body = request.body, approver = key->name] {
-      reply(ApplyNote(body, approver));
-    });
+  if (note || path == "/v1/status" || path == "/v1/history") {
+    return HandlePosted(request, *key, reply);
+  }
+  if (path == "/v1/explain") return reply(Explain());
+  if (path == "/v1/hosts") {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return reply(http::JsonResponse(
+        200, membership::ToJson(membership::ApplyDrains(hosts_, release::DrainsOf(release_)))));
   }
-  if (path == "/v1/status") return Post([this, reply] { reply(Status()); });
   if (path == "/v1/release") {
     const std::lock_guard<std::mutex> lock(mutex_);
     return reply(http::JsonResponse(200, release::ToJson(release_)));
--- a/apps/admin/admin.h
+++ b/apps/admin/admin.h
@@ -54,7 +54,11 @@
   void Adopt(release::Release found);
   void AskPeers();
   void NotifyPeers();
-  http::HttpResponse ApplyNote(const std::string& body, const std::string& approver);
+  http::HttpResponse ApplyNote(const std::string& body, bool rebase, const std::string& approver);
+  http::HttpResponse History(const http::HttpRequest& request);
+  http::HttpResponse Explain();
+  void HandlePosted(const http::HttpRequest& request, const AccessKey& key,
+                    const http::Reply& reply);
   http::HttpResponse Status();
   http::HttpResponse Ready();
   Json LocalStatus();
--- a/apps/admin/release_store.cc
+++ b/apps/admin/release_store.cc
@@ -5,11 +5,14 @@
 #include "base/random_id.h"
 #include "base/result_code.h"
 #include "base/time.h"
+#include "release/rebase.h"
 
 namespace pomelopond::apps {
 namespace {
 
 constexpr int kCommitAttempts = 5;
+// A note whose base is older than this is not compared with all that came since.
+constexpr int64_t kMaxRebaseSteps = 1000;
 constexpr Duration kResolvePause = std::chrono::milliseconds(200);
 
 }  // namespace
@@ -88,17 +91,55 @@
   return ResultCode::kOutcomeUnknown;
 }
 
-Result<release::Release> ReleaseStore::Accept(const release::Note& note, const Json& audit,
+Result<release::Release> ReleaseStore::ReadInForce(const store::KeyValue& head) {
+  if (head.mod_revision == 0) return {{}, release::EmptyRelease()};
+  const Result<release::Manifest> manifest = release::DecodeManifest(head.value);
+  if (!manifest.ok()) return {manifest.ec, {}};
+  return Load(manifest.value);
+}
+
+Result<std::vector<Json>> ReleaseStore::History(int64_t from, int64_t limit) {
+  std::vector<Json> entries;
+  for (int64_t n = from; n < from + limit; ++n) {
+    const Result<store::KeyValue> log = store_->Get(release::LogKey(n));
+    if (!log.ok()) return {log.ec, {}};
+    if (log.value.mod_revision == 0) break;
+    Result<Json> entry = ParseJson(log.value.value);
+    if (!entry.ok()) return {ResultCode::kStoreBadAnswer, {}};
+    entries.push_back(std::move(entry.value));
+  }
+  return {{}, std::move(entries)};
+}
+
+std::error_code ReleaseStore::Reconcile(const release::Release& current, bool rebase,
+                                        release::Note* note, FieldErrors* errors) {
+  const int64_t steps = current.version - note->base;
+  // ApplyNote refuses the other cases.
+  if (steps <= 0 || steps > kMaxRebaseSteps) return {};
+  const Result<std::vector<Json>> history = History(note->base + 1, steps);
+  if (!history.ok()) return ResultCode::kStoreUnavailable;
+  std::vector<release::Note> since;
+  for (const Json& it : history.value) {
+    FieldErrors ignored;  // the note was checked when it was accepted
+    since.push_back(release::ReadNote(it.value("note", Json::object()), &ignored));
+  }
+  const std::set<std::string> overlap = release::Overlap(*note, since);
+  for (const std::string& it : overlap) {
+    errors->push_back({it, ResultCode::kStaleBase,
+                       "was changed after release " + std::to_string(note->base) +
+                           ", on which the note is based"});
+  }
+  if (rebase && overlap.empty()) *note = release::Rebase(std::move(*note), current.version);
+  return {};
+}
+
+Result<release::Release> ReleaseStore::Accept(release::Note note, bool rebase, const Json& audit,
                                               FieldErrors* errors) {
   const Result<store::KeyValue> head = ReadHead();
   if (!head.ok()) return {ResultCode::kStoreUnavailable, {}};
-  Result<release::Release> current{{}, release::EmptyRelease()};
-  if (head.value.mod_revision != 0) {
-    const Result<release::Manifest> manifest = release::DecodeManifest(head.value.value);
-    if (!manifest.ok()) return {manifest.ec, {}};
-    current = Load(manifest.value);
-    if (!current.ok()) return {ResultCode::kStoreUnavailable, {}};
-  }
+  const Result<release::Release> current = ReadInForce(head.value);
+  if (!current.ok()) return {ResultCode::kStoreUnavailable, {}};
+  if (const std::error_code ec = Reconcile(current.value, rebase, &note, errors)) return {ec, {}};
   release::Release next = release::ApplyNote(current.value, note, errors);
   if (!errors->empty()) return {errors->front().code, {}};
   const std::string write_id = RandomId();
--- a/apps/admin/release_store.h
+++ b/apps/admin/release_store.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 #include "base/result.h"
 #include "release/chunks.h"
@@ -22,14 +23,22 @@
   Result<release::Release> ReadIfNewer(int64_t have);
 
   // Accepts a note on the release in force. Errors of the note are added to `errors` and nothing
-  // changes. kStaleBase: another note was accepted first. kOutcomeUnknown: the store did not tell
-  // whether the note was accepted. `audit` is kept beside the note.
-  Result<release::Release> Accept(const release::Note& note, const Json& audit,
+  // changes. kStaleBase: another note was accepted first; the error names what both touch. With
+  // `rebase` a note that touches nothing accepted since its base is moved to the release in force.
+  // kOutcomeUnknown: the store did not tell whether the note was accepted. `audit` is kept beside
+  // the note.
+  Result<release::Release> Accept(release::Note note, bool rebase, const Json& audit,
                                   FieldErrors* errors);
 
+  // Audit entries of the versions from `from` on, at most `limit`, oldest first.
+  Result<std::vector<Json>> History(int64_t from, int64_t limit);
+
  private:
   Result<store::KeyValue> ReadHead();
   Result<release::Release> Load(const release::Manifest& manifest);
+  Result<release::Release> ReadInForce(const store::KeyValue& head);
+  std::error_code Reconcile(const release::Release& current, bool rebase, release::Note* note,
+                            FieldErrors* errors);
   std::error_code PutChunks(const release::ChunkedRelease& next);
   std::error_code Commit(const store::Txn& txn, int64_t version, const std::string& write_id);
   std::error_code Resolve(int64_t version, const std::string& write_id);
--- a/apps/ctl/main.cc
+++ b/apps/ctl/main.cc
@@ -1,15 +1,19 @@
 // pomelopondctl: the operators' command line.
+#include <algorithm>
+#include <cstdio>
 #include <cxxopts.hpp>
 #include <iostream>
 #include <string>
 #include <vector>
 
+#include "apps/ctl/command.h"
 #include "base/json.h"
 #include "base/program.h"
 #include "base/result_code.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
 #include "release/note.h"
+#include "release/rebase.h"
 
 namespace pomelopond::apps {
 namespace {
@@ -17,39 +21,20 @@
 constexpr Duration kTimeout = std::chrono::seconds(20);
 
 constexpr const char* kExamples =
-    "\nCommands:\n"
-    "  validate FILE          check a release note without sending it\n"
-    "  apply FILE             have a release note accepted\n"
-    "  release                print the release in force\n"
-    "  status                 print where the release is in force\n"
-    "  submit FILE            submit a job\n"
-    "  job ID                 print a job and its tasks\n"
-    "  cancel ID              cancel a job\n"
-    "  shards                 print the shards that the scheduler of this host owns\n"
     "\nExamples:\n"
     "  pomelopondctl --admin 10.0.0.1:7300 --key-file operator.key apply note.json\n"
-    "  pomelopondctl --admin 10.0.0.1:7300 --key-file operator.key job survey-17\n"
-    "\nExit status: 0 accepted or found, 1 refused or failed, 2 usage.\n";
+    "  pomelopondctl --admin 10.0.0.1:7300 --key-file operator.key drain host worker-07\n"
+    "  pomelopondctl --admin 10.0.0.1:7300 --key-file operator.key --output json job survey-17\n"
+    "\nExit status: 0 done, 1 no answer, 2 usage, 3 bad input, 4 refused, 5 conflict,\n"
+    "6 outcome unknown, 7 store, 8 internal error, 9 access refused.\n";
 
-struct Command {
-  std::string method;
-  std::string path;
-  std::string body;
-};
-
-// Empty method: the words are not a command.
-Command ParseCommand(const std::vector<std::string>& words, const std::string& file) {
-  const std::string& name = words[0];
-  const bool has_word = words.size() == 2;
-  if (name == "release" && !has_word) return {"GET", "/v1/release", {}};
-  if (name == "status" && !has_word) return {"GET", "/v1/status", {}};
-  if (name == "shards" && !has_word) return {"GET", "/v1/shards", {}};
-  if (!has_word) return {};
-  if (name == "apply") return {"POST", "/v1/release", file};
-  if (name == "submit") return {"POST", "/v1/jobs", file};
-  if (name == "job") return {"GET", "/v1/jobs/" + words[1], {}};
-  if (name == "cancel") return {"POST", "/v1/jobs/" + words[1] + "/cancel", {}};
-  return {};
+void PrintHelp(const std::string& options) {
+  std::cout << options << "\nCommands:\n";
+  for (const CommandHelp& it : CommandHelps()) {
+    std::printf("  %-30s %s\n", it.usage, it.text);
+  }
+  std::fflush(stdout);
+  std::cout << kExamples;
 }
 
 int Validate(const std::string& text) {
@@ -65,25 +50,60 @@
   return errors.empty() ? kExitOk : kExitFailure;
 }
 
-int Send(const Endpoint& admin, const std::string& key, const Command& command) {
-  http::InitThreads(2);
-  http::HttpClient client(admin);
+struct Connection {
+  Endpoint admin;
+  std::string key;
+  bool json = false;  // print JSON in place of tables
+};
+
+http::HttpResult Call(const Connection& to, const Command& command) {
+  http::HttpClient client(to.admin);
   http::HttpRequest request;
   request.method = command.method;
   request.path = command.path;
   request.body = command.body;
-  request.headers["Authorization"] = "Bearer " + key;
+  request.headers["Authorization"] = "Bearer " + to.key;
   request.headers["Content-Type"] = "application/json";
-  const http::HttpResult result = client.Call(std::move(request), kTimeout);
+  return client.Call(std::move(request), kTimeout);
+}
+
+int PrintDiff(const std::string& file, const Json& in_force) {
+  const Result<Json> document = ParseJson(file);
+  FieldErrors errors;
+  const release::Release a = release::ReadRelease(document.value, &errors);
+  const release::Release b = release::ReadRelease(in_force, &errors);
+  if (!document.ok() || !errors.empty()) {
+    std::cerr << "the file is not a release as printed by `release`\n" << ToString(errors);
+    return kExitUsage;
+  }
+  for (const std::string& it : release::Diff(a, b)) std::cout << it << "\n";
+  return kExitOk;
+}
+
+int Send(const Connection& to, const std::string& name, const Command& command,
+         const std::string& file) {
+  const http::HttpResult result = Call(to, command);
   if (result.ec) {
-    std::cerr << "no answer from " << ToString(admin) << ": " << result.ec.message() << "\n";
+    std::cerr << "no answer from " << ToString(to.admin) << ": " << result.ec.message() << "\n";
     return kExitFailure;
   }
   const Result<Json> document = ParseJson(result.response.body);
-  const bool good = result.response.status < 300;
-  (good ? std::cout : std::cerr) << (document.ok() ? document.value.dump(2) : result.response.body)
-                                 << "\n";
-  return good ? kExitOk : kExitFailure;
+  const int status = ExitStatusOf(result.response);
+  if (status != kExitOk || !document.ok()) {
+    std::cerr << (document.ok() ? document.value.dump(2) : result.response.body) << "\n";
+    return status == kExitOk ? kExitFailure : status;
+  }
+  if (name == "diff") return PrintDiff(file, document.value);
+  std::cout << (to.json ? document.value.dump(2) + "\n" : Table(name, document.value));
+  return kExitOk;
+}
+
+// The version of the release in force, or -1.
+int64_t VersionInForce(const Connection& to) {
+  const http::HttpResult result = Call(to, {"GET", "/v1/release", {}});
+  const Result<Json> document = ParseJson(result.response.body);
+  if (result.ec || !document.ok() || !document.value.is_object()) return -1;
+  return document.value.value("version", int64_t{-1});
 }
 
 std::string Trimmed(std::string text) {
@@ -91,11 +111,28 @@
   return text;
 }
 
+// Runs one command, or `cancel` for each of its jobs; the worst status counts.
+int RunWords(const Connection& to, const std::vector<std::string>& words, const std::string& file) {
+  if (words[0] == "cancel" && words.size() > 2) {
+    int worst = kExitOk;
+    for (size_t n = 1; n < words.size(); ++n) {
+      worst = std::max(worst, RunWords(to, {words[0], words[n]}, file));
+    }
+    return worst;
+  }
+  const int64_t version = NeedsVersion(words[0]) ? VersionInForce(to) : 0;
+  const Command command = ParseCommand(words, file, std::max<int64_t>(version, 0));
+  if (command.method.empty()) {
+    std::cerr << "no such command, or wrong arguments; see --help\n";
+    return kExitUsage;
+  }
+  return Send(to, words[0], command, file);
+}
+
 int Run(const cxxopts::ParseResult& args) {
   const auto words = args["command"].as<std::vector<std::string>>();
-  const bool takes_file = words[0] == "apply" || words[0] == "submit" || words[0] == "validate";
   std::string file;
-  if (takes_file && words.size() == 2) {
+  if (TakesFile(words[0]) && words.size() == 2) {
     const Result<std::string> text = ReadFile(words[1]);
     if (!text.ok()) {
       std::cerr << "cannot read " << words[1] << "\n";
@@ -104,35 +141,38 @@
     file = text.value;
   }
   if (words[0] == "validate" && words.size() == 2) return Validate(file);
-  const Command command = ParseCommand(words, file);
-  if (command.method.empty() || args.count("admin") == 0) {
-    std::cerr << "a command and --admin ADDRESS:PORT are required; see --help\n";
+  if (args.count("admin") == 0) {
+    std::cerr << "--admin ADDRESS:PORT is required; see --help\n";
     return kExitUsage;
   }
   const Result<Endpoint> admin = ParseEndpoint(args["admin"].as<std::string>());
   const Result<std::string> key = ReadFile(args["key-file"].as<std::string>());
-  if (!admin.ok() || !key.ok()) {
-    std::cerr << "--admin must be an IP address and port, --key-file a readable file\n";
+  const auto output = args["output"].as<std::string>();
+  if (!admin.ok() || !key.ok() || (output != "table" && output != "json")) {
+    std::cerr << "--admin must be an IP address and port, --key-file a readable file, "
+                 "--output table or json\n";
     return kExitUsage;
   }
-  return Send(admin.value, Trimmed(key.value), command);
+  http::InitThreads(2);
+  return RunWords({admin.value, Trimmed(key.value), output == "json"}, words, file);
 }
 
 int Main(int argc, char** argv) {
   cxxopts::Options options("pomelopondctl", "Operators' command line of pomelopond");
   options.custom_help("[OPTIONS]");
-  options.positional_help("COMMAND [ARGUMENT]");
+  options.positional_help("COMMAND [ARGUMENTS]");
   options.add_options()("admin", "address of a pomelopond-admin", cxxopts::value<std::string>(),
                         "ADDRESS:PORT")(
       "key-file", "file with the access key",
-      cxxopts::value<std::string>()->default_value("/etc/pomelopond/operator.key"),
-      "FILE")("command", "command and argument", cxxopts::value<std::vector<std::string>>())(
+      cxxopts::value<std::string>()->default_value("/etc/pomelopond/operator.key"), "FILE")(
+      "output", "table or json", cxxopts::value<std::string>()->default_value("table"), "FORMAT")(
+      "command", "command and arguments", cxxopts::value<std::vector<std::string>>())(
       "version", "print the version and exit")("help", "print this help and exit");
   options.parse_positional("command");
   try {
     const cxxopts::ParseResult args = options.parse(argc, argv);
     if (args.count("help") != 0) {
-      std::cout << options.help() << kExamples;
+      PrintHelp(options.help());
       return kExitOk;
     }
     if (args.count("version") != 0) {
