Measure races, propagation and hostile input of release notes

The first run of hostile-input found PUT and DELETE on the admin answered as GET (30 of 300 calls); they get method_not_allowed now. /readyz of the scheduler shows the release it holds.

--- a/apps/admin/admin.cc
+++ b/apps/admin/admin.cc
@@ -289,6 +289,9 @@
   }
   const AccessKey* key = FindKey(settings_.keys, request);
   const bool post = request.method == "POST";
+  if (!post && request.method != "GET") {
+    return reply(http::ErrorResponse(ResultCode::kMethodNotAllowed, "use GET or POST"));
+  }
   const bool note = path == "/v1/release" && post;
   const Role needed = note ? Role::kApprove : post ? Role::kOperate : Role::kRead;
   if (const std::error_code ec = CheckRole(key, needed)) {
--- a/apps/scheduler/main.cc
+++ b/apps/scheduler/main.cc
@@ -36,7 +36,10 @@
       {{"host", own.id}, {"endpoint", ToString(own.scheduler)}, {"incarnation", incarnation}});
   AdminFeed feed(own.peer, "scheduler", incarnation);
   while (!WaitForStop(kFeedInterval)) {
-    if (feed.Poll(kFeedTimeout)) scheduler.UpdateHosts(feed.hosts());
+    if (feed.Poll(kFeedTimeout)) {
+      scheduler.UpdateHosts(feed.hosts());
+      scheduler.UpdateRelease(feed.release());
+    }
     scheduler.Tick(Now());
   }
   Log(LogLevel::kInfo, "main", "stopping", {});
--- a/apps/scheduler/scheduler.cc
+++ b/apps/scheduler/scheduler.cc
@@ -59,6 +59,11 @@
   for (const auto& it : runners) it->SetHosts(hosts);
 }
 
+void Scheduler::UpdateRelease(const release::Release& release) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  release_version_ = std::max(release_version_, release.version);
+}
+
 bool Scheduler::RenewMembership() {
   const TimePoint now = Now();
   if (lease_ != 0 && now < next_renewal_) return true;
@@ -228,9 +233,10 @@
   const std::lock_guard<std::mutex> lock(mutex_);
   const bool fresh = store_seen_ != TimePoint{} && Now() - store_seen_ < kStoreFresh;
   const bool ready = !stopping_.load() && store_seen_ != TimePoint{} && !table_.empty();
-  return http::JsonResponse(
-      ready ? 200 : 503,
-      {{"ready", ready}, {"state", fresh ? "ok" : "degraded"}, {"shards", runners_.size()}});
+  return http::JsonResponse(ready ? 200 : 503, {{"ready", ready},
+                                                {"state", fresh ? "ok" : "degraded"},
+                                                {"shards", runners_.size()},
+                                                {"release", release_version_}});
 }
 
 http::HttpResponse Scheduler::Shards() {
--- a/apps/scheduler/scheduler.h
+++ b/apps/scheduler/scheduler.h
@@ -15,6 +15,7 @@
 #include "http/http_server.h"
 #include "membership/host_list.h"
 #include "metrics/registry.h"
+#include "release/release.h"
 #include "store/store_client.h"
 
 namespace pomelopond::apps {
@@ -26,6 +27,7 @@
   void Handle(const http::HttpRequest& request, const http::Reply& reply);
 
   void UpdateHosts(const membership::HostList& hosts);
+  void UpdateRelease(const release::Release& release);
 
   // Renews the membership, reads the members and takes over or hands over shards. Blocks on store
   // calls; called by one thread only.
@@ -73,6 +75,7 @@
   // Lock order: mutex_ before a runner's mutex; not held during store calls.
   std::mutex mutex_;
   membership::HostList hosts_;
+  int64_t release_version_ = 0;
   std::map<std::string, Member> members_;
   std::map<std::string, std::string> table_;  // host by shard
   std::map<std::string, std::shared_ptr<ShardRunner>> runners_;
--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -41,7 +41,7 @@
 
 void InitLog(std::string_view program, LogLevel level) {
   const auto layout = std::make_shared<log4cxx::PatternLayout>(
-      LOG4CXX_STR("time=%d{yyyy-MM-dd'T'HH:mm:ss.SSS} level=%p program=") +
+      LOG4CXX_STR("time=%d{yyyy-MM-dd}T%d{HH:mm:ss.SSS} level=%p program=") +
       log4cxx::LogString(program) + LOG4CXX_STR(" module=%c %m%n"));
   const auto appender =
       std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
--- a/tests/failure/release_test.cc
+++ b/tests/failure/release_test.cc
@@ -6,6 +6,7 @@
 #include <thread>
 
 #include "tests/support/cluster.h"
+#include "tests/support/hostile_input.h"
 #include "tests/support/release_calls.h"
 
 namespace pomelopond::support {
@@ -121,5 +122,22 @@
   EXPECT_EQ(status("POST", "test-key"), 200);
 }
 
+// Guards against hostile notes and calls that crash the admin, pass for something else, or change
+// the release. The first run found PUT and DELETE answered as GET.
+TEST(ReleaseTest, HostileRequestsGetNumberedErrorsAndChangeNothing) {
+  Cluster cluster(SmallCluster(175));
+  cluster.StartStandIns();
+  cluster.StartEntryHosts();
+  ASSERT_TRUE(cluster.PutDefaultReleaseInForce());
+  for (const http::HttpRequest& it : HostileRequests(60, 1, "test-key")) {
+    const http::HttpResult result = Send(cluster.Admin(0), it.method, it.path, it.body, it.headers);
+    const Result<Json> body = ParseJson(result.response.body);
+    ASSERT_TRUE(body.ok() && body.value.is_object()) << it.method << " " << it.path;
+    EXPECT_GE(body.value.value("code", 0), 100) << it.method << " " << it.path;
+    EXPECT_EQ(result.response.status / 100, 4) << it.method << " " << it.path;
+  }
+  EXPECT_EQ(VersionOf(cluster.Admin(0), true), 1);
+}
+
 }  // namespace
 }  // namespace pomelopond::support
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -53,6 +53,8 @@
                    {"keys", Json::array({{{"name", "test"}, {"key", kKey}, {"role", "approve"}}})}};
   settings.update(options.settings);
   std::ofstream(SettingsFile()) << settings.dump(2);
+  settings["store"] = net + "1.99:2379";
+  std::ofstream(folder_ + "/cut-off.json") << settings.dump(2);
   int number = 0;
   for (int domain = 0; domain < options.failure_domains; ++domain) {
     for (int rack = 0; rack < options.racks_per_domain; ++rack) {
@@ -126,9 +128,11 @@
 
 void Cluster::StartProgram(const std::string& program, int host) {
   const std::string name = program + "-" + std::to_string(host);
-  processes_[name] = Process({POMELOPOND_BIN_DIR "/pomelopond-" + program, "--settings",
-                              SettingsFile(), "--host", "entry-" + std::to_string(host)},
-                             folder_ + "/" + name + ".log");
+  processes_[name] =
+      Process({POMELOPOND_BIN_DIR "/pomelopond-" + program, "--settings",
+               host == options_.cut_off_host ? folder_ + "/cut-off.json" : SettingsFile(), "--host",
+               "entry-" + std::to_string(host)},
+              folder_ + "/" + name + ".log");
 }
 
 void Cluster::StartEntryHosts() {
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -31,6 +31,7 @@
   int64_t slots = 8;
   int64_t connections = 64;
   int64_t service_ms = 1;
+  int cut_off_host = -1;  // this entry host gets an address for the store where nothing listens
   Json settings = Json::object();  // replaces members of the entry hosts' settings
 };
 
