Place tasks from incremental indexes instead of scans

Cause: PlaceTasks compared every host for every waiting task and sorted all of them at each call; one decision took longer the larger the shard was. Jobs that fit nowhere were tried at each call.

Change: RoomIndex finds hosts with room in a tree of maxima. Planner groups waiting jobs by rank, team and shape, parks a shape that fits nowhere until room grows or the host list changes, and bounds the work of a call. Order is rank, then weighted fair share between teams within quotas; services leave the largest rack free and spread over failure domains and racks. Grants are reserved until they are applied. ShardState::pending is gone; the planner derives it.

--- a/apps/scheduler/shard_runner.cc
+++ b/apps/scheduler/shard_runner.cc
@@ -149,7 +149,7 @@
 std::vector<planning::HostRoom> ShardRunner::Rooms() const {
   std::vector<planning::HostRoom> rooms;
   for (const auto& [id, worker] : workers_) {
-    rooms.push_back({id, worker.capacity, worker.usable && worker.session.confirmed});
+    rooms.push_back({id, worker.capacity, worker.usable && worker.session.confirmed, {}, {}});
   }
   return rooms;
 }
--- a/src/planning/placement.cc
+++ b/src/planning/placement.cc
@@ -5,59 +5,679 @@
 namespace pomelopond::planning {
 namespace {
 
+// Hosts compared for one task. Few are enough to keep hosts even; more cost time a decision.
+constexpr size_t kCandidates = 16;
+// Where the comparison starts, so that the candidates come from different racks.
+constexpr size_t kProbes = 8;
+// Nodes visited by one probe and by one search of all hosts; about 2 ns a node.
+constexpr size_t kProbeBudget = 64;
+constexpr size_t kSearchBudget = 2048;
+constexpr size_t kCursorStep = 7919;  // a prime, so that probes reach every host
+// Groups woken with their shape. Waking all would take 1 us for each of up to some 100,000 groups
+// in one call; beyond this many, teams take turns instead of going by their share.
+constexpr size_t kWokenGroups = 8;
+// Bound of the work of one call, in visited nodes. What is left is done in the next call.
+constexpr size_t kCallWork = 6144;
+constexpr size_t kWorkPerGrant = 1024;
+constexpr size_t kWorkPerMiss = 32;  // for parking a group
+
 double Ratio(int64_t part, int64_t whole) {
   return static_cast<double>(part) / static_cast<double>(whole);
 }
 
-// Share of the host in use after the grant, in its scarcest dimension.
-double UseAfter(const Resources& used, const Resources& need, const Resources& capacity) {
-  const Resources after = used + need;
+// The part of `whole` in use, in its scarcest dimension.
+double Use(const Resources& used, const Resources& whole) {
   double use = 0;
-  if (capacity.cpu_milli > 0) {
-    use = std::max(use, Ratio(after.cpu_milli, capacity.cpu_milli));
+  if (whole.cpu_milli > 0) use = std::max(use, Ratio(used.cpu_milli, whole.cpu_milli));
+  if (whole.memory_mb > 0) use = std::max(use, Ratio(used.memory_mb, whole.memory_mb));
+  if (whole.accelerators > 0) use = std::max(use, Ratio(used.accelerators, whole.accelerators));
+  return use;
+}
+
+Resources Max(const Resources& a, const Resources& b) {
+  return {std::max(a.cpu_milli, b.cpu_milli), std::max(a.memory_mb, b.memory_mb),
+          std::max(a.accelerators, b.accelerators)};
+}
+
+Resources Scale(const Resources& a, double factor) {
+  const auto scaled = [factor](int64_t it) {
+    return static_cast<int64_t>(static_cast<double>(it) * factor);
+  };
+  return {scaled(a.cpu_milli), scaled(a.memory_mb), scaled(a.accelerators)};
+}
+
+bool IsFirm(const JobSpec& spec) { return spec.kind != JobKind::kBatch; }
+
+// Fits, but only in the dimensions that `need` asks for: a bound that is exceeded in another one is
+// no reason to hold it back.
+bool WithinBound(const Resources& used, const Resources& need, const Resources& bound) {
+  return (need.cpu_milli == 0 || used.cpu_milli + need.cpu_milli <= bound.cpu_milli) &&
+         (need.memory_mb == 0 || used.memory_mb + need.memory_mb <= bound.memory_mb) &&
+         (need.accelerators == 0 || used.accelerators + need.accelerators <= bound.accelerators);
+}
+
+int32_t NumberOf(std::map<std::string, int32_t>* numbers, const std::string& name) {
+  return numbers->emplace(name, static_cast<int32_t>(numbers->size())).first->second;
+}
+
+int32_t TeamOf(Planner* planner, const std::string& name) {
+  const auto [it, added] =
+      planner->team_ids.emplace(name, static_cast<int32_t>(planner->teams.size()));
+  if (!added) return it->second;
+  Planner::Team team;
+  team.name = name;
+  const auto quota = planner->settings.quotas.find(name);
+  if (quota != planner->settings.quotas.end()) team.quota = quota->second;
+  planner->teams.push_back(std::move(team));
+  return it->second;
+}
+
+int32_t ShapeOf(Planner* planner, const JobSpec& spec) {
+  const Resources& need = spec.need;
+  const auto [it, added] = planner->shape_ids.emplace(
+      std::tuple(need.cpu_milli, need.memory_mb, need.accelerators, !IsFirm(spec)),
+      static_cast<int32_t>(planner->shapes.size()));
+  if (!added) return it->second;
+  Planner::Shape shape;
+  shape.need = need;
+  shape.batch = !IsFirm(spec);
+  planner->shapes.push_back(std::move(shape));
+  return it->second;
+}
+
+int32_t GroupOf(Planner* planner, const JobSpec& spec) {
+  const int32_t team = TeamOf(planner, spec.team);
+  const int32_t shape = ShapeOf(planner, spec);
+  const auto [it, added] = planner->group_ids.emplace(std::tuple(spec.rank, team, shape),
+                                                      static_cast<int32_t>(planner->groups.size()));
+  if (!added) return it->second;
+  Planner::Group group;
+  group.rank = spec.rank;
+  group.team = team;
+  group.shape = shape;
+  planner->groups.push_back(std::move(group));
+  return it->second;
+}
+
+void Deactivate(Planner* planner, int32_t id) {
+  Planner::Group& group = planner->groups[id];
+  if (group.active_key < 0) return;
+  Planner::Team& team = planner->teams[group.team];
+  const auto rank = team.active.find(group.rank);
+  rank->second.erase({group.active_key, id});
+  group.active_key = -1;
+  if (!rank->second.empty()) return;
+  team.active.erase(rank);
+  const auto order = planner->order.find(group.rank);
+  order->second.erase({team.share, group.team});
+  if (order->second.empty()) planner->order.erase(order);
+}
+
+// Puts a group with waiting jobs where its oldest job belongs, unless it is parked.
+void Activate(Planner* planner, int32_t id) {
+  Planner::Group& group = planner->groups[id];
+  const bool waits = group.parked == WaitReason::kNone && !group.jobs.empty();
+  const int64_t key = waits ? group.jobs.begin()->first : -1;
+  if (key == group.active_key) return;
+  Deactivate(planner, id);
+  if (!waits) return;
+  Planner::Team& team = planner->teams[group.team];
+  std::set<std::pair<int64_t, int32_t>>& active = team.active[group.rank];
+  if (active.empty()) planner->order[group.rank].insert({team.share, group.team});
+  active.insert({key, id});
+  group.active_key = key;
+}
+
+void SetShare(Planner* planner, int32_t id) {
+  Planner::Team& team = planner->teams[id];
+  const double share = Use(team.used, planner->total) / team.quota.weight;
+  if (share == team.share) return;
+  for (const auto& [rank, groups] : team.active) {
+    std::set<std::pair<double, int32_t>>& order = planner->order[rank];
+    order.erase({team.share, id});
+    order.insert({share, id});
   }
-  if (capacity.memory_mb > 0) {
-    use = std::max(use, Ratio(after.memory_mb, capacity.memory_mb));
+  team.share = share;
+}
+
+void Unpark(Planner* planner, std::vector<int32_t>* groups) {
+  std::vector<int32_t> parked;
+  parked.swap(*groups);
+  for (const int32_t it : parked) {
+    planner->groups[it].parked = WaitReason::kNone;
+    Activate(planner, it);
+  }
+}
+
+// Wakes up to `count` groups that were parked with a shape which is not parked any more.
+void WakeGroups(Planner* planner, int32_t shape_id, size_t count) {
+  Planner::Shape& shape = planner->shapes[shape_id];
+  if (shape.parked != WaitReason::kNone) return;
+  while (count > 0 && !shape.groups.empty()) {
+    const auto rank = shape.groups.begin();
+    const int32_t id = rank->second.front();
+    rank->second.pop_front();
+    if (rank->second.empty()) shape.groups.erase(rank);
+    planner->groups[id].parked = WaitReason::kNone;
+    Activate(planner, id);
+    if (!planner->groups[id].jobs.empty()) --count;
   }
-  if (capacity.accelerators > 0) {
-    use = std::max(use, Ratio(after.accelerators, capacity.accelerators));
+}
+
+void UnparkShape(Planner* planner, int32_t id) {
+  planner->shapes[id].parked = WaitReason::kNone;
+  WakeGroups(planner, id, kWokenGroups);
+}
+
+void UnparkShapes(Planner* planner, std::vector<int32_t>* shapes) {
+  std::vector<int32_t> parked;
+  parked.swap(*shapes);
+  for (const int32_t it : parked) UnparkShape(planner, it);
+}
+
+void ParkShape(Planner* planner, int32_t id, WaitReason reason) {
+  Planner::Shape& shape = planner->shapes[id];
+  shape.parked = reason;
+  switch (reason) {
+    case WaitReason::kNeverFits:
+      planner->never_shapes.push_back(id);
+      break;
+    case WaitReason::kHeadroom:
+      planner->headroom_shapes.push_back(id);
+      break;
+    default:
+      planner->parked_shapes.insert({shape.need.cpu_milli, id});
+      break;
   }
-  return use;
+}
+
+void ParkGroup(Planner* planner, int32_t id, WaitReason reason) {
+  Deactivate(planner, id);
+  planner->groups[id].parked = reason;
+}
+
+Resources FreeRoom(const Planner::Host& host) {
+  return host.room.usable ? host.room.capacity - host.granted : kNoRoom;
+}
+
+// Sets a host's entry in the index after any change, and notes a gain.
+void UpdateRoom(Planner* planner, int32_t id) {
+  const Resources room = FreeRoom(planner->hosts[id]);
+  const Resources before =
+      static_cast<size_t>(id) < planner->rooms.leaves ? RoomOf(planner->rooms, id) : kNoRoom;
+  SetRoom(&planner->rooms, id, room);
+  if (Fits(room, before)) return;
+  planner->grown = Max(planner->grown, room);
+  planner->growth += 1;
+}
+
+int32_t HostOf(Planner* planner, const std::string& id) {
+  const auto [it, added] =
+      planner->host_ids.emplace(id, static_cast<int32_t>(planner->hosts.size()));
+  if (!added) return it->second;
+  Planner::Host host;
+  host.room.id = id;
+  host.rack = NumberOf(&planner->racks, "");
+  host.failure_domain = NumberOf(&planner->domains, "");
+  planner->rack_capacity.resize(planner->racks.size());
+  planner->hosts.push_back(std::move(host));
+  UpdateRoom(planner, it->second);
+  return it->second;
+}
+
+void CountSpread(std::map<int32_t, int32_t>* counts, int32_t key, int32_t change) {
+  int32_t& count = (*counts)[key];
+  count += change;
+  if (count == 0) counts->erase(key);
+}
+
+void DropJobIfIdle(Planner* planner, const std::string& id) {
+  const auto it = planner->jobs.find(id);
+  if (it == planner->jobs.end()) return;
+  if (it->second.waiting.empty() && it->second.delayed == 0 && it->second.racks.empty()) {
+    planner->jobs.erase(it);
+  }
+}
+
+Planner::Job& JobOf(Planner* planner, const JobSpec& spec) {
+  const auto [it, added] = planner->jobs.try_emplace(spec.id);
+  if (added) {
+    it->second.group = GroupOf(planner, spec);
+    it->second.arrival = planner->arrivals++;
+  }
+  return it->second;
+}
+
+// Counts a task on a host (sign 1) or takes it off again (sign -1).
+void Count(Planner* planner, const JobSpec& spec, int32_t host_id, int sign) {
+  Planner::Host& host = planner->hosts[host_id];
+  const int32_t team_id = TeamOf(planner, spec.team);
+  Planner::Team& team = planner->teams[team_id];
+  const auto add = [&spec, sign](Resources* to) {
+    *to = sign > 0 ? *to + spec.need : *to - spec.need;
+  };
+  add(&host.granted);
+  add(&planner->granted);
+  add(&team.used);
+  if (IsFirm(spec)) {
+    add(&planner->granted_firm);
+    Planner::Job& job = JobOf(planner, spec);
+    CountSpread(&job.racks, host.rack, sign);
+    CountSpread(&job.domains, host.failure_domain, sign);
+    DropJobIfIdle(planner, spec.id);
+  }
+  UpdateRoom(planner, host_id);
+  SetShare(planner, team_id);
+  if (sign > 0) return;
+  planner->growth += 1;
+  planner->grown = Max(planner->grown, {0, 0, 0});
+  Unpark(planner, &team.at_quota);
+}
+
+void AddWaiting(Planner* planner, const JobSpec& spec, int32_t index) {
+  Planner::Job& job = JobOf(planner, spec);
+  job.waiting.push_back(index);
+  planner->groups[job.group].jobs.emplace(job.arrival, spec.id);
+  Activate(planner, job.group);
+}
+
+// Keeps the job's group in step after tasks were taken from `waiting`.
+void AfterRemoval(Planner* planner, const std::string& id, Planner::Job* job) {
+  if (!job->waiting.empty()) return;
+  const int32_t group = job->group;
+  planner->groups[group].jobs.erase(job->arrival);
+  Activate(planner, group);
+  WakeGroups(planner, planner->groups[group].shape, 1);
+  DropJobIfIdle(planner, id);
+}
+
+bool RemoveWaiting(Planner* planner, const std::string& id, int32_t index) {
+  const auto job = planner->jobs.find(id);
+  if (job == planner->jobs.end()) return false;
+  std::vector<int32_t>& waiting = job->second.waiting;
+  const auto it = std::find(waiting.rbegin(), waiting.rend(), index);
+  if (it == waiting.rend()) return false;
+  waiting.erase(std::next(it).base());
+  AfterRemoval(planner, id, &job->second);
+  return true;
+}
+
+bool Pending(const ShardState& state, const std::string& task) {
+  const auto it = state.tasks.find(task);
+  return it != state.tasks.end() && it->second.state == TaskState::kPending;
+}
+
+// Gives up grants that were decided but never applied.
+void GiveUpReservations(const ShardState& state, Planner* planner) {
+  std::unordered_map<std::string, Planner::Reservation> left;
+  left.swap(planner->reserved);
+  for (const auto& [task, it] : left) {
+    const JobSpec& spec = state.jobs.at(it.job);
+    Count(planner, spec, it.host, -1);
+    if (Pending(state, task)) AddWaiting(planner, spec, it.index);
+  }
+}
+
+void WakeDelayed(const ShardState& state, Planner* planner, TimePoint now) {
+  while (!planner->delayed.empty() && planner->delayed.begin()->first <= now) {
+    const auto [id, index] = planner->delayed.begin()->second;
+    planner->delayed.erase(planner->delayed.begin());
+    const auto job = planner->jobs.find(id);
+    if (job != planner->jobs.end()) job->second.delayed -= 1;
+    if (Pending(state, TaskId(id, index))) AddWaiting(planner, state.jobs.at(id), index);
+    DropJobIfIdle(planner, id);
+  }
+}
+
+void WakeShapes(Planner* planner) {
+  UnparkShapes(planner, &planner->retry_shapes);
+  if (planner->grown == kNoRoom) return;
+  UnparkShapes(planner, &planner->headroom_shapes);
+  for (auto it = planner->parked_shapes.begin(); it != planner->parked_shapes.end();) {
+    if (it->first > planner->grown.cpu_milli) break;
+    const int32_t id = it->second;
+    if (!Fits(planner->shapes[id].need, planner->grown)) {
+      ++it;
+      continue;
+    }
+    it = planner->parked_shapes.erase(it);
+    UnparkShape(planner, id);
+  }
+  planner->grown = kNoRoom;
+}
+
+void UpdateTotals(Planner* planner) {
+  if (!planner->totals_changed) return;
+  planner->totals_changed = false;
+  planner->largest_rack = {};
+  int64_t racks = 0;
+  for (const Resources& it : planner->rack_capacity) {
+    planner->largest_rack = Max(planner->largest_rack, it);
+    racks += it == Resources{} ? 0 : 1;
+  }
+  planner->has_racks = racks > 1;
+  for (size_t n = 0; n < planner->teams.size(); ++n) SetShare(planner, static_cast<int32_t>(n));
+}
+
+bool KeepsHeadroom(const Planner& planner, const Planner::Shape& shape) {
+  const PlacementSettings& settings = planner.settings;
+  if (settings.headroom_share > 0 &&
+      !WithinBound(planner.granted, shape.need,
+                   Scale(planner.total, 1 - settings.headroom_share))) {
+    return false;
+  }
+  if (shape.batch || !settings.keep_rack_free || !planner.has_racks) return true;
+  return WithinBound(planner.granted_firm, shape.need, planner.total - planner.largest_rack);
+}
+
+// Lower is better. Services and watches of a job go to the failure domain, then to the rack, with
+// the fewest of its tasks; otherwise the least used host wins.
+struct Score {
+  int32_t domain_tasks = 0;
+  int32_t rack_tasks = 0;
+  double use = 0;
+
+  friend bool operator<(const Score& a, const Score& b) {
+    return std::tie(a.domain_tasks, a.rack_tasks, a.use) <
+           std::tie(b.domain_tasks, b.rack_tasks, b.use);
+  }
+};
+
+int32_t CountOf(const std::map<int32_t, int32_t>& counts, int32_t key) {
+  const auto it = counts.find(key);
+  return it == counts.end() ? 0 : it->second;
+}
+
+struct Choice {
+  int32_t host = -1;
+  Score score;
+};
+
+void Consider(const Planner& planner, const Planner::Shape& shape, const Planner::Job& job,
+              size_t slot, Choice* choice) {
+  const Planner::Host& host = planner.hosts[slot];
+  Score score;
+  score.use = Use(host.granted + shape.need, host.room.capacity) + host.penalty;
+  if (!shape.batch) {
+    score.domain_tasks = CountOf(job.domains, host.failure_domain);
+    score.rack_tasks = CountOf(job.racks, host.rack);
+  }
+  if (choice->host >= 0 && !(score < choice->score)) return;
+  choice->host = static_cast<int32_t>(slot);
+  choice->score = score;
+}
+
+// Compares the hosts at which the probes stop.
+Choice Probe(Planner* planner, const Planner::Shape& shape, const Planner::Job& job) {
+  Choice choice;
+  const size_t count = planner->hosts.size();
+  if (count <= kCandidates) {
+    for (size_t n = 0; n < count; ++n) {
+      if (Fits(shape.need, RoomOf(planner->rooms, n))) Consider(*planner, shape, job, n, &choice);
+    }
+    return choice;
+  }
+  planner->cursor = (planner->cursor + kCursorStep) % count;
+  for (size_t probe = 0; probe < kProbes; ++probe) {
+    size_t from = (planner->cursor + probe * count / kProbes) % count;
+    for (size_t n = 0; n < kCandidates / kProbes; ++n) {
+      size_t budget = kProbeBudget;
+      const RoomSearch found = FindRoom(planner->rooms, shape.need, from, &budget);
+      if (!found.found) break;
+      Consider(*planner, shape, job, found.slot, &choice);
+      from = found.slot + 1;
+    }
+  }
+  return choice;
+}
+
+// The host for the next task of a job, or -1 after parking the shape.
+int32_t ChooseHost(Planner* planner, int32_t shape_id, const Planner::Job& job, size_t* work) {
+  Planner::Shape& shape = planner->shapes[shape_id];
+  planner->searches += 1;
+  // The search for any host comes first: it costs a shape that fits nowhere less than the probes.
+  if (shape.search_from == 0) shape.search_growth = planner->growth;
+  size_t budget = kSearchBudget;
+  const RoomSearch search = FindRoom(planner->rooms, shape.need, shape.search_from, &budget);
+  *work -= std::min(*work, kSearchBudget - budget);
+  shape.search_from = search.stopped ? search.slot : 0;
+  if (search.found) {
+    const Choice choice = Probe(planner, shape, job);
+    return choice.host >= 0 ? choice.host : static_cast<int32_t>(search.slot);
+  }
+  if (search.stopped || shape.search_growth != planner->growth) {
+    // Not all hosts were looked at, or one gained room behind the search.
+    shape.parked = WaitReason::kNoRoom;
+    planner->retry_shapes.push_back(shape_id);
+    return -1;
+  }
+  size_t all = planner->sizes.nodes.size();
+  const bool fits = FindRoom(planner->sizes, shape.need, 0, &all).found;
+  ParkShape(planner, shape_id, fits ? WaitReason::kNoRoom : WaitReason::kNeverFits);
+  return -1;
+}
+
+// Decides one waiting task of the group, or parks the group. Returns whether `grant` was set.
+bool PlaceOne(const ShardState& state, Planner* planner, int32_t group_id, size_t* work,
+              Event* grant) {
+  Planner::Group& group = planner->groups[group_id];
+  Planner::Shape& shape = planner->shapes[group.shape];
+  Planner::Team& team = planner->teams[group.team];
+  if (!Fits(team.used + shape.need, team.quota.limit)) {
+    ParkGroup(planner, group_id, WaitReason::kQuota);
+    // A task above the whole quota waits for new settings.
+    if (Fits(shape.need, team.quota.limit)) team.at_quota.push_back(group_id);
+    WakeGroups(planner, group.shape, 1);
+    return false;
+  }
+  if (shape.parked == WaitReason::kNone && !KeepsHeadroom(*planner, shape)) {
+    ParkShape(planner, group.shape, WaitReason::kHeadroom);
+  }
+  const std::string job_id = group.jobs.begin()->second;
+  Planner::Job& job = planner->jobs.at(job_id);
+  int32_t host = -1;
+  if (shape.parked == WaitReason::kNone) host = ChooseHost(planner, group.shape, job, work);
+  if (host < 0) {
+    ParkGroup(planner, group_id, shape.parked);
+    shape.groups[group.rank].push_back(group_id);
+    return false;
+  }
+  const int32_t index = job.waiting.back();
+  job.waiting.pop_back();
+  AfterRemoval(planner, job_id, &job);
+  WakeGroups(planner, group.shape, 1);
+  const JobSpec& spec = state.jobs.at(job_id);
+  Count(planner, spec, host, 1);
+  const Task& task = state.tasks.at(TaskId(job_id, index));
+  planner->reserved[task.id] = {host, job_id, index};
+  *grant = TaskEvent(EventType::kGrant, task.id, task.attempt + 1);
+  grant->host = planner->hosts[host].room.id;
+  return true;
+}
+
+// Accounts for the change of one task by an applied event.
+void FollowTask(const ShardState& state, Planner* planner, const Task& task, bool occupied,
+                const std::string& host_before) {
+  const JobSpec& spec = state.jobs.at(task.job);
+  const bool occupies = Occupies(task.state);
+  if (occupied && !occupies) Count(planner, spec, HostOf(planner, host_before), -1);
+  if (occupied && task.state == TaskState::kPending) {
+    AddWaiting(planner, spec, TaskIndex(task.id));
+  }
+  if (occupied || !occupies) return;
+  const int32_t host = HostOf(planner, task.host);
+  const auto reserved = planner->reserved.find(task.id);
+  const bool same = reserved != planner->reserved.end() && reserved->second.host == host;
+  if (reserved != planner->reserved.end()) {
+    if (!same) Count(planner, spec, reserved->second.host, -1);
+    planner->reserved.erase(reserved);
+  } else {
+    RemoveWaiting(planner, task.job, TaskIndex(task.id));
+  }
+  if (!same) Count(planner, spec, host, 1);
+}
+
+void AddJob(Planner* planner, const JobSpec& spec) {
+  for (int64_t n = spec.count; n > 0; --n) {
+    AddWaiting(planner, spec, static_cast<int32_t>(n - 1));
+  }
+}
+
+void CancelWaiting(Planner* planner, const std::string& id) {
+  const auto job = planner->jobs.find(id);
+  if (job == planner->jobs.end()) return;
+  job->second.waiting.clear();
+  AfterRemoval(planner, id, &job->second);
 }
 
 }  // namespace
 
-std::vector<Event> PlaceTasks(const ShardState& state, const std::vector<HostRoom>& hosts,
-                              size_t limit) {
-  std::vector<const Task*> waiting;
-  for (const std::string& it : state.pending) waiting.push_back(&state.tasks.at(it));
-  std::stable_sort(waiting.begin(), waiting.end(), [&state](const Task* a, const Task* b) {
-    return state.jobs.at(a->job).rank > state.jobs.at(b->job).rank;
-  });
-  std::map<std::string, Resources> used;
-  for (const HostRoom& it : hosts) used[it.id] = GrantedOn(state, it.id);
+const char* WaitReasonName(WaitReason reason) {
+  switch (reason) {
+    case WaitReason::kNone:
+      return "next";
+    case WaitReason::kNeverFits:
+      return "larger than every host";
+    case WaitReason::kNoRoom:
+      return "no room now";
+    case WaitReason::kHeadroom:
+      return "room is kept free";
+    case WaitReason::kQuota:
+      return "team at its quota";
+    case WaitReason::kBackoff:
+      return "waits after failures";
+  }
+  return "next";
+}
+
+Planner MakePlanner(const ShardState& state, const std::vector<HostRoom>& hosts,
+                    const PlacementSettings& settings) {
+  Planner planner;
+  planner.settings = settings;
+  planner.grown = kNoRoom;
+  for (const HostRoom& it : hosts) SetHost(&planner, it);
+  for (const auto& [id, task] : state.tasks) {
+    const JobSpec& spec = state.jobs.at(task.job);
+    if (Occupies(task.state)) Count(&planner, spec, HostOf(&planner, task.host), 1);
+    if (task.state == TaskState::kPending) AddWaiting(&planner, spec, TaskIndex(id));
+  }
+  return planner;
+}
+
+void SetHost(Planner* planner, const HostRoom& room) {
+  const int32_t id = HostOf(planner, room.id);
+  Planner::Host& host = planner->hosts[id];
+  const HostRoom before = host.room;
+  if (before == room && static_cast<size_t>(id) < planner->sizes.leaves) return;
+  if (before.usable) {
+    planner->total = planner->total - before.capacity;
+    planner->rack_capacity[host.rack] = planner->rack_capacity[host.rack] - before.capacity;
+  }
+  host.room = room;
+  // Tasks counted for spread stay with the rack under which they were counted.
+  if (host.granted == Resources{}) {
+    host.rack = NumberOf(&planner->racks, room.rack);
+    host.failure_domain = NumberOf(&planner->domains, room.failure_domain);
+    planner->rack_capacity.resize(planner->racks.size());
+  }
+  if (room.usable) {
+    planner->total = planner->total + room.capacity;
+    planner->rack_capacity[host.rack] = planner->rack_capacity[host.rack] + room.capacity;
+  }
+  planner->totals_changed = true;
+  SetRoom(&planner->sizes, id, room.capacity);
+  UpdateRoom(planner, id);
+  if (before.capacity != room.capacity) UnparkShapes(planner, &planner->never_shapes);
+}
+
+void SetPenalty(Planner* planner, const std::string& host, double penalty) {
+  planner->hosts[HostOf(planner, host)].penalty = penalty;
+}
+
+void SetSettings(Planner* planner, const PlacementSettings& settings) {
+  planner->settings = settings;
+  for (size_t n = 0; n < planner->teams.size(); ++n) {
+    Planner::Team& team = planner->teams[n];
+    const auto quota = settings.quotas.find(team.name);
+    team.quota = quota == settings.quotas.end() ? TeamQuota{} : quota->second;
+    team.at_quota.clear();
+    SetShare(planner, static_cast<int32_t>(n));
+  }
+  for (size_t n = 0; n < planner->groups.size(); ++n) {
+    if (planner->groups[n].parked != WaitReason::kQuota) continue;
+    planner->groups[n].parked = WaitReason::kNone;
+    Activate(planner, static_cast<int32_t>(n));
+  }
+  UnparkShapes(planner, &planner->headroom_shapes);
+  UnparkShapes(planner, &planner->never_shapes);
+}
+
+bool Apply(ShardState* state, Planner* planner, const Event& event) {
+  if (event.type == EventType::kAccept || event.type == EventType::kCancel) {
+    if (!Apply(state, event)) return false;
+    if (event.type == EventType::kAccept) AddJob(planner, event.spec);
+    if (event.type == EventType::kCancel) CancelWaiting(planner, event.job);
+    return true;
+  }
+  const auto it = state->tasks.find(event.task);
+  if (it == state->tasks.end()) return false;
+  const bool occupied = Occupies(it->second.state);
+  const std::string host = it->second.host;
+  if (!Apply(state, event)) return false;
+  FollowTask(*state, planner, it->second, occupied, host);
+  return true;
+}
+
+std::vector<Event> PlaceTasks(const ShardState& state, Planner* planner, size_t limit,
+                              TimePoint now) {
+  GiveUpReservations(state, planner);
+  UpdateTotals(planner);
+  WakeDelayed(state, planner, now);
+  WakeShapes(planner);
   std::vector<Event> grants;
-  for (const Task* task : waiting) {
-    if (grants.size() >= limit) break;
-    const Resources& need = state.jobs.at(task->job).need;
-    const HostRoom* best = nullptr;
-    double best_use = 0;
-    for (const HostRoom& it : hosts) {
-      if (!it.usable || !Fits(used[it.id] + need, it.capacity)) continue;
-      const double use = UseAfter(used[it.id], need, it.capacity);
-      if (best != nullptr && use >= best_use) continue;
-      best = &it;
-      best_use = use;
+  size_t work = kCallWork + std::min(limit, state.tasks.size()) * kWorkPerGrant;
+  while (grants.size() < limit && work > 0 && !planner->order.empty()) {
+    const auto& [rank, teams] = *planner->order.begin();
+    const Planner::Team& team = planner->teams[teams.begin()->second];
+    Event grant;
+    if (PlaceOne(state, planner, team.active.at(rank).begin()->second, &work, &grant)) {
+      grants.push_back(std::move(grant));
+    } else {
+      work -= std::min(work, kWorkPerMiss);
     }
-    if (best == nullptr) continue;
-    used[best->id] = used[best->id] + need;
-    Event grant = TaskEvent(EventType::kGrant, task->id, task->attempt + 1);
-    grant.host = best->id;
-    grants.push_back(std::move(grant));
   }
   return grants;
 }
 
+std::vector<Event> PlaceTasks(const ShardState& state, const std::vector<HostRoom>& hosts,
+                              size_t limit) {
+  Planner planner = MakePlanner(state, hosts, {});
+  return PlaceTasks(state, &planner, limit, {});
+}
+
+void DelayTask(const ShardState& state, Planner* planner, const std::string& task,
+               TimePoint until) {
+  const Task& waiting = state.tasks.at(task);
+  const int32_t index = TaskIndex(task);
+  JobOf(planner, state.jobs.at(waiting.job)).delayed += 1;
+  if (RemoveWaiting(planner, waiting.job, index)) {
+    planner->delayed.insert({until, {waiting.job, index}});
+    return;
+  }
+  planner->jobs.at(waiting.job).delayed -= 1;
+  DropJobIfIdle(planner, waiting.job);
+}
+
+WaitReason WaitReasonOf(const Planner& planner, const std::string& job) {
+  const auto it = planner.jobs.find(job);
+  if (it == planner.jobs.end()) return WaitReason::kNone;
+  if (it->second.waiting.empty()) {
+    return it->second.delayed > 0 ? WaitReason::kBackoff : WaitReason::kNone;
+  }
+  const Planner::Group& group = planner.groups[it->second.group];
+  return group.parked == WaitReason::kNone ? planner.shapes[group.shape].parked : group.parked;
+}
+
 bool CanEverRun(const JobSpec& spec, const std::vector<HostRoom>& hosts) {
   return std::any_of(hosts.begin(), hosts.end(),
                      [&spec](const HostRoom& it) { return Fits(spec.need, it.capacity); });
--- a/src/planning/shard_state.cc
+++ b/src/planning/shard_state.cc
@@ -19,14 +19,12 @@
       state->granted.erase(task->host);
     }
   }
-  if (task->state == TaskState::kPending) state->pending.erase(task->id);
   task->state = to;
   task->host = Occupies(to) ? host : std::string();
   if (Occupies(to)) {
     state->granted[host] = state->granted[host] + NeedOf(*state, *task);
     state->tasks_on[host].insert(task->id);
   }
-  if (to == TaskState::kPending) state->pending.insert(task->id);
 }
 
 bool Accept(ShardState* state, const JobSpec& spec) {
@@ -35,7 +33,6 @@
     Task task;
     task.id = TaskId(spec.id, n);
     task.job = spec.id;
-    state->pending.insert(task.id);
     state->tasks.emplace(task.id, std::move(task));
   }
   return true;
--- a/src/planning/shard_state.h
+++ b/src/planning/shard_state.h
@@ -19,11 +19,10 @@
   // Derived from `tasks`, so that a decision does not scan them all.
   std::map<std::string, std::set<std::string>> tasks_on;  // by host
   std::map<std::string, Resources> granted;               // by host
-  std::set<std::string> pending;
 
   friend bool operator==(const ShardState& a, const ShardState& b) {
     return a.jobs == b.jobs && a.tasks == b.tasks && a.tasks_on == b.tasks_on &&
-           a.granted == b.granted && a.pending == b.pending;
+           a.granted == b.granted;
   }
 };
 
--- a/src/planning/task.cc
+++ b/src/planning/task.cc
@@ -1,5 +1,7 @@
 #include "planning/task.h"
 
+#include <cstdlib>
+
 #include "planning/worker_protocol.h"
 
 namespace pomelopond::planning {
@@ -106,4 +108,8 @@
   return job + "/" + std::to_string(index);
 }
 
+int32_t TaskIndex(const std::string& task) {
+  return static_cast<int32_t>(std::strtol(task.c_str() + task.rfind('/') + 1, nullptr, 10));
+}
+
 }  // namespace pomelopond::planning
--- a/src/planning/task.h
+++ b/src/planning/task.h
@@ -80,6 +80,8 @@
 };
 
 std::string TaskId(const std::string& job, int64_t index);
+// The index in an identifier made by TaskId.
+int32_t TaskIndex(const std::string& task);
 
 }  // namespace pomelopond::planning
 
