Place a shard's tasks from its planner in the scheduler

Cause: the runner built the tables of placement anew in every batch and could not say why a job waits.

Change: the runner keeps a Planner in step with its state and shows in a job's description why its tasks wait.

--- a/apps/scheduler/shard_runner.cc
+++ b/apps/scheduler/shard_runner.cc
@@ -31,6 +31,7 @@
 ShardRunner::~ShardRunner() { Stop(false); }
 
 void ShardRunner::Start() {
+  planner_ = planning::MakePlanner(state_, Rooms(), {});
   journal_thread_ = std::thread([this] { RunJournal(); });
   exchange_thread_ = std::thread([this] { RunExchanges(); });
 }
@@ -65,6 +66,8 @@
       worker.client = std::make_shared<http::HttpClient>(host.worker);
     }
     worker.capacity = host.capacity;
+    worker.rack = host.rack;
+    worker.failure_domain = host.failure_domain;
     worker.usable = host.state == membership::HostState::kLive;
   }
 }
@@ -132,7 +135,10 @@
                      {"attempt", task.attempt},
                      {"checkpoint", task.checkpoint}});
   }
-  return {{"job", planning::ToJson(spec->second)}, {"shard", shard_}, {"tasks", tasks}};
+  return {{"job", planning::ToJson(spec->second)},
+          {"shard", shard_},
+          {"tasks", tasks},
+          {"waits", planning::WaitReasonName(planning::WaitReasonOf(planner_, job))}};
 }
 
 Json ShardRunner::Summary() {
@@ -149,7 +155,8 @@
 std::vector<planning::HostRoom> ShardRunner::Rooms() const {
   std::vector<planning::HostRoom> rooms;
   for (const auto& [id, worker] : workers_) {
-    rooms.push_back({id, worker.capacity, worker.usable && worker.session.confirmed, {}, {}});
+    rooms.push_back({id, worker.capacity, worker.usable && worker.session.confirmed, worker.rack,
+                     worker.failure_domain});
   }
   return rooms;
 }
@@ -183,7 +190,8 @@
     }
   }
   AddRequests(&batch);
-  for (planning::Event& it : planning::PlaceTasks(state_, Rooms(), kMaxGrants)) {
+  for (const planning::HostRoom& it : Rooms()) planning::SetHost(&planner_, it);
+  for (planning::Event& it : planning::PlaceTasks(state_, &planner_, kMaxGrants, now)) {
     batch.events.push_back(std::move(it));
   }
   return batch;
@@ -229,7 +237,7 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     store_ok_ = !ec;
     if (!ec) {
-      for (const planning::Event& it : batch.events) planning::Apply(&state_, it);
+      for (const planning::Event& it : batch.events) planning::Apply(&state_, &planner_, it);
       for (const auto& [host, sequence] : batch.reported) {
         workers_[host].session.known = sequence;
         workers_[host].last_sent = TimePoint{};  // tell the worker soon
--- a/apps/scheduler/shard_runner.h
+++ b/apps/scheduler/shard_runner.h
@@ -66,6 +66,8 @@
     std::shared_ptr<http::HttpClient> client;
     bool usable = false;
     Resources capacity;
+    std::string rack;
+    std::string failure_domain;
     bool in_flight = false;
     TimePoint last_sent;
     int64_t reported = 0;  // sequence of the last answer whose events are in the next batch
@@ -101,6 +103,7 @@
   std::mutex mutex_;
   std::condition_variable changed_;
   planning::ShardState state_;
+  planning::Planner planner_;  // follows state_
   std::map<std::string, Worker> workers_;
   std::vector<Request> requests_;
   std::vector<planning::Event> reports_;
--- a/src/planning/placement.cc
+++ b/src/planning/placement.cc
@@ -535,7 +535,7 @@
 const char* WaitReasonName(WaitReason reason) {
   switch (reason) {
     case WaitReason::kNone:
-      return "next";
+      return "none";
     case WaitReason::kNeverFits:
       return "larger than every host";
     case WaitReason::kNoRoom:
@@ -547,7 +547,7 @@
     case WaitReason::kBackoff:
       return "waits after failures";
   }
-  return "next";
+  return "none";
 }
 
 Planner MakePlanner(const ShardState& state, const std::vector<HostRoom>& hosts,
