--- a/src/store/shard_log.cc
+++ b/src/store/shard_log.cc
@@ -30,11 +30,14 @@
 
 }  // namespace
 
+ShardLog::ShardLog(std::string shard, StoreCalls store)
+    : shard_(std::move(shard)), store_(std::move(store)) {}
+
 ShardLog::ShardLog(std::string shard, StoreClient* store)
-    : shard_(std::move(shard)), store_(store) {}
+    : ShardLog(std::move(shard), CallsOf(store)) {}
 
 Result<VersionedHead> ShardLog::Read() {
-  const Result<KeyValue> value = store_->Get(HeadKey(shard_));
+  const Result<KeyValue> value = store_.get(HeadKey(shard_));
   if (!value.ok()) return {value.ec, {}};
   return ToVersionedHead(value.value);
 }
@@ -59,13 +62,13 @@
   ShardContents contents;
   contents.previous = previous;
   for (int64_t n = 0; n < previous.snapshot_size; ++n) {
-    const Result<KeyValue> chunk = store_->Get(SnapshotKey(shard_, previous.snapshot, n));
+    const Result<KeyValue> chunk = store_.get(SnapshotKey(shard_, previous.snapshot, n));
     if (!chunk.ok()) return {chunk.ec, {}};
     if (chunk.value.mod_revision == 0) return {ResultCode::kStoreBadAnswer, {}};
     contents.snapshot += chunk.value.value;
   }
   for (int64_t n = previous.snapshot + 1; n <= previous.position; ++n) {
-    const Result<KeyValue> entry = store_->Get(JournalKey(shard_, n));
+    const Result<KeyValue> entry = store_.get(JournalKey(shard_, n));
     if (!entry.ok()) return {entry.ec, {}};
     if (entry.value.mod_revision == 0) return {ResultCode::kStoreBadAnswer, {}};
     std::string record = RecordOf(entry.value.value);
@@ -74,12 +77,23 @@
   return {{}, std::move(contents)};
 }
 
+// A write in front of an unresolved one would be based on a head that may have moved.
+std::error_code ShardLog::Settle() {
+  if (!pending_) return {};
+  const std::error_code ec = Resolve();
+  if (ec == ResultCode::kStoreAnswerLost) return ResultCode::kStoreUnavailable;
+  if (ec == ResultCode::kOutcomeUnknown) return ResultCode::kNotOwner;
+  return ec;
+}
+
 std::error_code ShardLog::Append(const std::string& record, const std::string& write_id) {
+  if (const std::error_code ec = Settle()) return ec;
   const ShardHead to = Next(head_.head, write_id);
   return Write(to, MakeAppend(shard_, head_, to, Wrap(record, write_id)));
 }
 
 std::error_code ShardLog::Compact(const std::string& snapshot, const std::string& write_id) {
+  if (const std::error_code ec = Settle()) return ec;
   ShardHead to = Next(head_.head, write_id);
   to.snapshot = head_.head.position;
   to.snapshot_size = 0;
@@ -88,7 +102,7 @@
     chunk.compares.push_back({HeadKey(shard_), head_.mod_revision});
     chunk.puts.push_back({SnapshotKey(shard_, to.snapshot, to.snapshot_size),
                           snapshot.substr(from, kSnapshotChunkBytes), 0});
-    const Result<TxnResult> put = store_->Commit(chunk);
+    const Result<TxnResult> put = store_.commit(chunk);
     // Chunks count only once the head names them, so a lost answer costs nothing but the attempt.
     if (!put.ok()) return ResultCode::kStoreUnavailable;
     if (!put.value.succeeded) return ResultCode::kNotOwner;
@@ -103,13 +117,14 @@
 }
 
 std::error_code ShardLog::Release(const std::string& write_id) {
+  if (const std::error_code ec = Settle()) return ec;
   ShardHead to = Next(head_.head, write_id);
   to.released = true;
   return Write(to, MakeAppend(shard_, head_, to, Wrap({}, write_id)));
 }
 
 std::error_code ShardLog::Write(const ShardHead& to, const Txn& txn) {
-  const Result<TxnResult> result = store_->Commit(txn);
+  const Result<TxnResult> result = store_.commit(txn);
   if (result.ec == ResultCode::kStoreUnavailable) return result.ec;
   if (result.ok() && result.value.succeeded) {
     head_ = {to, result.value.revision};
@@ -123,10 +138,18 @@
 
 std::error_code ShardLog::Resolve() {
   if (!pending_) return {};
-  const Result<VersionedHead> found = Read();
+  Result<VersionedHead> found = Read();
   if (!found.ok()) return ResultCode::kStoreAnswerLost;
-  const Result<KeyValue> entry = store_->Get(JournalKey(shard_, pending_to_.position));
+  const Result<KeyValue> entry = store_.get(JournalKey(shard_, pending_to_.position));
   if (!entry.ok()) return ResultCode::kStoreAnswerLost;
+  const bool replaced = found.value.mod_revision != head_.mod_revision &&
+                        found.value.head.write_id != pending_to_.write_id;
+  if (replaced && entry.value.mod_revision == 0) {
+    // The new owner may have compacted the entry between the two reads; a head read after them
+    // names that snapshot.
+    found = Read();
+    if (!found.ok()) return ResultCode::kStoreAnswerLost;
+  }
   switch (ResolveAppend(head_, pending_to_, found.value, WriteIdOf(entry.value.value))) {
     case AppendOutcome::kApplied:
       pending_ = false;
@@ -148,7 +171,7 @@
 // The first copy may still be on its way, so the record may not be given up. The same transaction
 // can be sent again: at most one copy passes the comparison.
 std::error_code ShardLog::Resend() {
-  const Result<TxnResult> result = store_->Commit(pending_txn_);
+  const Result<TxnResult> result = store_.commit(pending_txn_);
   if (!result.ok() || !result.value.succeeded) return ResultCode::kStoreAnswerLost;
   pending_ = false;
   head_ = {pending_to_, result.value.revision};
--- a/src/store/shard_log.h
+++ b/src/store/shard_log.h
@@ -7,7 +7,7 @@
 
 #include "base/result.h"
 #include "store/shard_head.h"
-#include "store/store_client.h"
+#include "store/store_calls.h"
 
 namespace pomelopond::store {
 
@@ -24,6 +24,7 @@
 // Not thread-safe: one append in flight a shard. Blocks on store calls.
 class ShardLog {
  public:
+  ShardLog(std::string shard, StoreCalls store);
   ShardLog(std::string shard, StoreClient* store);
 
   // The head as it is in the store.
@@ -38,6 +39,8 @@
   // shard is still owned. kStoreAnswerLost: not known yet; call Resolve until it is known.
   // kNotOwner: another process owns the shard and the record is not in its journal.
   // kOutcomeUnknown: another process owns the shard and the record may be in its journal.
+  // An earlier write that is still pending is resolved first, and while that fails the record is
+  // not sent (kStoreUnavailable).
   std::error_code Append(const std::string& record, const std::string& write_id);
 
   // Finds out what became of the append whose answer was lost; same results as Append.
@@ -55,12 +58,14 @@
   int64_t snapshot_position() const { return head_.head.snapshot; }
 
  private:
+  // Resolves an earlier write; not clear when the next one must not be sent.
+  std::error_code Settle();
   Result<ShardContents> Load(const ShardHead& previous);
   std::error_code Write(const ShardHead& to, const Txn& txn);
   std::error_code Resend();
 
   std::string shard_;
-  StoreClient* store_;
+  StoreCalls store_;
   VersionedHead head_;
   ShardHead pending_to_;
   Txn pending_txn_;
--- /dev/null
+++ b/tests/store/shard_log_interleaving_test.cc
@@ -0,0 +1,248 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <deque>
+#include <map>
+#include <vector>
+
+#include "base/result_code.h"
+#include "fakes/store/key_space.h"
+#include "store/shard_log.h"
+
+namespace pomelopond::store {
+namespace {
+
+constexpr TimePoint kStart{std::chrono::seconds(100)};
+constexpr size_t kWriteIdBytes = 32;
+
+std::string WriteId(int64_t n) {
+  std::string id = std::to_string(n);
+  return std::string(kWriteIdBytes - id.size(), '0') + id;
+}
+
+// What becomes of one commit.
+enum class Fate { kAnswered, kAnswerLost, kDropped, kDelayed, kNotSent };
+
+// A key space that counts how often each journal record took effect, and keeps late copies.
+class CountingStore {
+ public:
+  Result<KeyValue> Get(const std::string& key) {
+    const Json request = {{"key", EncodeBase64(key)}};
+    const auto values = ParseRangeResult(keys_.Range(request, kStart).value).value;
+    return {{}, values.empty() ? KeyValue{key, {}, 0} : values.front()};
+  }
+
+  Result<TxnResult> Commit(const Txn& txn) {
+    const Result<TxnResult> result = ParseTxnResult(keys_.Txn(ToJson(txn), kStart).value);
+    if (!result.ok() || !result.value.succeeded) return result;
+    for (const Put& it : txn.puts) {
+      if (it.key.find("/journal/") == std::string::npos) continue;
+      applied_[it.value.substr(0, kWriteIdBytes)] += 1;
+    }
+    return result;
+  }
+
+  Result<TxnResult> Commit(const Txn& txn, Fate fate) {
+    const Result<TxnResult> lost{ResultCode::kStoreAnswerLost, {}};
+    switch (fate) {
+      case Fate::kAnswered:
+        return Commit(txn);
+      case Fate::kAnswerLost:
+        Commit(txn);
+        return lost;
+      case Fate::kDropped:
+        return lost;
+      case Fate::kDelayed:
+        late_.push_back(txn);
+        return lost;
+      case Fate::kNotSent:
+        return {ResultCode::kStoreUnavailable, {}};
+    }
+    return lost;
+  }
+
+  void DeliverLate() {
+    if (late_.empty()) return;
+    Commit(late_.front());
+    late_.pop_front();
+  }
+
+  bool has_late() const { return !late_.empty(); }
+  int64_t applied(const std::string& write_id) const {
+    const auto it = applied_.find(write_id);
+    return it == applied_.end() ? 0 : it->second;
+  }
+
+ private:
+  fakes::KeySpace keys_;
+  std::map<std::string, int64_t> applied_;
+  std::deque<Txn> late_;
+};
+
+StoreCalls CallsOf(CountingStore* store) {
+  return {[store](const std::string& key) { return store->Get(key); },
+          [store](const Txn& txn) { return store->Commit(txn); }};
+}
+
+// Guards against "not in the journal" for a record that is: the successor compacts it away between
+// the two reads that resolve a lost answer.
+TEST(ShardLogInterleavingTest, CompactionBetweenTheReadsIsNotTakenForAbsence) {
+  CountingStore store;
+  ShardLog successor("s", CallsOf(&store));
+  bool lose = false;
+  bool compact = false;
+  ShardLog owner("s",
+                 StoreCalls{[&](const std::string& key) {
+                              if (compact && key.find("/journal/") != std::string::npos) {
+                                compact = false;
+                                EXPECT_FALSE(successor.Compact("snapshot", WriteId(3)));
+                              }
+                              return store.Get(key);
+                            },
+                            [&](const Txn& txn) {
+                              if (!lose) return store.Commit(txn);
+                              const auto lost = store.Commit(txn, Fate::kAnswerLost);
+                              EXPECT_TRUE(successor.TakeOver(successor.Read().value, "b", 2).ok());
+                              compact = true;
+                              return lost;
+                            }});
+  ASSERT_TRUE(owner.TakeOver(owner.Read().value, "a", 1).ok());
+  lose = true;
+  const std::error_code ec = owner.Append("record", WriteId(1));
+  EXPECT_EQ(store.applied(WriteId(1)), 1);
+  EXPECT_EQ(ec, ResultCode::kOutcomeUnknown);
+}
+
+// Guards against an owner that drops its own shard, because it takes its compaction with a lost
+// answer for the write of another owner.
+TEST(ShardLogInterleavingTest, AppendAfterCompactionWithLostAnswerKeepsTheShard) {
+  CountingStore store;
+  bool lose = false;
+  bool blind = false;
+  ShardLog owner("s", StoreCalls{[&](const std::string& key) -> Result<KeyValue> {
+                                   if (blind) return {ResultCode::kStoreUnavailable, {}};
+                                   return store.Get(key);
+                                 },
+                                 [&](const Txn& txn) {
+                                   return store.Commit(txn,
+                                                       lose ? Fate::kAnswerLost : Fate::kAnswered);
+                                 }});
+  ASSERT_TRUE(owner.TakeOver(owner.Read().value, "a", 1).ok());
+  ASSERT_FALSE(owner.Append("one", WriteId(1)));
+  lose = blind = true;
+  EXPECT_EQ(owner.Compact("", WriteId(2)), ResultCode::kStoreAnswerLost);
+  // While the compaction's outcome is unknown, nothing else is sent.
+  EXPECT_EQ(owner.Append("two", WriteId(3)), ResultCode::kStoreUnavailable);
+  EXPECT_TRUE(owner.pending());
+  lose = blind = false;
+  EXPECT_FALSE(owner.Append("two", WriteId(4)));
+  EXPECT_EQ(store.applied(WriteId(2)), 1);
+  EXPECT_EQ(store.applied(WriteId(3)), 0);
+  EXPECT_EQ(store.applied(WriteId(4)), 1);
+  EXPECT_EQ(owner.position(), 4);
+}
+
+struct Claim {
+  std::string write_id;
+  std::error_code ec;
+};
+
+// Two owners on one store. Every call of either may meet a fault, and the other owner runs between
+// the calls of the first.
+class TwoOwners {
+ public:
+  TwoOwners() {
+    for (int64_t n = 0; n < 2; ++n) {
+      logs_.emplace_back("s", StoreCalls{[this, n](const std::string& key) { return Get(n, key); },
+                                         [this, n](const Txn& txn) { return Commit(n, txn); }});
+    }
+  }
+
+  void Run(int64_t steps) {
+    for (int64_t n = 0; n < steps; ++n) Step(*rc::gen::inRange(0, 2));
+  }
+
+  // Ends all faults, delivers what is late, resolves what is open and checks all claims.
+  void Check() {
+    faults_ = false;
+    while (store_.has_late()) store_.DeliverLate();
+    for (int64_t n = 0; n < 2; ++n) {
+      for (int tries = 0; logs_[n].pending() && tries < 3; ++tries) Finish(n, logs_[n].Resolve());
+      RC_ASSERT(!logs_[n].pending());
+    }
+    for (const Claim& it : claims_) {
+      const int64_t applied = store_.applied(it.write_id);
+      RC_ASSERT(applied <= 1);
+      if (!it.ec) RC_ASSERT(applied == 1);
+      if (it.ec == ResultCode::kNotOwner || it.ec == ResultCode::kStoreUnavailable) {
+        RC_ASSERT(applied == 0);
+      }
+    }
+  }
+
+ private:
+  void Step(int64_t n) {
+    if (busy_[n]) return;
+    busy_[n] = true;
+    if (logs_[n].pending()) {
+      Finish(n, logs_[n].Resolve());
+    } else if (!owns_[n]) {
+      const Result<VersionedHead> head = logs_[n].Read();
+      owns_[n] = head.ok() && logs_[n].TakeOver(head.value, "host", n + 1).ok();
+    } else {
+      open_[n] = WriteId(next_++);
+      const int what = *rc::gen::inRange(0, 5);
+      Finish(n, what == 0 ? logs_[n].Compact("x", open_[n]) : logs_[n].Append("r", open_[n]));
+    }
+    busy_[n] = false;
+  }
+
+  void Finish(int64_t n, std::error_code ec) {
+    if (ec == ResultCode::kNotOwner || ec == ResultCode::kOutcomeUnknown) owns_[n] = false;
+    if (ec == ResultCode::kStoreAnswerLost || open_[n].empty()) return;
+    claims_.push_back({open_[n], ec});
+    open_[n].clear();
+  }
+
+  // Lets the other owner and late copies in between two calls.
+  void Between(int64_t n) {
+    if (!faults_) return;
+    const int what = *rc::gen::inRange(0, 6);
+    if (what == 0) store_.DeliverLate();
+    if (what <= 2) Step(1 - n);
+  }
+
+  Result<KeyValue> Get(int64_t n, const std::string& key) {
+    Between(n);
+    if (faults_ && *rc::gen::inRange(0, 10) == 0) return {ResultCode::kStoreAnswerLost, {}};
+    return store_.Get(key);
+  }
+
+  Result<TxnResult> Commit(int64_t n, const Txn& txn) {
+    Between(n);
+    const int draw = faults_ ? *rc::gen::inRange(0, 10) : 0;
+    return store_.Commit(txn, draw < 5 ? static_cast<Fate>(draw) : Fate::kAnswered);
+  }
+
+  CountingStore store_;
+  std::vector<ShardLog> logs_;
+  bool owns_[2] = {};
+  bool busy_[2] = {};
+  std::string open_[2];  // write id of the append that is not finished
+  std::vector<Claim> claims_;
+  int64_t next_ = 1;
+  bool faults_ = true;
+};
+
+// Guards against a record that is in the journal twice, or is not what its owner was told, when
+// answers are lost, copies arrive late and two owners take over from each other.
+TEST(ShardLogInterleavingTest, ClaimsAreTrueUnderLostAnswersLateCopiesAndTwoOwners) {
+  EXPECT_TRUE(rc::check([] {
+    TwoOwners owners;
+    owners.Run(40);
+    owners.Check();
+  }));
+}
+
+}  // namespace
+}  // namespace pomelopond::store
