Report service-level burn as text, JSON and HTML

Cause: the report showed latency only. Change: counts of good and bad requests over 5 minutes and an hour, burn rate and budget left, one self-contained HTML page with a plot of each service; evictions and other task counters from the schedulers. Ruled out: raw latency histograms for burn, since they have no window. Conclusion: the router has to fill the windows next.

--- a/apps/report/main.cc
+++ b/apps/report/main.cc
@@ -1,63 +1,48 @@
 // pomelopond-report: service-level burn, merged from the routers of all entry hosts.
 #include <cxxopts.hpp>
 #include <iostream>
-#include <map>
 #include <string>
-#include <vector>
 
+#include "apps/report/burn_report.h"
 #include "base/json.h"
 #include "base/program.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
-#include "metrics/latency_histogram.h"
 
 namespace pomelopond::apps {
 namespace {
 
 constexpr Duration kTimeout = std::chrono::seconds(5);
-constexpr const char* kHistogramPrefix = "request_seconds{service=\"";
-
-struct ServiceRow {
-  metrics::HistogramCounts latency;
-};
-
-bool AddRouter(const Endpoint& router, std::map<std::string, ServiceRow>* rows) {
-  http::HttpClient client(router);
+// The answer of GET /v1/metrics, or null.
+Json MetricsOf(const Endpoint& endpoint) {
+  http::HttpClient client(endpoint);
   http::HttpRequest request;
   request.path = "/v1/metrics";
   const http::HttpResult result = client.Call(std::move(request), kTimeout);
-  if (result.ec || result.response.status != 200) return false;
+  if (result.ec || result.response.status != 200) return nullptr;
   const Result<Json> document = ParseJson(result.response.body);
-  if (!document.ok() || !document.value.contains("histograms")) return false;
-  for (const auto& it : document.value["histograms"].items()) {
-    const std::string prefix = kHistogramPrefix;
-    if (it.key().rfind(prefix, 0) != 0 || !it.value().is_array()) continue;
-    const std::string service = it.key().substr(prefix.size(), it.key().size() - prefix.size() - 2);
-    metrics::HistogramCounts counts;
-    for (const Json& n : it.value()) counts.counts.push_back(n.is_number() ? n.get<int64_t>() : 0);
-    ServiceRow& row = (*rows)[service];
-    row.latency = metrics::Merge(row.latency, counts);
-  }
-  return true;
+  return document.ok() && document.value.is_object() ? document.value : Json(nullptr);
 }
 
-int Print(const std::map<std::string, ServiceRow>& rows) {
-  std::printf("%-24s %10s %10s %10s %10s\n", "service", "requests", "p50 ms", "p99 ms", "p99.9 ms");
-  for (const auto& [service, row] : rows) {
-    std::printf("%-24s %10lld %10.2f %10.2f %10.2f\n", service.c_str(),
-                static_cast<long long>(metrics::Total(row.latency)),
-                metrics::Quantile(row.latency, 0.5) / 1000,
-                metrics::Quantile(row.latency, 0.99) / 1000,
-                metrics::Quantile(row.latency, 0.999) / 1000);
+BurnReport Collect(const EntrySettings& settings) {
+  BurnReport report;
+  for (const EntryHost& it : settings.entry_hosts) {
+    const Json router = MetricsOf(it.router);
+    const Json scheduler = MetricsOf(it.scheduler);
+    if (!router.is_null()) AddRouter(router, &report);
+    if (!scheduler.is_null()) AddScheduler(scheduler, &report);
+    if (router.is_null()) report.missing.push_back("router of " + it.id);
+    if (scheduler.is_null()) report.missing.push_back("scheduler of " + it.id);
   }
-  return kExitOk;
+  return report;
 }
 
 int Main(int argc, char** argv) {
   cxxopts::Options options("pomelopond-report", "Service-level burn of all entry hosts");
   options.add_options()("settings", "settings file of an entry host", cxxopts::value<std::string>(),
-                        "FILE")("version", "print the version and exit")(
-      "help", "print this help and exit");
+                        "FILE")("format", "text, json or html",
+                                cxxopts::value<std::string>()->default_value("text"), "FORMAT")(
+      "version", "print the version and exit")("help", "print this help and exit");
   try {
     const cxxopts::ParseResult args = options.parse(argc, argv);
     if (args.count("help") != 0) {
@@ -82,12 +67,19 @@
       return kExitUsage;
     }
     http::InitThreads(2);
-    std::map<std::string, ServiceRow> rows;
-    for (const EntryHost& it : settings.entry_hosts) {
-      if (AddRouter(it.router, &rows)) continue;
-      std::cerr << "router of " << it.id << " did not answer; its requests are missing below\n";
+    const BurnReport report = Collect(settings);
+    const auto format = args["format"].as<std::string>();
+    if (format == "text") {
+      std::cout << ToText(report);
+    } else if (format == "json") {
+      std::cout << ToJson(report).dump(2) << "\n";
+    } else if (format == "html") {
+      std::cout << ToHtml(report, "Service-level burn");
+    } else {
+      std::cerr << "--format must be text, json or html\n";
+      return kExitUsage;
     }
-    return Print(rows);
+    return report.missing.empty() ? kExitOk : kExitFailure;
   } catch (const cxxopts::exceptions::exception& e) {
     std::cerr << e.what() << "\n";
     return kExitUsage;
