Admit, queue, limit, retry and eject by tested deciding units

Cause: the queue was first in first out without fairness, deadlines, limits or a retry budget; failing targets stayed in use; a target's own leaving mark was undone by a host list that still said live; a request that may have run was answered "not run" when its retry was refused or found its target unreachable. Change: admission, fair queue (deficit round robin), caller limits, retry budget, ejection with probation and FinalCode, wired into the router with metrics; MarkAnnounced lasts until the list shows leaving and then live.

--- a/apps/router/router.cc
+++ b/apps/router/router.cc
@@ -5,6 +5,8 @@
 
 #include "base/log.h"
 #include "base/random_id.h"
+#include "routing/ejection.h"
+#include "routing/refusal.h"
 #include "routing/target_choice.h"
 
 namespace pomelopond::apps {
@@ -13,7 +15,7 @@
 constexpr const char* kServicePrefix = "/v1/services/";
 constexpr Duration kDefaultTimeout = std::chrono::seconds(30);
 constexpr int64_t kMaxTimeoutMs = 600000;
-constexpr size_t kMaxQueue = 1000;  // calls of one service
+constexpr size_t kMaxCallerBytes = 128;
 constexpr int kMaxAttempts = 3;
 
 // Headers that concern one connection or that the router sets itself.
@@ -56,6 +58,27 @@
   return response;
 }
 
+// A target that is leaving or broken says so; other answers are the service's own.
+bool IsFailure(const http::HttpResult& result) {
+  return result.ec || result.response.status == 502 || result.response.status == 503 ||
+         result.response.status == 504;
+}
+
+bool AnnouncesLeaving(const http::HttpResult& result) {
+  return !http::HeaderOf(result.response.headers, http::kLeavingHeader).empty();
+}
+
+const char* RefusalText(ResultCode code) {
+  switch (code) {
+    case ResultCode::kCallerLimit:
+      return "the caller is above its limit";
+    case ResultCode::kQueueFull:
+      return "too many requests wait";
+    default:
+      return "the request cannot be answered before its deadline";
+  }
+}
+
 }  // namespace
 
 Router::Router(const EntrySettings& settings, uint64_t incarnation)
@@ -70,6 +93,14 @@
   if (release.version <= release_version_) return;
   release_version_ = release.version;
   services_ = release::ServicesOf(release);
+  FieldErrors errors;
+  const auto limits = release.sections.find("limits");
+  limits_ = limits == release.sections.end() ? routing::CallerLimits{}
+                                             : routing::ReadCallerLimits(limits->second, &errors);
+  for (const FieldError& it : errors) {
+    Log(LogLevel::kWarn, "router", "limit_ignored", {{"path", it.path}, {"error", it.text}});
+  }
+  buckets_.clear();
   metrics_.Set("release_version", release.version);
 }
 
@@ -86,9 +117,26 @@
 void Router::BeginStop() { stopping_.store(true); }
 
 void Router::Tick(TimePoint now) {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  routing::DropExpired(&tokens_, now);
-  metrics_.Set("tokens_open", static_cast<int64_t>(tokens_.used.size()));
+  std::vector<std::string> services;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    routing::DropExpired(&tokens_, now);
+    metrics_.Set("tokens_open", static_cast<int64_t>(tokens_.used.size()));
+    for (auto& [service, list] : targets_) {
+      services.push_back(service);
+      const int ejected = routing::UpdateEjection(&list, now);
+      metrics_.Count(metrics::Labelled("ejections_total", "service", service), ejected);
+      int64_t out = 0;
+      for (const routing::Target& it : list) {
+        if (!it.leaving && it.health.state != routing::HealthState::kHealthy) out += 1;
+      }
+      metrics_.Set(metrics::Labelled("targets_ejected", "service", service), out);
+      metrics_.Set(metrics::Labelled("queue_length", "service", service),
+                   static_cast<int64_t>(states_[service].queue.size()));
+    }
+  }
+  // A target on probation has become free.
+  for (const std::string& it : services) Pump(it);
 }
 
 http::HttpResponse Router::Ready() {
@@ -133,8 +181,14 @@
     return reply(
         http::ErrorResponse(ResultCode::kBadField, "Request-Timeout-Ms must be from 1 to 600000"));
   }
+  if (http::HeaderOf(request.headers, http::kCallerHeader).size() > kMaxCallerBytes) {
+    return reply(
+        http::ErrorResponse(ResultCode::kBadField, "Pomelopond-Caller is above 128 bytes"));
+  }
   const auto call = std::make_shared<Call>();
   call->service = service;
+  call->operation = operation;
+  call->caller = http::HeaderOf(request.headers, http::kCallerHeader);
   call->request = ForTarget(request, path);
   call->reply = reply;
   call->received = Now();
@@ -241,21 +295,66 @@
   return client;
 }
 
+void Router::Refuse(const CallPtr& call, ResultCode reason) {
+  const ResultCode code = routing::FinalCode(reason, call->may_have_run);
+  metrics_.Count(metrics::Labelled("refused_total", "result", ResultName(code)));
+  Finish(call, http::ErrorResponse(code, RefusalText(reason)));
+}
+
+routing::OperationLatency* Router::LatencyOf(ServiceState* state, const std::string& operation) {
+  const auto it = state->operations.find(operation);
+  if (it != state->operations.end()) return &it->second;
+  return &state->operations[state->operations.size() < kMaxOperations ? operation : ""];
+}
+
+ResultCode Router::Admit(const CallPtr& call, TimePoint now) {
+  const std::string name = routing::LimitNameOf(limits_, call->caller);
+  const routing::CallerLimit limit = routing::LimitOf(limits_, name);
+  call->place = {call->caller, limit.rank, limit.weight};
+  ServiceState& state = states_[call->service];
+  routing::QueueAhead ahead;
+  ahead.requests = state.queue.Ahead(call->place);
+  ahead.latency = state.all.mean;
+  ahead.own_wait = state.queue.OwnWait(call->place);
+  for (const routing::Target& it : targets_[call->service]) {
+    const bool healthy = it.health.state == routing::HealthState::kHealthy;
+    if (!it.leaving && healthy) ahead.slots += it.share;
+  }
+  if (!routing::AdmitToQueue(*LatencyOf(&state, call->operation), ahead, call->deadline, now)) {
+    return ResultCode::kDeadlineTooShort;
+  }
+  // Last, so that a request refused for another reason does not use up the caller's limit.
+  const auto routers = static_cast<int64_t>(settings_.entry_hosts.size());
+  if (!routing::TakeRequest(&buckets_[name], limit, routers, now)) return ResultCode::kCallerLimit;
+  routing::AddRequest(&state.retries);
+  return ResultCode::kOk;
+}
+
 void Router::Submit(const CallPtr& call) {
+  ResultCode code;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
-    std::deque<CallPtr>& queue = queues_[call->service];
-    if (queue.size() < kMaxQueue) {
-      queue.push_back(call);
-    } else {
-      call->started = true;
-    }
+    code = Admit(call, Now());
   }
-  if (call->started) {
-    return Finish(call, http::ErrorResponse(ResultCode::kQueueFull, "too many requests wait"));
+  if (code != ResultCode::kOk) return Refuse(call, code);
+  Enqueue(call);
+}
+
+void Router::Enqueue(const CallPtr& call) {
+  std::optional<CallPtr> displaced;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    call->started = false;
+    displaced = states_[call->service].queue.Push(call->place, call);
+    if (displaced) (*displaced)->started = true;
   }
+  if (displaced) Refuse(*displaced, ResultCode::kQueueFull);
   Pump(call->service);
-  if (call->started) return;
+  {
+    // Most calls are sent at once and need no timer, which would keep them until their deadline.
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (call->started) return;
+  }
   http::RunAfter(call->deadline - Now(), [this, call] { ExpireInQueue(call); });
 }
 
@@ -263,36 +362,61 @@
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     if (call->started) return;
-    std::deque<CallPtr>& queue = queues_[call->service];
-    queue.erase(std::remove(queue.begin(), queue.end(), call), queue.end());
+    states_[call->service].queue.Remove(call->place, call);
     call->started = true;
   }
-  Finish(call, http::ErrorResponse(ResultCode::kDeadlineTooShort,
-                                   "no target was free before the deadline"));
+  Refuse(call, ResultCode::kDeadlineTooShort);
+}
+
+routing::Target* Router::TargetFor(const Call& call, std::vector<routing::Target>* list,
+                                   int64_t queued, TimePoint now) {
+  const double draw = std::uniform_real_distribution<double>(0, 1)(random_);
+  int n = -1;
+  if (!call.tried.empty()) {
+    // Another target goes first; the same one is better than none.
+    std::vector<routing::Target> others = *list;
+    for (routing::Target& it : others) {
+      const auto found = std::find(call.tried.begin(), call.tried.end(), it.endpoint);
+      if (found != call.tried.end()) it.share = 0;
+    }
+    n = routing::ChooseTarget(others, own_.failure_domain, queued, now, draw);
+  }
+  if (n < 0) n = routing::ChooseTarget(*list, own_.failure_domain, queued, now, draw);
+  return n < 0 ? nullptr : &(*list)[static_cast<size_t>(n)];
 }
 
 void Router::Pump(const std::string& service) {
   for (;;) {
     CallPtr call;
     Endpoint endpoint;
+    bool send = true;
     {
       const std::lock_guard<std::mutex> lock(mutex_);
-      std::deque<CallPtr>& queue = queues_[service];
-      std::vector<routing::Target>& list = targets_[service];
-      if (queue.empty()) return;
-      const double draw = std::uniform_real_distribution<double>(0, 1)(random_);
-      const int n = routing::ChooseTarget(list, own_.failure_domain,
-                                          static_cast<int64_t>(queue.size()), Now(), draw);
-      if (n < 0) return;
-      call = queue.front();
-      queue.pop_front();
+      ServiceState& state = states_[service];
+      if (state.queue.size() == 0) return;
+      const TimePoint now = Now();
+      call = state.queue.Front();
+      routing::OperationLatency* latency = LatencyOf(&state, call->operation);
+      send = routing::AdmitToTarget(*latency, call->deadline, now);
+      if (send) {
+        routing::Target* target =
+            TargetFor(*call, &targets_[service], static_cast<int64_t>(state.queue.size()), now);
+        if (target == nullptr) return;
+        state.queue.Pop(now);
+        target->in_flight += 1;
+        target->last_sent = now;
+        latency->last_sent = now;
+        endpoint = target->endpoint;
+      } else {
+        state.queue.Drop();
+      }
       call->started = true;
-      routing::Target& target = list[static_cast<size_t>(n)];
-      target.in_flight += 1;
-      target.last_sent = Now();
-      endpoint = target.endpoint;
     }
-    Dispatch(call, endpoint);
+    if (send) {
+      Dispatch(call, endpoint);
+    } else {
+      Refuse(call, ResultCode::kDeadlineTooShort);
+    }
   }
 }
 
@@ -312,34 +436,59 @@
   }
 }
 
-void Router::OnAnswer(const CallPtr& call, const Endpoint& endpoint, TimePoint sent,
-                      http::HttpResult result) {
+void Router::AddAnswer(const Call& call, const Endpoint& endpoint, TimePoint sent,
+                       const http::HttpResult& result) {
   const TimePoint now = Now();
-  {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    routing::Target* target = routing::FindTarget(&targets_, call->service, endpoint);
-    if (target != nullptr) {
-      target->in_flight -= 1;
-      routing::AddLatency(target, now - sent, now);
-      if (!http::HeaderOf(result.response.headers, http::kLeavingHeader).empty()) {
-        target->leaving = true;
-      }
-    }
+  const bool failed = IsFailure(result);
+  const std::lock_guard<std::mutex> lock(mutex_);
+  ServiceState& state = states_[call.service];
+  // Failures are often quick; they must not make a target or an operation look fast.
+  if (!failed) {
+    routing::AddSample(LatencyOf(&state, call.operation), now - sent);
+    routing::AddSample(&state.all, now - sent);
   }
-  if (!result.ec) {
+  routing::Target* target = routing::FindTarget(&targets_, call.service, endpoint);
+  if (target == nullptr) return;
+  target->in_flight -= 1;
+  const bool late = result.ec == ResultCode::kTimeout;
+  if (!failed || late) routing::AddLatency(target, now - sent, now);
+  // A timeout below the target's usual time says more about the caller's deadline.
+  const bool own_fault = failed && (!late || now - sent >= 2 * target->latency);
+  if (AnnouncesLeaving(result)) {
+    routing::MarkAnnounced(target);
+  } else if (!failed || own_fault) {
+    routing::AddResult(target, own_fault, now);
+  }
+}
+
+bool Router::MayRetry(const Call& call, const http::HttpResult& result, TimePoint now) {
+  if (call.attempts >= kMaxAttempts || now >= call.deadline) return false;
+  const bool nothing_sent = result.ec == ResultCode::kTargetUnreachable;
+  if (call.once && !nothing_sent) return false;
+  const bool refused_leaving = result.response.status == 503 && AnnouncesLeaving(result);
+  if (!result.ec && !refused_leaving) return false;
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (routing::TakeRetry(&states_[call.service].retries)) {
+    metrics_.Count(metrics::Labelled("retries_total", "service", call.service));
+    return true;
+  }
+  metrics_.Count(metrics::Labelled("retries_denied_total", "service", call.service));
+  return false;
+}
+
+void Router::OnAnswer(const CallPtr& call, const Endpoint& endpoint, TimePoint sent,
+                      http::HttpResult result) {
+  AddAnswer(*call, endpoint, sent, result);
+  if (result.ec != ResultCode::kTargetUnreachable) call->may_have_run = true;
+  if (MayRetry(*call, result, Now())) {
+    call->tried.push_back(endpoint);
+    Enqueue(call);
+  } else if (!result.ec) {
     Finish(call, FromTarget(std::move(result.response)));
   } else {
-    const bool nothing_sent = result.ec == ResultCode::kTargetUnreachable;
-    const bool again =
-        (nothing_sent || !call->once) && call->attempts < kMaxAttempts && now < call->deadline;
-    if (again) {
-      metrics_.Count(metrics::Labelled("retries_total", "service", call->service));
-      call->started = false;
-      Submit(call);
-    } else {
-      const auto code = static_cast<ResultCode>(result.ec.value());
-      Finish(call, http::ErrorResponse(code, "target " + ToString(endpoint) + " did not answer"));
-    }
+    const ResultCode code =
+        routing::FinalCode(static_cast<ResultCode>(result.ec.value()), call->may_have_run);
+    Finish(call, http::ErrorResponse(code, "target " + ToString(endpoint) + " did not answer"));
   }
   Pump(call->service);
 }
--- a/apps/router/router.h
+++ b/apps/router/router.h
@@ -3,7 +3,6 @@
 #define POMELOPOND_APPS_ROUTER_ROUTER_H_
 
 #include <atomic>
-#include <deque>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -16,6 +15,10 @@
 #include "http/http_server.h"
 #include "metrics/registry.h"
 #include "release/release.h"
+#include "routing/admission.h"
+#include "routing/caller_limit.h"
+#include "routing/fair_queue.h"
+#include "routing/retry_budget.h"
 #include "routing/target_set.h"
 #include "routing/token_table.h"
 
@@ -38,25 +41,58 @@
   void Tick(TimePoint now);
 
  private:
+  static constexpr size_t kMaxQueue = 1000;  // calls of one service
+  static constexpr size_t kMaxOperations = 64;
+
   // A request on its way to a target.
   struct Call {
     std::string service;
+    std::string operation;
+    std::string caller;
+    routing::QueuePlace place;
     http::HttpRequest request;  // as sent to the target
     http::Reply reply;
     TimePoint received;
     TimePoint deadline;
     bool once = false;  // must be sent at most once
     int attempts = 0;
-    bool started = false;  // has left the queue
+    bool started = false;         // has left the queue
+    bool may_have_run = false;    // an attempt may have reached a target
+    std::vector<Endpoint> tried;  // targets that did not answer it
   };
   using CallPtr = std::shared_ptr<Call>;
 
+  // What decides on the requests of one service.
+  struct ServiceState {
+    routing::FairQueue<CallPtr> queue{kMaxQueue};
+    routing::RetryBudget retries;
+    routing::OperationLatency all;
+    // Of at most kMaxOperations; further operations share the entry of the empty name, because
+    // callers choose the names.
+    std::map<std::string, routing::OperationLatency> operations;
+  };
+
   void HandleService(const http::HttpRequest& request, const http::Reply& reply);
   void HandleToken(const CallPtr& call, const std::string& text, bool forwarded);
   void Forward(const CallPtr& call, const std::string& host, const std::string& text);
   http::HttpResponse TokenNeeded();
   http::HttpResponse Ready();
+  // Refuses the call or puts it into its queue.
   void Submit(const CallPtr& call);
+  // Ok, or why the call is refused without being queued. Needs the mutex.
+  ResultCode Admit(const CallPtr& call, TimePoint now);
+  void Enqueue(const CallPtr& call);
+  // The target for the head of a queue, or nullptr. Needs the mutex.
+  routing::Target* TargetFor(const Call& call, std::vector<routing::Target>* list, int64_t queued,
+                             TimePoint now);
+  static routing::OperationLatency* LatencyOf(ServiceState* state, const std::string& operation);
+  // Counts an answer for the target, the operation and the target's health.
+  void AddAnswer(const Call& call, const Endpoint& endpoint, TimePoint sent,
+                 const http::HttpResult& result);
+  // True when the call may be sent again after `result`; a retry is then counted.
+  bool MayRetry(const Call& call, const http::HttpResult& result, TimePoint now);
+  // Answers a call that has not been sent, or not again, because of `reason`.
+  void Refuse(const CallPtr& call, ResultCode reason);
   void ExpireInQueue(const CallPtr& call);
   // Starts queued calls of a service while targets have room. Called without the mutex.
   void Pump(const std::string& service);
@@ -76,7 +112,9 @@
   std::map<std::string, release::ServiceSpec> services_;
   int64_t release_version_ = 0;
   routing::TargetSet targets_;
-  std::map<std::string, std::deque<CallPtr>> queues_;
+  routing::CallerLimits limits_;
+  std::map<std::string, routing::CallerBucket> buckets_;  // by name of the limit
+  std::map<std::string, ServiceState> states_;            // by service
   routing::TokenTable<http::HttpResponse> tokens_;
   std::map<Endpoint, std::shared_ptr<http::HttpClient>> clients_;
   std::mt19937_64 random_;
--- /dev/null
+++ b/src/routing/admission.cc
@@ -0,0 +1,52 @@
+#include "routing/admission.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pomelopond::routing {
+namespace {
+
+constexpr double kSampleWeight = 0.05;
+
+// An operation that was not sent for this long is let through, so that an estimate from a bad time
+// cannot refuse its requests for ever.
+constexpr Duration kRefreshInterval = std::chrono::seconds(1);
+
+constexpr int64_t kTimePerWait = 2;  // time that must be left, in multiples of the wait
+constexpr int64_t kLeastPartOfMean = 2;
+
+bool IsStale(const OperationLatency& operation, TimePoint now) {
+  return operation.samples == 0 || now - operation.last_sent >= kRefreshInterval;
+}
+
+}  // namespace
+
+void AddSample(OperationLatency* latency, Duration sample) {
+  const Duration bounded = std::max(sample, Duration(1));
+  latency->samples += 1;
+  const double weight = std::max(kSampleWeight, 1 / static_cast<double>(latency->samples));
+  const double before =
+      latency->mean == Duration::zero() ? 0 : std::log(static_cast<double>(latency->mean.count()));
+  const double mean =
+      (1 - weight) * before + weight * std::log(static_cast<double>(bounded.count()));
+  latency->mean = std::max(Duration(std::llround(std::exp(mean))), Duration(1));
+}
+
+bool AdmitToQueue(const OperationLatency& operation, const QueueAhead& ahead, TimePoint deadline,
+                  TimePoint now) {
+  if (deadline <= now) return false;
+  if (ahead.slots > 0) {
+    const Duration wait = std::max(ahead.latency * ahead.requests / ahead.slots, ahead.own_wait);
+    const Duration own = IsStale(operation, now) ? Duration::zero() : operation.mean;
+    if (ahead.requests > 0 && kTimePerWait * wait > deadline - now - own) return false;
+  }
+  return AdmitToTarget(operation, deadline, now);
+}
+
+bool AdmitToTarget(const OperationLatency& operation, TimePoint deadline, TimePoint now) {
+  if (deadline <= now) return false;
+  if (IsStale(operation, now)) return true;
+  return deadline - now >= operation.mean / kLeastPartOfMean;
+}
+
+}  // namespace pomelopond::routing
--- /dev/null
+++ b/src/routing/caller_limit.cc
@@ -0,0 +1,58 @@
+#include "routing/caller_limit.h"
+
+#include <algorithm>
+
+namespace pomelopond::routing {
+namespace {
+
+constexpr double kMaxPerSecond = 1e9;
+constexpr int64_t kMaxWeight = 1000;
+constexpr int64_t kMaxRank = 1000;
+
+}  // namespace
+
+CallerLimit ReadCallerLimit(const Json& object, const std::string& path, FieldErrors* errors) {
+  JsonReader reader(object, path, errors);
+  CallerLimit limit;
+  limit.per_second = reader.NumberOr("per_second", 0, kMaxPerSecond, 0);
+  limit.burst = reader.NumberOr("burst", 0, kMaxPerSecond, 0);
+  limit.weight = reader.IntOr("weight", 1, kMaxWeight, 1);
+  limit.rank = reader.IntOr("rank", 0, kMaxRank, 0);
+  reader.Finish();
+  return limit;
+}
+
+CallerLimits ReadCallerLimits(const std::map<std::string, Json>& section, FieldErrors* errors) {
+  CallerLimits limits;
+  for (const auto& [name, object] : section) {
+    const size_t before = errors->size();
+    const CallerLimit limit = ReadCallerLimit(object, "limits." + name, errors);
+    if (errors->size() == before) limits[name] = limit;
+  }
+  return limits;
+}
+
+std::string LimitNameOf(const CallerLimits& limits, const std::string& caller) {
+  return limits.count(caller) > 0 ? caller : kOtherCallers;
+}
+
+CallerLimit LimitOf(const CallerLimits& limits, const std::string& name) {
+  const auto it = limits.find(name);
+  return it == limits.end() ? CallerLimit{} : it->second;
+}
+
+bool TakeRequest(CallerBucket* bucket, const CallerLimit& limit, int64_t routers, TimePoint now) {
+  if (limit.per_second == 0) return true;
+  const double part = 1 / static_cast<double>(std::max<int64_t>(routers, 1));
+  const double rate = limit.per_second * part;
+  const double burst = std::max((limit.burst == 0 ? limit.per_second : limit.burst) * part, 1.0);
+  const double seconds = std::chrono::duration<double>(now - bucket->updated).count();
+  bucket->tokens = bucket->used ? std::min(bucket->tokens + rate * seconds, burst) : burst;
+  bucket->updated = now;
+  bucket->used = true;
+  if (bucket->tokens < 1) return false;
+  bucket->tokens -= 1;
+  return true;
+}
+
+}  // namespace pomelopond::routing
--- /dev/null
+++ b/src/routing/fair_queue.h
@@ -0,0 +1,188 @@
+// A bounded queue ordered by rank and fair among callers.
+#ifndef POMELOPOND_ROUTING_FAIR_QUEUE_H_
+#define POMELOPOND_ROUTING_FAIR_QUEUE_H_
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "base/time.h"
+
+namespace pomelopond::routing {
+
+// Where an item belongs in a queue.
+struct QueuePlace {
+  std::string caller;
+  int64_t rank = 0;    // lower ranks go first
+  int64_t weight = 1;  // items for each round of the callers of one rank
+};
+
+// Deficit round robin among the callers of a rank, with each item of cost 1: a round serves as many
+// items of a caller as its weight. Not thread-safe.
+template <class T>
+class FairQueue {
+ public:
+  explicit FairQueue(size_t limit) : limit_(limit) {}
+
+  size_t size() const { return size_; }
+
+  // Adds an item. In a full queue the newest item of the caller with the most items for its weight
+  // is taken out, from the highest rank first; it may be the new item itself. A caller that queues
+  // less than its share therefore never loses an item to one that queues more.
+  std::optional<T> Push(const QueuePlace& place, T item) {
+    Caller& caller = Find(place);
+    caller.items.push_back(std::move(item));
+    caller.weight = std::max<int64_t>(place.weight, 1);
+    size_ += 1;
+    if (size_ <= limit_) return std::nullopt;
+    return TakeFromLongest();
+  }
+
+  // The item that Pop() takes. The queue must not be empty.
+  const T& Front() const { return ranks_.begin()->second.front().items.front(); }
+
+  // Takes the next item out as its caller's turn. The queue must not be empty.
+  T Pop(TimePoint now) {
+    Caller& caller = ranks_.begin()->second.front();
+    if (caller.turns > 0) {
+      const double sample = static_cast<double>((now - caller.last_turn).count());
+      const double weight = std::max(kTurnWeight, 1 / static_cast<double>(caller.turns));
+      caller.interval += weight * (sample - caller.interval);
+    }
+    caller.turns += 1;
+    caller.last_turn = now;
+    return TakeFront(1);
+  }
+
+  // Takes the next item out without using its caller's turn, because it is not served: the turns of
+  // a caller whose requests expire would otherwise go to the other callers. The queue must not be
+  // empty.
+  T Drop() { return TakeFront(0); }
+
+  // How long a new item would wait for the turns of its caller's items, from the time between the
+  // caller's turns since its queue was last empty; zero when that is not known. Unlike Ahead(), it
+  // sees the turns of items that other callers have not queued yet.
+  Duration OwnWait(const QueuePlace& place) const {
+    const auto rank = ranks_.find(place.rank);
+    if (rank == ranks_.end()) return Duration::zero();
+    for (const Caller& it : rank->second) {
+      if (it.name != place.caller) continue;
+      return Duration(std::llround(it.interval * static_cast<double>(it.items.size())));
+    }
+    return Duration::zero();
+  }
+
+  // Takes an item out; false when it is not in the queue.
+  bool Remove(const QueuePlace& place, const T& item) {
+    const auto rank = ranks_.find(place.rank);
+    if (rank == ranks_.end()) return false;
+    for (auto it = rank->second.begin(); it != rank->second.end(); ++it) {
+      if (it->name != place.caller) continue;
+      const auto found = std::find(it->items.begin(), it->items.end(), item);
+      if (found == it->items.end()) return false;
+      it->items.erase(found);
+      size_ -= 1;
+      if (it->items.empty()) Erase(rank, it);
+      return true;
+    }
+    return false;
+  }
+
+  // Number of items that would be served before a new item of this place.
+  int64_t Ahead(const QueuePlace& place) const {
+    int64_t ahead = 0;
+    for (const auto& [rank, round] : ranks_) {
+      if (rank > place.rank) break;
+      if (rank < place.rank) {
+        for (const Caller& it : round) ahead += static_cast<int64_t>(it.items.size());
+        continue;
+      }
+      int64_t own = 0;
+      for (const Caller& it : round) {
+        if (it.name == place.caller) own = static_cast<int64_t>(it.items.size());
+      }
+      const int64_t rounds = own / std::max<int64_t>(place.weight, 1) + 1;
+      for (const Caller& it : round) {
+        const auto size = static_cast<int64_t>(it.items.size());
+        ahead += it.name == place.caller ? size : std::min(size, rounds * it.weight);
+      }
+    }
+    return ahead;
+  }
+
+ private:
+  // Weight of the newest time between turns: about 20 turns, so that the estimate follows a change
+  // within 0.1 s at 200 turns a second.
+  static constexpr double kTurnWeight = 0.05;
+
+  struct Caller {
+    std::string name;
+    std::deque<T> items;
+    int64_t weight = 1;
+    int64_t deficit = 0;
+    int64_t turns = 0;
+    TimePoint last_turn{};
+    double interval = 0;  // mean microseconds between turns
+  };
+  using Round = std::list<Caller>;  // in the order of service
+  using Ranks = std::map<int64_t, Round>;
+
+  T TakeFront(int64_t cost) {
+    Round& round = ranks_.begin()->second;
+    Caller& caller = round.front();
+    if (caller.deficit < cost) caller.deficit += caller.weight;
+    T item = std::move(caller.items.front());
+    caller.items.pop_front();
+    caller.deficit -= cost;
+    size_ -= 1;
+    if (caller.items.empty()) {
+      Erase(ranks_.begin(), round.begin());
+    } else if (cost > 0 && caller.deficit < 1) {
+      round.splice(round.end(), round, round.begin());
+    }
+    return item;
+  }
+
+  Caller& Find(const QueuePlace& place) {
+    Round& round = ranks_[place.rank];
+    for (Caller& it : round) {
+      if (it.name == place.caller) return it;
+    }
+    round.emplace_back().name = place.caller;
+    return round.back();
+  }
+
+  // A caller without items loses its deficit, so that it cannot save up service.
+  void Erase(typename Ranks::iterator rank, typename Round::iterator caller) {
+    rank->second.erase(caller);
+    if (rank->second.empty()) ranks_.erase(rank);
+  }
+
+  T TakeFromLongest() {
+    const auto rank = std::prev(ranks_.end());
+    auto longest = rank->second.begin();
+    for (auto it = rank->second.begin(); it != rank->second.end(); ++it) {
+      const size_t size = it->items.size() * static_cast<size_t>(longest->weight);
+      if (size > longest->items.size() * static_cast<size_t>(it->weight)) longest = it;
+    }
+    T item = std::move(longest->items.back());
+    longest->items.pop_back();
+    size_ -= 1;
+    if (longest->items.empty()) Erase(rank, longest);
+    return item;
+  }
+
+  size_t limit_;
+  size_t size_ = 0;
+  Ranks ranks_;  // without empty rounds
+};
+
+}  // namespace pomelopond::routing
+
+#endif  // POMELOPOND_ROUTING_FAIR_QUEUE_H_
--- a/src/routing/target_choice.cc
+++ b/src/routing/target_choice.cc
@@ -33,7 +33,8 @@
   std::vector<Duration> latencies;
   latencies.reserve(targets.size());
   for (const Target& it : targets) {
-    if (!it.leaving && it.samples > 0) latencies.push_back(it.latency);
+    const bool usable = !it.leaving && it.health.state == HealthState::kHealthy;
+    if (usable && it.samples > 0) latencies.push_back(it.latency);
   }
   if (latencies.empty()) return Duration::zero();
   const auto middle = latencies.begin() + static_cast<std::ptrdiff_t>((latencies.size() - 1) / 2);
@@ -52,8 +53,8 @@
     const Target& it = targets[n];
     if (it.leaving) continue;
     bool slow = IsSlow(it, median);
-    if (!slow) normal_slots += it.share;
-    if (it.in_flight >= it.share) continue;
+    if (!slow && it.health.state == HealthState::kHealthy) normal_slots += it.share;
+    if (FreeSlots(it) == 0) continue;
     if (slow && it.in_flight == 0 && now - it.last_sent >= kSlowProbeInterval) slow = false;
     const std::tuple<Duration, bool, size_t> rank{slow ? it.latency : Duration::zero(),
                                                   it.failure_domain != near_domain,
--- a/src/routing/target_set.cc
+++ b/src/routing/target_set.cc
@@ -14,13 +14,26 @@
   return nullptr;
 }
 
+bool WasAnnounced(const TargetSet& targets, const membership::TargetInfo& info) {
+  const auto list = targets.find(info.service);
+  if (list == targets.end()) return false;
+  for (const Target& it : list->second) {
+    if (it.endpoint == info.endpoint) return it.announced;
+  }
+  return false;
+}
+
 }  // namespace
 
 TargetSet UpdateTargets(const TargetSet& current, const membership::HostList& hosts,
                         const std::string& own_host, const std::vector<std::string>& entry_hosts) {
   TargetSet next = current;
+  // Targets that the new list does not name are leaving.
   for (auto& [service, list] : next) {
-    for (Target& it : list) it.leaving = true;
+    for (Target& it : list) {
+      it.leaving = true;
+      it.announced = false;
+    }
   }
   for (const auto& [id, host] : hosts.hosts) {
     for (const membership::TargetInfo& it : host.targets) {
@@ -35,12 +48,17 @@
       // One request at a time uses one connection, so the smaller of both bounds them.
       const int64_t limit = std::min(it.slots, it.connections);
       known->share = membership::SlotShare(ToString(it.endpoint), limit, own_host, entry_hosts);
-      known->leaving = leaving;
+      // An announcement outlasts a list that still says live; one that says leaving replaces it.
+      known->announced = !leaving && WasAnnounced(current, it);
+      known->leaving = leaving || known->announced;
     }
   }
   for (auto& [service, list] : next) {
     list.erase(std::remove_if(list.begin(), list.end(),
-                              [](const Target& it) { return it.leaving && it.in_flight == 0; }),
+                              [](const Target& it) {
+                                // An announced target stays, or the list would add it as live.
+                                return it.leaving && !it.announced && it.in_flight == 0;
+                              }),
                list.end());
   }
   return next;
--- a/src/routing/target_set.h
+++ b/src/routing/target_set.h
@@ -15,7 +15,9 @@
 using TargetSet = std::map<std::string, std::vector<Target>>;
 
 // The set after a new host list: counts and latencies of known targets are kept. A target that is
-// not live any more stays as leaving while requests are in flight there.
+// not live any more stays as leaving while requests are in flight there. One that announced its
+// leaving stays marked until a list shows its host as leaving, gone or absent and a later one as
+// live; the announcement comes from the target, so a list that says live is older.
 TargetSet UpdateTargets(const TargetSet& current, const membership::HostList& hosts,
                         const std::string& own_host, const std::vector<std::string>& entry_hosts);
 
--- /dev/null
+++ b/tests/routing/caller_limit_test.cc
@@ -0,0 +1,70 @@
+#include "routing/caller_limit.h"
+
+#include <gtest/gtest.h>
+
+namespace pomelopond::routing {
+namespace {
+
+constexpr TimePoint kNow{std::chrono::seconds(50)};
+
+int Taken(CallerBucket* bucket, const CallerLimit& limit, int64_t routers, TimePoint now,
+          int tries) {
+  int taken = 0;
+  for (int n = 0; n < tries; ++n) taken += TakeRequest(bucket, limit, routers, now) ? 1 : 0;
+  return taken;
+}
+
+// Guards against eight routers that together grant eight times a caller's limit.
+TEST(CallerLimitTest, RoutersTogetherGrantTheLimit) {
+  CallerLimit limit;
+  limit.per_second = 80;
+  CallerBucket bucket;
+  EXPECT_EQ(Taken(&bucket, limit, 8, kNow, 100), 10);
+  EXPECT_EQ(Taken(&bucket, limit, 8, kNow, 100), 0);
+  int taken = 0;
+  for (int n = 1; n <= 100; ++n) {
+    taken += Taken(&bucket, limit, 8, kNow + n * std::chrono::milliseconds(100), 100);
+  }
+  EXPECT_EQ(taken, 100);
+}
+
+// Guards against a limit so small that its part for one router is less than one request.
+TEST(CallerLimitTest, SmallLimitStillLetsRequestsThrough) {
+  CallerLimit limit;
+  limit.per_second = 1;
+  CallerBucket bucket;
+  EXPECT_EQ(Taken(&bucket, limit, 8, kNow, 5), 1);
+  EXPECT_EQ(Taken(&bucket, limit, 8, kNow + std::chrono::seconds(7), 5), 0);
+  EXPECT_EQ(Taken(&bucket, limit, 8, kNow + std::chrono::seconds(16), 5), 1);
+}
+
+TEST(CallerLimitTest, NoEntryMeansNoLimit) {
+  CallerBucket bucket;
+  EXPECT_EQ(Taken(&bucket, LimitOf({}, "caller"), 8, kNow, 1000), 1000);
+}
+
+// Guards against a caller that escapes its limit by changing its name.
+TEST(CallerLimitTest, UnlistedCallersShareOneEntry) {
+  CallerLimits limits;
+  limits["known"].per_second = 5;
+  EXPECT_EQ(LimitNameOf(limits, "known"), "known");
+  EXPECT_EQ(LimitNameOf(limits, "x1"), kOtherCallers);
+  EXPECT_EQ(LimitNameOf(limits, ""), kOtherCallers);
+}
+
+// Guards against a wrong entry that removes the limits of other callers.
+TEST(CallerLimitTest, WrongEntriesAreReportedByPath) {
+  FieldErrors errors;
+  const CallerLimits limits = ReadCallerLimits({{"good", {{"per_second", 5}, {"rank", 1}}},
+                                                {"bad", {{"per_second", -1}}},
+                                                {"odd", {{"colour", 1}}},
+                                                {"text", "5"}},
+                                               &errors);
+  ASSERT_EQ(limits.size(), 1U);
+  EXPECT_EQ(limits.at("good").rank, 1);
+  ASSERT_GE(errors.size(), 3U);
+  EXPECT_EQ(errors[0].path, "limits.bad.per_second");
+}
+
+}  // namespace
+}  // namespace pomelopond::routing
