--- a/apps/router/router.cc
+++ b/apps/router/router.cc
@@ -152,6 +152,28 @@
                                                 {"targets", usable}});
 }
 
+// The metrics, with each service's objective and its counts over both burn windows.
+http::HttpResponse Router::MetricsJson() {
+  const TimePoint now = Now();
+  const auto counts = [now](const metrics::BurnSeries& series, Duration window) -> Json {
+    const metrics::BurnCounts sum = metrics::CountsWithin(series, window, now);
+    return {{"good", sum.good}, {"bad", sum.bad}};
+  };
+  Json document = metrics_.Snapshot();
+  Json burn = Json::object();
+  const std::lock_guard<std::mutex> lock(mutex_);
+  for (const auto& [service, series] : burn_) {
+    const auto spec = services_.find(service);
+    if (spec == services_.end()) continue;
+    burn[service] = {{"objective_ms", spec->second.objective_ms},
+                     {"objective_ratio", spec->second.objective_ratio},
+                     {"short", counts(series, metrics::kShortWindow)},
+                     {"long", counts(series, metrics::kLongWindow)}};
+  }
+  document["burn"] = burn;
+  return http::JsonResponse(200, document);
+}
+
 void Router::Handle(const http::HttpRequest& request, const http::Reply& reply) {
   const std::string path = http::PathOf(request);
   if (path == "/healthz") return reply(http::JsonResponse(200, {{"status", "ok"}}));
@@ -162,7 +184,7 @@
     response.body = metrics_.Text();
     return reply(std::move(response));
   }
-  if (path == "/v1/metrics") return reply(http::JsonResponse(200, metrics_.Snapshot()));
+  if (path == "/v1/metrics") return reply(MetricsJson());
   if (path.rfind(kServicePrefix, 0) == 0) return HandleService(request, reply);
   reply(http::ErrorResponse(ResultCode::kNotFound, "no such path: " + path));
 }
@@ -496,8 +518,17 @@
 void Router::Finish(const CallPtr& call, http::HttpResponse response) {
   const std::string outcome = http::HeaderOf(response.headers, http::kOutcomeHeader);
   metrics_.Count(metrics::Labelled("answers_total", "outcome", outcome));
-  metrics_.Observe(metrics::Labelled("request_seconds", "service", call->service),
-                   Now() - call->received);
+  const TimePoint now = Now();
+  const Duration latency = now - call->received;
+  metrics_.Observe(metrics::Labelled("request_seconds", "service", call->service), latency);
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto spec = services_.find(call->service);
+    const bool in_time = spec != services_.end() &&
+                         static_cast<double>(latency.count()) <= spec->second.objective_ms * 1000;
+    const bool good = outcome == OutcomeName(Outcome::kDone) && in_time;
+    metrics::AddRequest(&burn_[call->service], good, now);
+  }
   call->reply(std::move(response));
 }
 
--- a/apps/router/router.h
+++ b/apps/router/router.h
@@ -13,6 +13,7 @@
 #include "base/entry_settings.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
+#include "metrics/burn.h"
 #include "metrics/registry.h"
 #include "release/release.h"
 #include "routing/admission.h"
@@ -77,6 +78,7 @@
   void Forward(const CallPtr& call, const std::string& host, const std::string& text);
   http::HttpResponse TokenNeeded();
   http::HttpResponse Ready();
+  http::HttpResponse MetricsJson();
   // Refuses the call or puts it into its queue.
   void Submit(const CallPtr& call);
   // Ok, or why the call is refused without being queued. Needs the mutex.
@@ -115,6 +117,7 @@
   routing::CallerLimits limits_;
   std::map<std::string, routing::CallerBucket> buckets_;  // by name of the limit
   std::map<std::string, ServiceState> states_;            // by service
+  std::map<std::string, metrics::BurnSeries> burn_;       // by service
   routing::TokenTable<http::HttpResponse> tokens_;
   std::map<Endpoint, std::shared_ptr<http::HttpClient>> clients_;
   std::mt19937_64 random_;
