--- a/apps/router/router.cc
+++ b/apps/router/router.cc
@@ -68,6 +68,19 @@
   return !http::HeaderOf(result.response.headers, http::kLeavingHeader).empty();
 }
 
+// Ranks by team from the policy in force. A caller has the rank of the team with its name.
+std::map<std::string, int64_t> RanksOf(const release::Release& release) {
+  const std::string prefix = "team-rank.";
+  std::map<std::string, int64_t> ranks;
+  for (const auto& [subject, value] : release.resolved) {
+    if (subject.rfind(prefix, 0) != 0 || !value.is_object()) continue;
+    const auto rank = value.find("rank");
+    if (rank == value.end() || !rank->is_number_integer()) continue;
+    ranks[subject.substr(prefix.size())] = rank->get<int64_t>();
+  }
+  return ranks;
+}
+
 const char* RefusalText(ResultCode code) {
   switch (code) {
     case ResultCode::kCallerLimit:
@@ -101,6 +114,7 @@
     Log(LogLevel::kWarn, "router", "limit_ignored", {{"path", it.path}, {"error", it.text}});
   }
   buckets_.clear();
+  ranks_ = RanksOf(release);
   metrics_.Set("release_version", release.version);
 }
 
@@ -310,7 +324,8 @@
 ResultCode Router::Admit(const CallPtr& call, TimePoint now) {
   const std::string name = routing::LimitNameOf(limits_, call->caller);
   const routing::CallerLimit limit = routing::LimitOf(limits_, name);
-  call->place = {call->caller, limit.rank, limit.weight};
+  const auto rank = ranks_.find(call->caller);
+  call->place = {call->caller, rank == ranks_.end() ? 0 : rank->second, limit.weight};
   ServiceState& state = states_[call->service];
   routing::QueueAhead ahead;
   ahead.requests = state.queue.Ahead(call->place);
--- a/apps/router/router.h
+++ b/apps/router/router.h
@@ -113,6 +113,7 @@
   int64_t release_version_ = 0;
   routing::TargetSet targets_;
   routing::CallerLimits limits_;
+  std::map<std::string, int64_t> ranks_;                  // by caller, from the policy
   std::map<std::string, routing::CallerBucket> buckets_;  // by name of the limit
   std::map<std::string, ServiceState> states_;            // by service
   routing::TokenTable<http::HttpResponse> tokens_;
--- a/src/release/release.cc
+++ b/src/release/release.cc
@@ -11,6 +11,7 @@
 constexpr double kMaxObjectiveMs = 3600000;
 constexpr double kMaxShare = 1000000;
 constexpr int64_t kMaxPerSecond = 1000000;
+constexpr int64_t kMaxLimitWeight = 1000;
 
 std::vector<std::string> ReadStrings(JsonReader* reader, const std::string& key) {
   std::vector<std::string> values;
@@ -51,6 +52,8 @@
 void CheckLimit(const Json& object, const std::string& path, FieldErrors* errors) {
   JsonReader reader(object, path, errors);
   reader.Int("per_second", 1, kMaxPerSecond);
+  reader.IntOr("burst", 1, kMaxPerSecond, 1);
+  reader.IntOr("weight", 1, kMaxLimitWeight, 1);
   reader.Finish();
 }
 
--- a/src/routing/caller_limit.cc
+++ b/src/routing/caller_limit.cc
@@ -5,19 +5,17 @@
 namespace pomelopond::routing {
 namespace {
 
-constexpr double kMaxPerSecond = 1e9;
+constexpr int64_t kMaxPerSecond = 1000000;
 constexpr int64_t kMaxWeight = 1000;
-constexpr int64_t kMaxRank = 1000;
 
 }  // namespace
 
 CallerLimit ReadCallerLimit(const Json& object, const std::string& path, FieldErrors* errors) {
   JsonReader reader(object, path, errors);
   CallerLimit limit;
-  limit.per_second = reader.NumberOr("per_second", 0, kMaxPerSecond, 0);
-  limit.burst = reader.NumberOr("burst", 0, kMaxPerSecond, 0);
+  limit.per_second = static_cast<double>(reader.Int("per_second", 1, kMaxPerSecond));
+  limit.burst = static_cast<double>(reader.IntOr("burst", 1, kMaxPerSecond, 0));
   limit.weight = reader.IntOr("weight", 1, kMaxWeight, 1);
-  limit.rank = reader.IntOr("rank", 0, kMaxRank, 0);
   reader.Finish();
   return limit;
 }
--- a/src/routing/caller_limit.h
+++ b/src/routing/caller_limit.h
@@ -20,17 +20,15 @@
   double per_second = 0;  // 0: no limit
   double burst = 0;       // requests at once; 0: one second's worth
   int64_t weight = 1;     // share of a full queue relative to other callers
-  int64_t rank = 0;       // callers of a lower rank go first
 
   friend bool operator==(const CallerLimit& a, const CallerLimit& b) {
-    return a.per_second == b.per_second && a.burst == b.burst && a.weight == b.weight &&
-           a.rank == b.rank;
+    return a.per_second == b.per_second && a.burst == b.burst && a.weight == b.weight;
   }
 };
 
 using CallerLimits = std::map<std::string, CallerLimit>;
 
-// Reads {"per_second", "burst", "weight", "rank"}, all optional.
+// Reads {"per_second", "burst", "weight"}. The last two are optional.
 CallerLimit ReadCallerLimit(const Json& object, const std::string& path, FieldErrors* errors);
 
 // Reads a section of objects by caller name. Entries with errors are left out.
@@ -39,7 +37,7 @@
 // The name of the entry that holds for `caller`: its own or kOtherCallers.
 std::string LimitNameOf(const CallerLimits& limits, const std::string& caller);
 
-// The entry of that name; no limit, weight 1 and rank 0 without one.
+// The entry of that name; no limit and weight 1 without one.
 CallerLimit LimitOf(const CallerLimits& limits, const std::string& name);
 
 // A token bucket of one caller in one router.
--- a/src/routing/fair_queue.h
+++ b/src/routing/fair_queue.h
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <list>
 #include <map>
 #include <optional>
@@ -19,7 +20,7 @@
 // Where an item belongs in a queue.
 struct QueuePlace {
   std::string caller;
-  int64_t rank = 0;    // lower ranks go first
+  int64_t rank = 0;    // higher ranks go first
   int64_t weight = 1;  // items for each round of the callers of one rank
 };
 
@@ -33,7 +34,7 @@
   size_t size() const { return size_; }
 
   // Adds an item. In a full queue the newest item of the caller with the most items for its weight
-  // is taken out, from the highest rank first; it may be the new item itself. A caller that queues
+  // is taken out, from the lowest rank first; it may be the new item itself. A caller that queues
   // less than its share therefore never loses an item to one that queues more.
   std::optional<T> Push(const QueuePlace& place, T item) {
     Caller& caller = Find(place);
@@ -98,8 +99,8 @@
   int64_t Ahead(const QueuePlace& place) const {
     int64_t ahead = 0;
     for (const auto& [rank, round] : ranks_) {
-      if (rank > place.rank) break;
-      if (rank < place.rank) {
+      if (rank < place.rank) break;
+      if (rank > place.rank) {
         for (const Caller& it : round) ahead += static_cast<int64_t>(it.items.size());
         continue;
       }
@@ -130,8 +131,8 @@
     TimePoint last_turn{};
     double interval = 0;  // mean microseconds between turns
   };
-  using Round = std::list<Caller>;  // in the order of service
-  using Ranks = std::map<int64_t, Round>;
+  using Round = std::list<Caller>;                         // in the order of service
+  using Ranks = std::map<int64_t, Round, std::greater<>>;  // highest first
 
   T TakeFront(int64_t cost) {
     Round& round = ranks_.begin()->second;
