Tell bad workers from bad tasks

Cause: a worker that fails everything it starts kept getting tasks, and a task that fails everywhere was tried again at once.

Placement avoids hosts where a task failed, delays tasks and gives a probed host one task. A call of PlaceTasks visits fewer nodes.

--- a/bench/capacity.cc
+++ b/bench/capacity.cc
@@ -89,7 +89,7 @@
 Shard MakeShard(int tasks) {
   std::vector<planning::HostRoom> hosts;
   for (int n = 0; n < kHosts; ++n) {
-    hosts.push_back({HostId(n), {64000, 256000, 0}, true, "rack", "domain"});
+    hosts.push_back({HostId(n), {64000, 256000, 0}, true, "rack", "domain", false});
   }
   Shard shard;
   shard.planner = planning::MakePlanner({}, hosts, {});
--- a/bench/placement_scale.cc
+++ b/bench/placement_scale.cc
@@ -61,11 +61,8 @@
 
 planning::HostRoom Host(int n) {
   const bool accelerators = n % 3 == 0;
-  return {"host-" + std::to_string(n),
-          {64000, 256000, accelerators ? 8 : 0},
-          true,
-          "rack-" + std::to_string(n / 8),
-          "domain-" + std::to_string(n % 8)};
+  return {"host-" + std::to_string(n),     {64000, 256000, accelerators ? 8 : 0}, true,
+          "rack-" + std::to_string(n / 8), "domain-" + std::to_string(n % 8),     false};
 }
 
 planning::JobSpec Job(int n, std::mt19937_64* random) {
--- a/src/planning/placement.cc
+++ b/src/planning/placement.cc
@@ -11,13 +11,13 @@
 constexpr size_t kProbes = 8;
 // Nodes visited by one probe and by one search of all hosts; about 2 ns a node.
 constexpr size_t kProbeBudget = 64;
-constexpr size_t kSearchBudget = 2048;
+constexpr size_t kSearchBudget = 1024;
 constexpr size_t kCursorStep = 7919;  // a prime, so that probes reach every host
 // Groups woken with their shape. Waking all would take 1 us for each of up to some 100,000 groups
 // in one call; beyond this many, teams take turns instead of going by their share.
 constexpr size_t kWokenGroups = 8;
 // Bound of the work of one call, in visited nodes. What is left is done in the next call.
-constexpr size_t kCallWork = 6144;
+constexpr size_t kCallWork = 3072;
 constexpr size_t kWorkPerGrant = 1024;
 constexpr size_t kWorkPerMiss = 32;  // for parking a group
 
@@ -197,7 +197,8 @@
 }
 
 Resources FreeRoom(const Planner::Host& host) {
-  return host.room.usable ? host.room.capacity - host.granted : kNoRoom;
+  if (!host.room.usable || (host.room.probed && host.probe_given)) return kNoRoom;
+  return host.room.capacity - host.granted;
 }
 
 // Sets a host's entry in the index after any change, and notes a gain.
@@ -257,6 +258,7 @@
     *to = sign > 0 ? *to + spec.need : *to - spec.need;
   };
   add(&host.granted);
+  if (sign > 0) host.probe_given = true;
   add(&planner->granted);
   add(&team.used);
   if (IsFirm(spec)) {
@@ -313,6 +315,7 @@
   left.swap(planner->reserved);
   for (const auto& [task, it] : left) {
     const JobSpec& spec = state.jobs.at(it.job);
+    planner->hosts[it.host].probe_given = false;
     Count(planner, spec, it.host, -1);
     if (Pending(state, task)) AddWaiting(planner, spec, it.index);
   }
@@ -370,16 +373,18 @@
   return WithinBound(planner.granted_firm, shape.need, planner.total - planner.largest_rack);
 }
 
-// Lower is better. Services and watches of a job go to the failure domain, then to the rack, with
-// the fewest of its tasks; otherwise the least used host wins.
+// Lower is better. A host where the task failed is the last resort. Services and watches of a job
+// go to the failure domain, then to the rack, with the fewest of its tasks; otherwise the least
+// used host wins.
 struct Score {
+  bool avoided = false;
   int32_t domain_tasks = 0;
   int32_t rack_tasks = 0;
   double use = 0;
 
   friend bool operator<(const Score& a, const Score& b) {
-    return std::tie(a.domain_tasks, a.rack_tasks, a.use) <
-           std::tie(b.domain_tasks, b.rack_tasks, b.use);
+    return std::tie(a.avoided, a.domain_tasks, a.rack_tasks, a.use) <
+           std::tie(b.avoided, b.domain_tasks, b.rack_tasks, b.use);
   }
 };
 
@@ -393,10 +398,22 @@
   Score score;
 };
 
-void Consider(const Planner& planner, const Planner::Shape& shape, const Planner::Job& job,
-              size_t slot, Choice* choice) {
+// What is to be placed next.
+struct Next {
+  const Planner::Shape& shape;
+  const Planner::Job& job;
+  const std::vector<int32_t>* avoided;  // may be null
+};
+
+void Consider(const Planner& planner, const Next& next, size_t slot, Choice* choice) {
+  const Planner::Shape& shape = next.shape;
+  const Planner::Job& job = next.job;
   const Planner::Host& host = planner.hosts[slot];
   Score score;
+  if (next.avoided != nullptr) {
+    score.avoided = std::find(next.avoided->begin(), next.avoided->end(),
+                              static_cast<int32_t>(slot)) != next.avoided->end();
+  }
   score.use = Use(host.granted + shape.need, host.room.capacity) + host.penalty;
   if (!shape.batch) {
     score.domain_tasks = CountOf(job.domains, host.failure_domain);
@@ -408,12 +425,13 @@
 }
 
 // Compares the hosts at which the probes stop.
-Choice Probe(Planner* planner, const Planner::Shape& shape, const Planner::Job& job) {
+Choice Probe(Planner* planner, const Next& next) {
+  const Planner::Shape& shape = next.shape;
   Choice choice;
   const size_t count = planner->hosts.size();
   if (count <= kCandidates) {
     for (size_t n = 0; n < count; ++n) {
-      if (Fits(shape.need, RoomOf(planner->rooms, n))) Consider(*planner, shape, job, n, &choice);
+      if (Fits(shape.need, RoomOf(planner->rooms, n))) Consider(*planner, next, n, &choice);
     }
     return choice;
   }
@@ -424,7 +442,7 @@
       size_t budget = kProbeBudget;
       const RoomSearch found = FindRoom(planner->rooms, shape.need, from, &budget);
       if (!found.found) break;
-      Consider(*planner, shape, job, found.slot, &choice);
+      Consider(*planner, next, found.slot, &choice);
       from = found.slot + 1;
     }
   }
@@ -432,7 +450,8 @@
 }
 
 // The host for the next task of a job, or -1 after parking the shape.
-int32_t ChooseHost(Planner* planner, int32_t shape_id, const Planner::Job& job, size_t* work) {
+int32_t ChooseHost(Planner* planner, int32_t shape_id, const Planner::Job& job,
+                   const std::vector<int32_t>* avoided, size_t* work) {
   Planner::Shape& shape = planner->shapes[shape_id];
   planner->searches += 1;
   // The search for any host comes first: it costs a shape that fits nowhere less than the probes.
@@ -442,7 +461,7 @@
   *work -= std::min(*work, kSearchBudget - budget);
   shape.search_from = search.stopped ? search.slot : 0;
   if (search.found) {
-    const Choice choice = Probe(planner, shape, job);
+    const Choice choice = Probe(planner, {shape, job, avoided});
     return choice.host >= 0 ? choice.host : static_cast<int32_t>(search.slot);
   }
   if (search.stopped || shape.search_growth != planner->growth) {
@@ -476,7 +495,13 @@
   const std::string job_id = group.jobs.begin()->second;
   Planner::Job& job = planner->jobs.at(job_id);
   int32_t host = -1;
-  if (shape.parked == WaitReason::kNone) host = ChooseHost(planner, group.shape, job, work);
+  if (shape.parked == WaitReason::kNone) {
+    const auto avoided = planner->avoided.empty()
+                             ? planner->avoided.end()
+                             : planner->avoided.find(TaskId(job_id, job.waiting.back()));
+    host = ChooseHost(planner, group.shape, job,
+                      avoided == planner->avoided.end() ? nullptr : &avoided->second, work);
+  }
   if (host < 0) {
     ParkGroup(planner, group_id, shape.parked);
     shape.groups[group.rank].push_back(group_id);
@@ -501,6 +526,7 @@
   const JobSpec& spec = state.jobs.at(task.job);
   const bool occupies = Occupies(task.state);
   if (occupied && !occupies) Count(planner, spec, HostOf(planner, host_before), -1);
+  if (HasEnded(task.state)) planner->avoided.erase(task.id);
   if (occupied && task.state == TaskState::kPending) {
     AddWaiting(planner, spec, TaskIndex(task.id));
   }
@@ -574,6 +600,7 @@
     planner->rack_capacity[host.rack] = planner->rack_capacity[host.rack] - before.capacity;
   }
   host.room = room;
+  host.probe_given = false;
   // Tasks counted for spread stay with the rack under which they were counted.
   if (host.granted == Resources{}) {
     host.rack = NumberOf(&planner->racks, room.rack);
@@ -655,6 +682,12 @@
   return PlaceTasks(state, &planner, limit, {});
 }
 
+void AvoidHost(Planner* planner, const std::string& task, const std::string& host) {
+  std::vector<int32_t>& avoided = planner->avoided[task];
+  const int32_t id = HostOf(planner, host);
+  if (std::find(avoided.begin(), avoided.end(), id) == avoided.end()) avoided.push_back(id);
+}
+
 void DelayTask(const ShardState& state, Planner* planner, const std::string& task,
                TimePoint until) {
   const Task& waiting = state.tasks.at(task);
--- a/src/planning/placement.h
+++ b/src/planning/placement.h
@@ -26,10 +26,11 @@
   bool usable = false;  // live, not draining, and has answered at the owner's epoch
   std::string rack;
   std::string failure_domain;
+  bool probed = false;  // gets one task, whose outcome decides whether it is in order
 
   friend bool operator==(const HostRoom& a, const HostRoom& b) {
-    return std::tie(a.id, a.capacity, a.usable, a.rack, a.failure_domain) ==
-           std::tie(b.id, b.capacity, b.usable, b.rack, b.failure_domain);
+    return std::tie(a.id, a.capacity, a.usable, a.rack, a.failure_domain, a.probed) ==
+           std::tie(b.id, b.capacity, b.usable, b.rack, b.failure_domain, b.probed);
   }
 };
 
@@ -76,7 +77,8 @@
     Resources granted;  // reservations included
     int32_t rack = 0;
     int32_t failure_domain = 0;
-    double penalty = 0;  // added to its use when hosts are compared; 1 is a full host
+    bool probe_given = false;  // a probed host has got its task
+    double penalty = 0;        // added to its use when hosts are compared; 1 is a full host
   };
   struct Team {
     std::string name;
@@ -151,6 +153,8 @@
   // Grants that were decided and are not journalled yet.
   std::unordered_map<std::string, Reservation> reserved;
   std::multimap<TimePoint, std::pair<std::string, int32_t>> delayed;
+  // Hosts on which a task failed; it goes there again only when it fits nowhere else.
+  std::unordered_map<std::string, std::vector<int32_t>> avoided;
   Resources grown;     // maximum room of hosts that gained some since shapes were last woken
   int64_t growth = 0;  // counts such gains
   int64_t arrivals = 0;
@@ -184,6 +188,9 @@
 std::vector<Event> PlaceTasks(const ShardState& state, const std::vector<HostRoom>& hosts,
                               size_t limit);
 
+// Makes a task avoid the host until it ends.
+void AvoidHost(Planner* planner, const std::string& task, const std::string& host);
+
 // Takes a waiting task out of its order until `until`.
 void DelayTask(const ShardState& state, Planner* planner, const std::string& task, TimePoint until);
 
--- a/tests/planning/placement_test.cc
+++ b/tests/planning/placement_test.cc
@@ -19,7 +19,7 @@
 }
 
 HostRoom Host(const std::string& id, Resources capacity, const std::string& rack = "r") {
-  return {id, capacity, true, rack, "fd"};
+  return {id, capacity, true, rack, "fd", false};
 }
 
 std::vector<HostRoom> Hosts(int count, Resources capacity, int per_rack) {
@@ -279,6 +279,46 @@
   EXPECT_EQ(Place(&shard).size(), 12u);
 }
 
+// Guards against a task that is tried on the host where it failed while others have room, and
+// against one that never runs again when no other has.
+TEST(PlacementTest, TaskAvoidsTheHostWhereItFailed) {
+  Shard shard = MakeShard(Hosts(2, {4000, 1000, 0}, 1));
+  Apply(&shard.state, &shard.planner, AcceptEvent(Job("job", 1, {1000, 100, 0})));
+  const std::string first = Place(&shard).at(0).host;
+  Apply(&shard.state, &shard.planner, TaskEvent(EventType::kFailed, "job/0", 1));
+  AvoidHost(&shard.planner, "job/0", first);
+  const std::string second = Place(&shard).at(0).host;
+  EXPECT_NE(second, first);
+  Apply(&shard.state, &shard.planner, TaskEvent(EventType::kFailed, "job/0", 2));
+  AvoidHost(&shard.planner, "job/0", second);
+  EXPECT_EQ(Place(&shard).size(), 1u);
+}
+
+// Guards against sending a bad worker many tasks to find out whether it is still bad.
+TEST(PlacementTest, ProbedHostGetsOneTask) {
+  HostRoom host = Host("w", {4000, 1000, 0});
+  host.probed = true;
+  Shard shard = MakeShard({host});
+  Apply(&shard.state, &shard.planner, AcceptEvent(Job("job", 4, {1000, 100, 0})));
+  EXPECT_EQ(PlaceTasks(shard.state, &shard.planner, kAll, TimePoint{}).size(), 1u);
+  EXPECT_EQ(Place(&shard).size(), 1u);
+  EXPECT_TRUE(Place(&shard).empty());
+  host.probed = false;
+  SetHost(&shard.planner, host);
+  EXPECT_EQ(Place(&shard).size(), 3u);
+}
+
+// Guards against a task that is tried again before its wait is over, or never.
+TEST(PlacementTest, DelayedTaskWaitsUntilItsTime) {
+  Shard shard = MakeShard(Hosts(2, {4000, 1000, 0}, 1));
+  Apply(&shard.state, &shard.planner, AcceptEvent(Job("job", 1, {1000, 100, 0})));
+  const TimePoint until = TimePoint{} + std::chrono::seconds(10);
+  DelayTask(shard.state, &shard.planner, "job/0", until);
+  EXPECT_TRUE(Place(&shard).empty());
+  EXPECT_EQ(WaitReasonOf(shard.planner, "job"), WaitReason::kBackoff);
+  EXPECT_EQ(PlaceTasks(shard.state, &shard.planner, kAll, until).size(), 1u);
+}
+
 // Guards against a service that is lost with one rack.
 TEST(PlacementTest, TasksOfAServiceSpreadOverRacks) {
   Shard shard = MakeShard(Hosts(12, {32000, 10000, 0}, 3));
--- a/tests/planning/shard_state_test.cc
+++ b/tests/planning/shard_state_test.cc
@@ -38,8 +38,8 @@
 // Guards against grants above a host's capacity, and against a state that a replay of its journal
 // or a snapshot would not give again.
 TEST(ShardStateTest, CapacityAndReplayHoldForAnyEvents) {
-  const std::vector<HostRoom> hosts = {{"w1", {2000, 1000, 0}, true, "r", "fd"},
-                                       {"w2", {3000, 250, 0}, true, "r", "fd"}};
+  const std::vector<HostRoom> hosts = {{"w1", {2000, 1000, 0}, true, "r", "fd", false},
+                                       {"w2", {3000, 250, 0}, true, "r", "fd", false}};
   ASSERT_TRUE(rc::check("capacity and replay", [&hosts] {
     ShardState state;
     std::vector<std::string> records;
