Quarantine workers and delay bad tasks in the scheduler

Cause: the scheduler counted every failure against the task and none against the worker.

Change: the shard runner keeps a HealthTable, journals failures on bad workers as stops, and lists unhealthy hosts in its summary.

Conclusion: a task's attempts are used up only by workers in good health.

--- a/apps/scheduler/shard_runner.cc
+++ b/apps/scheduler/shard_runner.cc
@@ -146,17 +146,30 @@
   std::map<std::string, int64_t> states;
   for (const auto& [id, task] : state_.tasks) states[planning::TaskStateName(task.state)] += 1;
   int64_t confirmed = 0;
-  for (const auto& [id, worker] : workers_) confirmed += worker.session.confirmed ? 1 : 0;
-  return {{"shard", shard_},      {"epoch", epoch_},          {"jobs", state_.jobs.size()},
-          {"tasks", states},      {"hosts", workers_.size()}, {"hosts_confirmed", confirmed},
+  Json unhealthy = Json::object();
+  for (const auto& [id, worker] : workers_) {
+    confirmed += worker.session.confirmed ? 1 : 0;
+    const planning::WorkerHealth health = planning::HealthOf(health_, id);
+    if (health == planning::WorkerHealth::kGood) continue;
+    unhealthy[id] = planning::WorkerHealthName(health);
+  }
+  return {{"shard", shard_},
+          {"epoch", epoch_},
+          {"jobs", state_.jobs.size()},
+          {"tasks", states},
+          {"hosts", workers_.size()},
+          {"hosts_confirmed", confirmed},
+          {"hosts_unhealthy", unhealthy},
           {"store_ok", store_ok_}};
 }
 
 std::vector<planning::HostRoom> ShardRunner::Rooms() const {
   std::vector<planning::HostRoom> rooms;
   for (const auto& [id, worker] : workers_) {
-    rooms.push_back({id, worker.capacity, worker.usable && worker.session.confirmed, worker.rack,
-                     worker.failure_domain});
+    const bool usable =
+        worker.usable && worker.session.confirmed && planning::MayGrant(health_, id);
+    const bool probed = planning::HealthOf(health_, id) == planning::WorkerHealth::kProbing;
+    rooms.push_back({id, worker.capacity, usable, worker.rack, worker.failure_domain, probed});
   }
   return rooms;
 }
@@ -190,6 +203,8 @@
     }
   }
   AddRequests(&batch);
+  planning::Advance(&health_, now);
+  ExcuseFailures(&batch);
   for (const planning::HostRoom& it : Rooms()) planning::SetHost(&planner_, it);
   for (planning::Event& it : planning::PlaceTasks(state_, &planner_, kMaxGrants, now)) {
     batch.events.push_back(std::move(it));
@@ -197,6 +212,48 @@
   return batch;
 }
 
+// A failure on a bad worker is journalled as a stop, so that it uses up none of the task's
+// attempts.
+void ShardRunner::ExcuseFailures(Batch* batch) {
+  for (planning::Event& it : batch->events) {
+    if (it.type != planning::EventType::kFailed) continue;
+    const auto task = state_.tasks.find(it.task);
+    if (task == state_.tasks.end()) continue;
+    if (planning::CountsAgainstTask(health_, task->second.host)) continue;
+    it.type = planning::EventType::kStopped;
+    batch->excused.insert(it.task);
+  }
+}
+
+// Applies a journalled event and notes what it says of the health of its worker and task.
+void ShardRunner::Follow(const planning::Event& event, bool excused, TimePoint now) {
+  const auto task = state_.tasks.find(event.task);
+  const std::string host = task == state_.tasks.end() ? std::string() : task->second.host;
+  if (!planning::Apply(&state_, &planner_, event) || task == state_.tasks.end()) return;
+  const bool failed = event.type == planning::EventType::kFailed || excused;
+  if (event.type == planning::EventType::kGrant) {
+    planning::AddGrant(&health_, event.host, event.task);
+  } else if (event.type == planning::EventType::kFinished) {
+    planning::AddSuccess(&health_, host, event.task);
+  } else if (event.type == planning::EventType::kStopped && !failed) {
+    planning::AddStop(&health_, host, event.task);
+  }
+  if (!failed) return;
+  const planning::WorkerHealth before = planning::HealthOf(health_, host);
+  planning::AddFailure(&health_, host, event.task, now);
+  if (planning::HealthOf(health_, host) != before) {
+    Log(LogLevel::kWarn, "shard", "worker_health",
+        {{"shard", shard_},
+         {"host", host},
+         {"health", planning::WorkerHealthName(planning::HealthOf(health_, host))}});
+  }
+  if (task->second.state != planning::TaskState::kPending) return;
+  planning::AvoidHost(&planner_, event.task, host);
+  const double draw = std::uniform_real_distribution<double>(0, 1)(random_);
+  const Duration wait = planning::BackoffOf(health_, event.task, task->second.failures, draw);
+  if (wait > Duration::zero()) planning::DelayTask(state_, &planner_, event.task, now + wait);
+}
+
 void ShardRunner::RunJournal() {
   while (!stopping_.load() && !replaced()) {
     {
@@ -237,7 +294,10 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     store_ok_ = !ec;
     if (!ec) {
-      for (const planning::Event& it : batch.events) planning::Apply(&state_, &planner_, it);
+      const TimePoint now = Now();
+      for (const planning::Event& it : batch.events) {
+        Follow(it, batch.excused.count(it.task) != 0, now);
+      }
       for (const auto& [host, sequence] : batch.reported) {
         workers_[host].session.known = sequence;
         workers_[host].last_sent = TimePoint{};  // tell the worker soon
--- a/apps/scheduler/shard_runner.h
+++ b/apps/scheduler/shard_runner.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <random>
 #include <set>
 #include <string>
 #include <thread>
@@ -17,6 +18,7 @@
 #include "http/http_client.h"
 #include "membership/host_list.h"
 #include "metrics/registry.h"
+#include "planning/health.h"
 #include "planning/placement.h"
 #include "planning/shard_state.h"
 #include "planning/worker_session.h"
@@ -77,6 +79,7 @@
     std::vector<planning::Event> events;
     std::vector<Request> requests;
     std::map<std::string, int64_t> reported;  // by host
+    std::set<std::string> excused;            // tasks whose failure their worker is to blame for
   };
 
   void RunJournal();
@@ -85,6 +88,8 @@
   void AddRequests(Batch* batch);
   void Commit(const Batch& batch);
   void Complete(const Batch& batch, std::error_code ec);
+  void ExcuseFailures(Batch* batch);
+  void Follow(const planning::Event& event, bool excused, TimePoint now);
   void Drop();
   void Exchange(const std::string& host, TimePoint now);
   void OnExchange(const std::string& host, int64_t sequence, const http::HttpResult& result);
@@ -104,6 +109,8 @@
   std::condition_variable changed_;
   planning::ShardState state_;
   planning::Planner planner_;  // follows state_
+  planning::HealthTable health_;
+  std::minstd_rand random_{std::random_device{}()};
   std::map<std::string, Worker> workers_;
   std::vector<Request> requests_;
   std::vector<planning::Event> reports_;
