Compare a shard's jobs with the release; stop tasks of drained hosts

Cause: the sections jobs and watches were checked but never run, and a drained host kept its tasks. A job cannot change under its name. Ruled out: remembering the last release in the scheduler, which a restart would lose.

--- /dev/null
+++ b/src/planning/release_jobs.cc
@@ -0,0 +1,46 @@
+#include "planning/release_jobs.h"
+
+#include <set>
+
+namespace pomelopond::planning {
+namespace {
+
+bool HasOpenTask(const ShardState& state, const JobSpec& spec) {
+  for (int64_t n = 0; n < spec.count; ++n) {
+    const auto it = state.tasks.find(TaskId(spec.id, n));
+    if (it != state.tasks.end() && !HasEnded(it->second.state) && !it->second.cancelled)
+      return true;
+  }
+  return false;
+}
+
+}  // namespace
+
+ReleaseJobChanges CompareWithRelease(const ShardState& state, const std::vector<JobSpec>& wanted) {
+  ReleaseJobChanges changes;
+  std::set<std::string> names;
+  for (const JobSpec& it : wanted) {
+    names.insert(it.id);
+    if (state.jobs.count(it.id) == 0) changes.accept.push_back(it);
+  }
+  for (const auto& [id, spec] : state.jobs) {
+    if (!spec.from_release || names.count(id) != 0) continue;
+    if (HasOpenTask(state, spec)) changes.cancel.push_back(id);
+  }
+  return changes;
+}
+
+std::vector<Event> DrainHost(const ShardState& state, const std::string& host, size_t limit) {
+  std::vector<Event> stops;
+  const auto tasks = state.tasks_on.find(host);
+  if (tasks == state.tasks_on.end()) return stops;
+  for (const std::string& it : tasks->second) {
+    if (stops.size() >= limit) break;
+    const Task& task = state.tasks.at(it);
+    if (task.state != TaskState::kRunning) continue;
+    stops.push_back(TaskEvent(EventType::kStop, task.id, task.attempt));
+  }
+  return stops;
+}
+
+}  // namespace pomelopond::planning
--- a/src/planning/task.cc
+++ b/src/planning/task.cc
@@ -75,7 +75,8 @@
           {"count", spec.count},
           {"need", ToJson(spec.need)},
           {"run_ms", spec.run_time.count() / 1000},
-          {"max_attempts", spec.max_attempts}};
+          {"max_attempts", spec.max_attempts},
+          {"from_release", spec.from_release}};
 }
 
 JobSpec ReadJobSpec(const Json& document, const std::string& path, FieldErrors* errors) {
@@ -94,6 +95,7 @@
   spec.need = ReadResources(reader.Object("need"), reader.PathOf("need"), errors);
   spec.run_time = std::chrono::milliseconds(reader.IntOr("run_ms", 0, kMaxRunMs, 0));
   spec.max_attempts = reader.IntOr("max_attempts", 1, kMaxAttempts, 5);
+  spec.from_release = reader.BoolOr("from_release", false);
   if (spec.kind == JobKind::kBatch && spec.run_time == Duration::zero()) {
     reader.Fail("run_ms", ResultCode::kBadField, "must be above 0 for a batch job");
   }
--- a/src/planning/task.h
+++ b/src/planning/task.h
@@ -27,11 +27,13 @@
   Resources need;       // of one task
   Duration run_time{};  // declared; zero: runs until it is cancelled
   int64_t max_attempts = 5;
+  bool from_release = false;  // asked for by the release in force, not by a caller
 
   friend bool operator==(const JobSpec& a, const JobSpec& b) {
     return std::tie(a.id, a.kind, a.team, a.work_class, a.rank, a.count, a.need, a.run_time,
-                    a.max_attempts) == std::tie(b.id, b.kind, b.team, b.work_class, b.rank, b.count,
-                                                b.need, b.run_time, b.max_attempts);
+                    a.max_attempts, a.from_release) == std::tie(b.id, b.kind, b.team, b.work_class,
+                                                                b.rank, b.count, b.need, b.run_time,
+                                                                b.max_attempts, b.from_release);
   }
   friend bool operator!=(const JobSpec& a, const JobSpec& b) { return !(a == b); }
 };
--- a/src/release/note.cc
+++ b/src/release/note.cc
@@ -72,6 +72,11 @@
   }
   for (const auto& [section, objects] : note.change) {
     for (const auto& [name, object] : objects) {
+      if (section == "jobs" || section == "watches") {
+        errors->push_back({"change." + section + "." + name, ResultCode::kConflict,
+                           "a job cannot change; withdraw it and add one under another name"});
+        continue;
+      }
       const auto it = next.sections[section].find(name);
       if (it != next.sections[section].end()) {
         it->second = object;
--- a/src/release/release.cc
+++ b/src/release/release.cc
@@ -34,6 +34,7 @@
     errors->push_back({path + ".id", ResultCode::kUnknownField, "the name is the id"});
   }
   spec["id"] = name;
+  spec["from_release"] = true;
   const bool watch = section == "watches";
   if (watch && spec.value("kind", Json("watch")) != "watch") {
     errors->push_back({path + ".kind", ResultCode::kBadField, "must be watch"});
