--- a/apps/ctl/command.cc
+++ b/apps/ctl/command.cc
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr int kClassOffset = 2;  // exit statuses 0 to 2 are those of all programs
-constexpr int kInternalClass = 6;
+constexpr int64_t kInternalClass = 6;
 
 std::string Row(const std::vector<std::string>& cells) {
   std::string line;
@@ -128,8 +128,8 @@
 int ExitStatusOf(const http::HttpResponse& response) {
   if (response.status < 300) return 0;
   const Result<Json> body = ParseJson(response.body);
-  if (!body.ok() || !body.value.is_object()) return kClassOffset + kInternalClass;
-  const int64_t code = body.value.value("code", int64_t{kInternalClass * 100});
+  if (!body.ok() || !body.value.is_object()) return kClassOffset + static_cast<int>(kInternalClass);
+  const int64_t code = body.value.value("code", kInternalClass * 100);
   return kClassOffset + static_cast<int>(std::clamp<int64_t>(code / 100, 1, 7));
 }
 
--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -10,8 +10,6 @@
 #include <thread>
 #include <utility>
 
-extern char** environ;
-
 namespace pomelopond::support {
 namespace {
 
