Bring ejected targets back when others leave

Cause: the bound of 20% was checked only when a target was ejected; with 2 of 10 ejected and 5 leaving, 2 of 5 stayed out. Change: UpdateEjection returns ejected targets to use until the bound holds; a property test drives choice and ejection through generated events. Conclusion: at most 20% are out after every update.

--- a/src/routing/ejection.cc
+++ b/src/routing/ejection.cc
@@ -104,6 +104,15 @@
   });
   const auto limit =
       static_cast<int64_t>(std::floor(kMaxEjectedShare * static_cast<double>(present)));
+  // Others have left: the rest is needed more than its faults are avoided.
+  for (Target& it : *targets) {
+    if (out <= limit) break;
+    if (it.leaving || it.health.state == HealthState::kHealthy) continue;
+    it.health.state = HealthState::kHealthy;
+    it.health.failed = 0;
+    it.health.until = now;
+    out -= 1;
+  }
   int ejected = 0;
   for (Target* it : candidates) {
     if (out >= limit) break;
--- a/tests/routing/ejection_test.cc
+++ b/tests/routing/ejection_test.cc
@@ -1,6 +1,7 @@
 #include "routing/ejection.h"
 
 #include <gtest/gtest.h>
+#include <rapidcheck.h>
 
 #include "routing/target_choice.h"
 
@@ -81,6 +82,67 @@
   EXPECT_EQ(UpdateEjection(&targets, kNow), 0);
 }
 
+// Guards against too few targets in use after others have left: those ejected before come back.
+TEST(EjectionTest, EjectedTargetsComeBackWhenOthersLeave) {
+  std::vector<Target> targets = Targets();
+  Fail(&targets[0], 5);
+  Fail(&targets[1], 6);
+  ASSERT_EQ(UpdateEjection(&targets, kNow), 2);
+  for (size_t n = 5; n < targets.size(); ++n) targets[n].leaving = true;
+  EXPECT_EQ(UpdateEjection(&targets, kNow + kSecond), 0);
+  const int healthy = (targets[0].health.state == HealthState::kHealthy ? 1 : 0) +
+                      (targets[1].health.state == HealthState::kHealthy ? 1 : 0);
+  EXPECT_EQ(healthy, 1);
+}
+
+// Guards against any order of results, leavings and updates that ejects more than a fifth, or that
+// sends more than the share, or anything to a target that is leaving or ejected.
+TEST(EjectionTest, BoundsHoldForAnyEvents) {
+  EXPECT_TRUE(rc::check([](const std::vector<uint16_t>& steps) {
+    std::vector<Target> targets = Targets();
+    TimePoint now = kNow;
+    for (const uint16_t step : steps) {
+      Target& target = targets[step / 8 % targets.size()];
+      switch (step % 8) {
+        case 0:
+          target.leaving = !target.leaving;
+          break;
+        case 1:
+          now += 3 * kSecond;
+          break;
+        case 2:
+        case 3:
+          Fail(&target, 5);
+          break;
+        case 4:
+          AddResult(&target, false, now);
+          AddLatency(&target, (1 + step % 100) * kMs, now);
+          target.in_flight = std::max<int64_t>(target.in_flight - 1, 0);
+          break;
+        default: {
+          const int n = ChooseTarget(targets, "", step % 50, now, (step % 100) / 100.0);
+          if (n < 0) break;
+          Target& chosen = targets[static_cast<size_t>(n)];
+          RC_ASSERT(!chosen.leaving);
+          RC_ASSERT(chosen.health.state != HealthState::kEjected);
+          RC_ASSERT(chosen.in_flight <
+                    (chosen.health.state == HealthState::kProbation ? 1 : chosen.share));
+          chosen.in_flight += 1;
+        }
+      }
+      UpdateEjection(&targets, now);
+      size_t present = 0;
+      size_t out = 0;
+      for (const Target& it : targets) {
+        if (it.leaving) continue;
+        present += 1;
+        if (it.health.state != HealthState::kHealthy) out += 1;
+      }
+      RC_ASSERT(out * 5 <= present);
+    }
+  }));
+}
+
 // Guards against ejecting for a fault that concerns all targets alike, which costs capacity and
 // cures nothing.
 TEST(EjectionTest, FaultOfAllTargetsEjectsNone) {
