Keep callers' buckets when a release changes

Cause: every new release refilled all limit buckets. Change: DropUnlisted removes only the buckets of callers without a limit. Measured: build/routing_test, CallerLimitTest.NewReleaseKeepsUsedBuckets. Conclusion: limits hold across releases.

--- a/apps/router/router.cc
+++ b/apps/router/router.cc
@@ -113,7 +113,7 @@
   for (const FieldError& it : errors) {
     Log(LogLevel::kWarn, "router", "limit_ignored", {{"path", it.path}, {"error", it.text}});
   }
-  buckets_.clear();
+  routing::DropUnlisted(limits_, &buckets_);
   ranks_ = RanksOf(release);
   metrics_.Set("release_version", release.version);
 }
--- a/src/routing/caller_limit.cc
+++ b/src/routing/caller_limit.cc
@@ -1,6 +1,7 @@
 #include "routing/caller_limit.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace pomelopond::routing {
 namespace {
@@ -53,4 +54,10 @@
   return true;
 }
 
+void DropUnlisted(const CallerLimits& limits, std::map<std::string, CallerBucket>* buckets) {
+  for (auto it = buckets->begin(); it != buckets->end();) {
+    it = limits.count(it->first) > 0 ? std::next(it) : buckets->erase(it);
+  }
+}
+
 }  // namespace pomelopond::routing
--- a/src/routing/caller_limit.h
+++ b/src/routing/caller_limit.h
@@ -56,6 +56,10 @@
 // request, else a small limit divided by 8 would refuse every request.
 bool TakeRequest(CallerBucket* bucket, const CallerLimit& limit, int64_t routers, TimePoint now);
 
+// Drops the buckets of callers without a limit. The others keep their state: releases change every
+// few seconds, and a bucket that was full again after each would grant its burst that often.
+void DropUnlisted(const CallerLimits& limits, std::map<std::string, CallerBucket>* buckets);
+
 }  // namespace pomelopond::routing
 
 #endif  // POMELOPOND_ROUTING_CALLER_LIMIT_H_
--- a/tests/routing/caller_limit_test.cc
+++ b/tests/routing/caller_limit_test.cc
@@ -52,6 +52,18 @@
   EXPECT_EQ(LimitNameOf(limits, ""), kOtherCallers);
 }
 
+// Guards against a burst that is granted anew with every release.
+TEST(CallerLimitTest, NewReleaseKeepsUsedBuckets) {
+  CallerLimits limits;
+  limits["known"].per_second = 8;
+  std::map<std::string, CallerBucket> buckets;
+  EXPECT_EQ(Taken(&buckets["known"], limits["known"], 1, kNow, 100), 8);
+  TakeRequest(&buckets["dropped"], limits["known"], 1, kNow);
+  DropUnlisted(limits, &buckets);
+  EXPECT_EQ(buckets.size(), 1U);
+  EXPECT_EQ(Taken(&buckets["known"], limits["known"], 1, kNow, 100), 0);
+}
+
 // Guards against a wrong entry that removes the limits of other callers.
 TEST(CallerLimitTest, WrongEntriesAreReportedByPath) {
   FieldErrors errors;
