Give the router admission tests addresses of their own

Cause: they used 127.171 to 127.173, which release_test.cc uses as well; run side by side, one of them found its addresses taken and gave up after 90 s. Change: networks 197 to 199, which no other test uses. Conclusion: the tests can run beside the others again.

--- a/tests/failure/router_admission_test.cc
+++ b/tests/failure/router_admission_test.cc
@@ -27,7 +27,7 @@
 // their requests.
 TEST(RouterAdmissionTest, CallerAboveItsLimitIsRefusedAndOthersAreNot) {
   ClusterOptions options;
-  options.net = 171;
+  options.net = 197;
   Cluster cluster(options);
   cluster.StartStandIns();
   cluster.StartEntryHosts();
@@ -53,7 +53,7 @@
 // requests whose time is shorter than any answer.
 TEST(RouterAdmissionTest, RequestThatCannotMeetItsDeadlineIsNotRun) {
   ClusterOptions options;
-  options.net = 172;
+  options.net = 198;
   options.service_ms = 300;
   Cluster cluster(options);
   cluster.StartStandIns();
@@ -75,7 +75,7 @@
 // router gets again every 200 ms, still calls them live.
 TEST(RouterAdmissionTest, AnnouncedLeavingOutlastsTheHostList) {
   ClusterOptions options;
-  options.net = 173;
+  options.net = 199;
   Cluster cluster(options);
   cluster.StartStandIns();
   cluster.StartEntryHosts();
