Count only confirmed admins when one starts in a store outage

Cause: an admin that started in an outage counted itself and other new admins towards the majority that makes its release safe to use, though any of them may have held a newer one before a restart. Found by reading the model of releases against the code. Change: answers say whether their sender is confirmed, and only such answers count. Measured: the new test failed before (an admin among one down and one other was ready) and passes after. Conclusion: a restart in an outage cannot bring back a release older than one that most admins hold.

--- a/apps/admin/admin.cc
+++ b/apps/admin/admin.cc
@@ -84,19 +84,20 @@
 }
 
 // In a store outage the highest version among more than half of all admins is used: a release that
-// more than half of them hold cannot be missed.
+// more than half of them hold cannot be missed. Only admins that are confirmed themselves count, so
+// this one does not: it may have held a newer release before it was restarted.
 void Admin::AskPeers() {
   int64_t have = 0;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     have = release_.version;
   }
-  size_t answers = 1;
+  size_t confirmed = 0;
   for (const auto& [host, client] : peers_) {
     const Result<peer::Message> answer =
         client->Call({"release.get", "admin", incarnation_, {{"have", have}}}, kPeerTimeout);
     if (!answer.ok()) continue;
-    answers += 1;
+    if (answer.value.body.value("confirmed", false)) confirmed += 1;
     const auto document = answer.value.body.find("release");
     if (document == answer.value.body.end()) continue;
     FieldErrors errors;
@@ -104,7 +105,7 @@
     if (errors.empty()) Adopt(std::move(found));
   }
   const std::lock_guard<std::mutex> lock(mutex_);
-  if (answers * 2 > settings_.entry_hosts.size() && release_.version > 0) confirmed_ = true;
+  if (confirmed * 2 > settings_.entry_hosts.size() && release_.version > 0) confirmed_ = true;
 }
 
 void Admin::FollowHosts() {
@@ -335,6 +336,7 @@
     if (message.from != "admin") holders_[message.from] = {have, Now()};
     // A release that is not confirmed yet is not handed to processes that would act on it.
     const bool give = confirmed_ || message.from == "admin";
+    answer.body["confirmed"] = confirmed_;
     if (give && release_.version > have) answer.body["release"] = release::ToJson(release_);
   } else if (message.type == "hosts.get") {
     if (hosts_.version > message.body.value("have", int64_t{0})) {
--- a/tests/failure/release_test.cc
+++ b/tests/failure/release_test.cc
@@ -72,6 +72,26 @@
   EXPECT_TRUE(WaitUntil([&cluster] { return RouterVersion(cluster.Router(0)) == 3; }));
 }
 
+// Guards against an admin that starts in a store outage and acts on an older release than its host
+// held before, because it counts itself or other new admins among those that would know better.
+TEST(ReleaseTest, AdminThatStartsInAnOutageNeedsAMajorityThatKnows) {
+  Cluster cluster(SmallCluster(176));
+  cluster.StartStandIns();
+  cluster.StartEntryHosts();
+  ASSERT_TRUE(cluster.PutDefaultReleaseInForce());
+  ASSERT_TRUE(SetFault(cluster.store(), {{"outage", true}}));
+  for (const int n : {0, 1}) cluster.ProgramOf("admin", n).Kill();
+  cluster.StartProgram("admin", 0);
+  // Of three admins one is down and one is new: the third may have missed the last release.
+  EXPECT_TRUE(WaitUntil([&cluster] { return VersionOf(cluster.Admin(0), false) == 1; }));
+  for (int n = 0; n < 100; ++n) {
+    ASSERT_EQ(Send(cluster.Admin(0), "GET", "/readyz").response.status, 503);
+  }
+  ASSERT_TRUE(SetFault(cluster.store(), Json::object()));
+  EXPECT_TRUE(WaitUntil(
+      [&cluster] { return Send(cluster.Admin(0), "GET", "/readyz").response.status == 200; }));
+}
+
 // Guards against a release that is lost when every process is replaced at once.
 TEST(ReleaseTest, SurvivesReplacementOfAllProcesses) {
   Cluster cluster(SmallCluster(172));
