--- a/apps/scheduler/scheduler.cc
+++ b/apps/scheduler/scheduler.cc
@@ -1,6 +1,7 @@
 #include "apps/scheduler/scheduler.h"
 
 #include <algorithm>
+#include <limits>
 #include <vector>
 
 #include "base/log.h"
@@ -13,9 +14,17 @@
 
 constexpr const char* kMemberPrefix = "member/scheduler/";
 constexpr const char* kJobsPath = "/v1/jobs";
+constexpr size_t kMaxSpecBytes = 1024;  // bounds journal records
 constexpr Duration kForwardTimeout = std::chrono::seconds(10);
 constexpr Duration kMembersInterval = std::chrono::seconds(1);
 constexpr Duration kStoreFresh = std::chrono::seconds(10);
+// Processes return to the store at random times within this after an outage.
+constexpr Duration kStoreReturn = std::chrono::seconds(2);
+constexpr Duration kFenceTimeout = std::chrono::milliseconds(300);
+// A live owner hands a shard over within a poll or two; later than this it is asked whether it
+// still has it, since its handover record may have been lost.
+constexpr Duration kHandoverPatience = std::chrono::seconds(3);
+constexpr const char* kFencePath = "/v1/fence";
 
 // "/v1/jobs/<id>" or "/v1/jobs/<id>/cancel" without the prefix.
 std::string JobOf(const std::string& path) {
@@ -23,6 +32,20 @@
   return rest.substr(0, rest.find('/'));
 }
 
+// Whether an answer to a fence message proves that `owner` has stopped renewing leases.
+bool FenceProves(const store::OwnerId& owner, const http::HttpResult& result) {
+  if (result.ec || result.response.status != 200) return false;
+  const Result<Json> document = ParseJson(result.response.body);
+  if (!document.ok()) return false;
+  FieldErrors errors;
+  JsonReader reader(document.value, "", &errors);
+  const std::string incarnation = reader.String("incarnation");
+  const bool stopped = reader.BoolOr("stopped", false);
+  if (!errors.empty()) return false;
+  // A new process on the same address proves that the old one ended.
+  return stopped || incarnation != std::to_string(owner.incarnation);
+}
+
 void ReplyDecided(const http::Reply& reply, std::error_code ec, const std::string& job,
                   const std::string& shard) {
   if (ec) {
@@ -42,7 +65,8 @@
     : settings_(settings),
       own_(OwnHost(settings)),
       incarnation_(incarnation),
-      store_(settings.store, settings.store_timeout) {
+      store_(settings.store, settings.store_timeout),
+      random_(static_cast<std::minstd_rand::result_type>(incarnation)) {
   for (const EntryHost& it : settings.entry_hosts) {
     peers_[it.id] = std::make_shared<http::HttpClient>(it.scheduler);
   }
@@ -109,22 +133,38 @@
 void Scheduler::Tick(TimePoint now) {
   DropShards();
   if (now < next_read_) return;
+  if (!RenewMembership() || !ReadMembers()) {
+    gate_.Close();
+    std::uniform_int_distribution<int64_t> wait(0, kStoreReturn.count());
+    next_read_ = Now() + Duration(wait(random_));
+    return;
+  }
+  gate_.Open();
+  // After an outage members return one by one; shards would move to the first and back again.
+  if (last_read_ != TimePoint{} && now - last_read_ > settings_.member_ttl) {
+    settled_ = now + std::max(settings_.member_ttl, kStoreReturn * 2);
+  }
+  last_read_ = now;
   next_read_ = now + kMembersInterval;
-  if (!RenewMembership() || !ReadMembers()) return;
-  TakeShards();
+  ProveOwnersStopped();
+  if (now >= settled_) TakeShards();
 }
 
 void Scheduler::DropShards() {
+  const bool settled = Now() >= settled_ && gate_.open();
   std::vector<std::pair<std::shared_ptr<ShardRunner>, bool>> drop;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     for (auto it = runners_.begin(); it != runners_.end();) {
       const auto owner = table_.find(it->first);
-      const bool moved = owner != table_.end() && owner->second != own_.id;
+      const bool moved = settled && owner != table_.end() && owner->second != own_.id;
       if (!moved && !it->second->replaced()) {
         ++it;
         continue;
       }
+      // A fence message that finds no runner is answered with "stopped", so it must be halted
+      // first.
+      it->second->Halt();
       drop.emplace_back(it->second, moved);
       it = runners_.erase(it);
     }
@@ -149,25 +189,145 @@
          head.incarnation != incarnation_;
 }
 
-bool Scheduler::OwnerStopped(const store::ShardHead& head) const {
-  if (head.owner.empty() || head.released) return true;
+// Called with mutex_ held.
+bool Scheduler::ProvedStopped(const store::OwnerId& owner) const {
   // Two processes of one host cannot listen on the same address, so a new one proves the old ended.
-  if (head.owner == own_.id) return true;
-  const auto it = members_.find(head.owner);
-  return it != members_.end() && it->second.incarnation != head.incarnation;
+  if (owner.host == own_.id) return true;
+  const auto it = members_.find(owner.host);
+  if (it != members_.end() && it->second.incarnation != owner.incarnation) return true;
+  const auto host = hosts_.hosts.find(owner.host);
+  return host != hosts_.hosts.end() && host->second.state == membership::HostState::kGone;
+}
+
+// Called with mutex_ held. All owners up to `head` that are not proved to have stopped.
+std::vector<store::OwnerId> Scheduler::Unproved(const store::ShardHead& head) const {
+  std::vector<store::OwnerId> owners = head.unproved;
+  if (!head.owner.empty() && !head.released) owners.push_back({head.owner, head.incarnation});
+  std::vector<store::OwnerId> unproved;
+  for (const store::OwnerId& it : owners) {
+    const bool known = std::find(unproved.begin(), unproved.end(), it) != unproved.end();
+    if (!known && !ProvedStopped(it)) unproved.push_back(it);
+  }
+  return unproved;
+}
+
+// Asks the owner of a shard whether it has stopped at the head's epoch.
+bool Scheduler::OwnerDenies(const std::string& shard, const store::ShardHead& head) {
+  const TimePoint now = Now();
+  const auto [since, first] = wanted_since_.emplace(shard, now);
+  if (first || now - since->second < kHandoverPatience) return false;
+  since->second = now;
+  std::shared_ptr<http::HttpClient> client;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto peer = peers_.find(head.owner);
+    if (peer == peers_.end()) return false;
+    client = peer->second;
+  }
+  http::HttpRequest request;
+  request.method = "POST";
+  request.path = kFencePath;
+  request.body = Json{{"shard", shard}, {"epoch", head.epoch}}.dump();
+  const http::HttpResult result = client->Call(std::move(request), kFenceTimeout);
+  return FenceProves({head.owner, head.incarnation}, result);
+}
+
+void Scheduler::ProveOwnersStopped() {
+  std::map<std::string, std::shared_ptr<ShardRunner>> runners;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    runners = runners_;
+  }
+  for (const auto& [shard, runner] : runners) {
+    for (const store::OwnerId& it : runner->unproved()) {
+      bool proved = false;
+      {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        proved = ProvedStopped(it);
+      }
+      if (proved) {
+        runner->OwnerStopped(it, Now());
+      } else {
+        SendFence(runner, shard, it);
+      }
+    }
+  }
+}
+
+void Scheduler::SendFence(const std::shared_ptr<ShardRunner>& runner, const std::string& shard,
+                          const store::OwnerId& owner) {
+  std::shared_ptr<http::HttpClient> client;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto peer = peers_.find(owner.host);
+    if (peer == peers_.end()) return;
+    client = peer->second;
+  }
+  http::HttpRequest request;
+  request.method = "POST";
+  request.path = kFencePath;
+  request.body = Json{{"shard", shard}, {"epoch", runner->epoch()}}.dump();
+  const std::weak_ptr<ShardRunner> weak = runner;
+  client->Send(std::move(request), kFenceTimeout, [weak, owner](const http::HttpResult& result) {
+    const std::shared_ptr<ShardRunner> target = weak.lock();
+    if (target && FenceProves(owner, result)) target->OwnerStopped(owner, Now());
+  });
+}
+
+// {"shard", "epoch"}: a process that owns the shard at a lower epoch drops it. The answer tells
+// whether this process has stopped renewing leases at all epochs up to that one.
+void Scheduler::HandleFence(const http::HttpRequest& request, const http::Reply& reply) {
+  const Result<Json> document = ParseJson(request.body);
+  if (!document.ok()) return reply(http::ErrorResponse(ResultCode::kBadJson, "body is not JSON"));
+  FieldErrors errors;
+  JsonReader reader(document.value, "", &errors);
+  const std::string shard = reader.String("shard");
+  const int64_t epoch = reader.Int("epoch", 1, std::numeric_limits<int64_t>::max());
+  reader.Finish();
+  if (!errors.empty()) {
+    return reply(http::ErrorResponse(errors.front().code, ToString(errors)));
+  }
+  bool stopped = true;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto it = runners_.find(shard);
+    if (it != runners_.end() && it->second->epoch() >= epoch) {
+      stopped = false;
+    } else {
+      if (it != runners_.end()) it->second->Drop();
+      int64_t& fenced = fenced_[shard];
+      fenced = std::max(fenced, epoch);
+    }
+  }
+  reply(http::JsonResponse(200,
+                           {{"incarnation", std::to_string(incarnation_)}, {"stopped", stopped}}));
 }
 
 void Scheduler::TakeOver(const std::string& shard) {
   store::ShardLog log(shard, &store_);
   const Result<store::VersionedHead> head = log.Read();
   if (!head.ok()) return;
-  bool owner_stopped = false;
+  bool alive = false;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    alive = !head.value.head.released && OwnerAlive(head.value.head);
+  }
+  const bool denied = alive && OwnerDenies(shard, head.value.head);
+  if (alive && !denied) return;
+  wanted_since_.erase(shard);
+  std::vector<store::OwnerId> unproved;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
-    if (!head.value.head.released && OwnerAlive(head.value.head)) return;
-    owner_stopped = OwnerStopped(head.value.head);
+    store::ShardHead previous = head.value.head;
+    previous.released = previous.released || denied;
+    unproved = Unproved(previous);
   }
-  const Result<store::ShardContents> contents = log.TakeOver(head.value, own_.id, incarnation_);
+  const TimePoint sent = Now();
+  // A takeover whose answer stays lost may have taken effect at this or, by a copy still on its
+  // way, at a later time. Its runner is never started, and the next attempt compares with the head
+  // that it left, which names the earlier owners as well.
+  const Result<store::ShardContents> contents =
+      log.TakeOver(head.value, {own_.id, incarnation_}, unproved);
   if (!contents.ok()) {
     Log(LogLevel::kWarn, "shard", "takeover_failed",
         {{"shard", shard}, {"error", contents.ec.message()}});
@@ -181,12 +341,19 @@
     return;
   }
   Log(LogLevel::kInfo, "shard", "taken_over",
-      {{"shard", shard}, {"epoch", log.epoch()}, {"tasks", state.value.tasks.size()}});
-  const auto runner = std::make_shared<ShardRunner>(
-      settings_, shard, std::move(log), std::move(state.value), owner_stopped, &metrics_);
+      {{"shard", shard},
+       {"epoch", log.epoch()},
+       {"tasks", state.value.tasks.size()},
+       {"owners_unproved", unproved.size()}});
+  const int64_t epoch = log.epoch();
+  const auto runner =
+      std::make_shared<ShardRunner>(settings_, shard, std::move(log), std::move(state.value),
+                                    std::move(unproved), sent, &gate_, &metrics_);
   membership::HostList hosts;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
+    const auto fenced = fenced_.find(shard);
+    if (fenced != fenced_.end() && epoch <= fenced->second) return;
     runners_[shard] = runner;
     hosts = hosts_;
   }
@@ -258,6 +425,7 @@
     response.body = metrics_.Text();
     return reply(std::move(response));
   }
+  if (path == kFencePath) return HandleFence(request, reply);
   if (path == kJobsPath || path.rfind(std::string(kJobsPath) + "/", 0) == 0) {
     return HandleJobs(request, reply);
   }
@@ -288,6 +456,9 @@
   if (!errors.empty()) {
     return reply(http::ErrorResponse(errors.front().code, ToString(errors)));
   }
+  if (planning::ToJson(spec).dump().size() > kMaxSpecBytes) {
+    return reply(http::ErrorResponse(ResultCode::kTooLarge, "job is described by more than 1 KiB"));
+  }
   const std::string job = spec.id;
   const std::string shard = HomeShard(job);
   const std::shared_ptr<ShardRunner> runner = RunnerOf(shard);
--- a/apps/scheduler/scheduler.h
+++ b/apps/scheduler/scheduler.h
@@ -6,10 +6,12 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <random>
 #include <set>
 #include <string>
 
 #include "apps/scheduler/shard_runner.h"
+#include "apps/scheduler/store_gate.h"
 #include "base/entry_settings.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
@@ -45,8 +47,14 @@
   void TakeShards();
   void DropShards();
   void TakeOver(const std::string& shard);
-  bool OwnerStopped(const store::ShardHead& head) const;
+  bool ProvedStopped(const store::OwnerId& owner) const;
   bool OwnerAlive(const store::ShardHead& head) const;
+  bool OwnerDenies(const std::string& shard, const store::ShardHead& head);
+  std::vector<store::OwnerId> Unproved(const store::ShardHead& head) const;
+  void ProveOwnersStopped();
+  void SendFence(const std::shared_ptr<ShardRunner>& runner, const std::string& shard,
+                 const store::OwnerId& owner);
+  void HandleFence(const http::HttpRequest& request, const http::Reply& reply);
   std::string HomeShard(const std::string& job);
   std::shared_ptr<ShardRunner> RunnerOf(const std::string& shard);
   void HandleJobs(const http::HttpRequest& request, const http::Reply& reply);
@@ -64,11 +72,16 @@
   const EntryHost own_;
   const uint64_t incarnation_;
   store::StoreClient store_;  // used by Tick and Stop only
+  StoreGate gate_;
   metrics::Registry metrics_;
   std::atomic<bool> stopping_{false};
   int64_t lease_ = 0;  // of the membership; Tick and Stop only
   TimePoint next_renewal_;
   TimePoint next_read_;  // of the members
+  TimePoint last_read_;  // of the members, successful
+  TimePoint settled_;    // shards move only after this
+  std::minstd_rand random_;
+  std::map<std::string, TimePoint> wanted_since_;  // by shard that another process owns
 
   // Lock order: mutex_ before a runner's mutex; not held during store calls.
   std::mutex mutex_;
@@ -77,6 +90,8 @@
   std::map<std::string, std::string> table_;  // host by shard
   std::map<std::string, std::shared_ptr<ShardRunner>> runners_;
   std::map<std::string, std::shared_ptr<http::HttpClient>> peers_;  // by host
+  // By shard: this process has answered that it has stopped at this and all earlier epochs.
+  std::map<std::string, int64_t> fenced_;
   TimePoint store_seen_;
 };
 
--- a/apps/scheduler/shard_runner.cc
+++ b/apps/scheduler/shard_runner.cc
@@ -1,6 +1,7 @@
 #include "apps/scheduler/shard_runner.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include "base/log.h"
 #include "base/random_id.h"
@@ -10,7 +11,12 @@
 namespace pomelopond::apps {
 namespace {
 
-constexpr size_t kMaxGrants = 500;  // in one record, which bounds its size
+constexpr size_t kMaxGrants = 500;  // in one record
+// Bound a record to 512 KiB: with ids of the longest length an event of a task takes at most 160
+// bytes, a grant 290, and an acceptance kMaxSpecBytes.
+constexpr size_t kMaxReports = 1500;
+constexpr size_t kMaxRequests = 100;
+constexpr Duration kConfirmInterval = std::chrono::seconds(10);
 constexpr int64_t kRecordsPerSnapshot = 500;
 constexpr Duration kExchangeTick = std::chrono::milliseconds(20);
 constexpr Duration kResolvePause = std::chrono::milliseconds(200);
@@ -18,14 +24,19 @@
 }  // namespace
 
 ShardRunner::ShardRunner(const EntrySettings& settings, std::string shard, store::ShardLog log,
-                         planning::ShardState state, bool owner_stopped, metrics::Registry* metrics)
+                         planning::ShardState state, std::vector<store::OwnerId> unproved,
+                         TimePoint taken, StoreGate* gate, metrics::Registry* metrics)
     : settings_(settings),
       shard_(std::move(shard)),
       log_(std::move(log)),
+      gate_(gate),
       metrics_(metrics),
+      hold_end_(planning::LeaseEnd(Now(), settings.hold_limit)),
       state_(std::move(state)),
-      unknown_lease_(owner_stopped ? planning::LeaseEnd(Now(), settings.lease_ttl)
-                                   : planning::kUnknownLease),
+      unproved_(std::move(unproved)),
+      unknown_lease_(unproved_.empty() ? planning::LeaseEnd(Now(), settings.lease_ttl)
+                                       : planning::kUnknownLease),
+      confirmed_(taken),
       epoch_(log_.epoch()) {}
 
 ShardRunner::~ShardRunner() { Stop(false); }
@@ -48,6 +59,7 @@
   }
   for (const Request& it : left) it.decided(ResultCode::kStopping);
   if (!running || !release || replaced() || log_.pending()) return;
+  log_.SetUnproved(unproved());
   const std::error_code ec = log_.Release(RandomId());
   Log(LogLevel::kInfo, "shard", "released", {{"shard", shard_}, {"result", ec.message()}});
 }
@@ -69,9 +81,34 @@
   }
 }
 
-void ShardRunner::OwnerStopped(TimePoint now) {
+void ShardRunner::Halt() {
   const std::lock_guard<std::mutex> lock(mutex_);
-  if (unknown_lease_ != planning::kUnknownLease) return;
+  halted_.store(true);
+}
+
+void ShardRunner::Drop() {
+  Halt();
+  if (replaced_.exchange(true)) return;
+  Log(LogLevel::kWarn, "shard", "replaced", {{"shard", shard_}, {"epoch", epoch_}});
+}
+
+std::vector<store::OwnerId> ShardRunner::unproved() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return unproved_;
+}
+
+void ShardRunner::OwnerStopped(const store::OwnerId& owner, TimePoint now) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto it = std::find(unproved_.begin(), unproved_.end(), owner);
+  if (it == unproved_.end()) return;
+  unproved_.erase(it);
+  Log(LogLevel::kInfo, "shard", "owner_stopped",
+      {{"shard", shard_}, {"epoch", epoch_}, {"owner", owner.host}});
+  if (unproved_.empty()) ProveAll(now);
+}
+
+void ShardRunner::ProveAll(TimePoint now) {
+  unproved_.clear();
   unknown_lease_ = planning::LeaseEnd(now, settings_.lease_ttl);
   for (auto& [id, worker] : workers_) {
     if (worker.session.lease_end == planning::kUnknownLease) {
@@ -89,9 +126,16 @@
     if (it != state_.jobs.end()) {
       done = true;
       if (it->second != spec) ec = ResultCode::kConflict;
-    } else if (stopping_.load() || replaced()) {
+    } else if (unknown_.count(spec.id) != 0) {
+      // "Not run" could turn out false: the earlier call with this id may still take effect.
+      done = true;
+      ec = ResultCode::kOutcomeUnknown;
+    } else if (!RunsOn()) {
       done = true;
       ec = ResultCode::kNotOwner;
+    } else if (!gate_->open()) {
+      done = true;
+      ec = ResultCode::kStoreUnavailable;
     } else if (!workers_.empty() && !planning::CanEverRun(spec, Rooms())) {
       done = true;
       ec = ResultCode::kUnschedulable;
@@ -110,7 +154,13 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     if (state_.jobs.count(job) == 0) {
       done = true;
-      ec = ResultCode::kNotFound;
+      ec = unknown_.count(job) != 0 ? ResultCode::kOutcomeUnknown : ResultCode::kNotFound;
+    } else if (!RunsOn()) {
+      done = true;
+      ec = ResultCode::kNotOwner;
+    } else if (!gate_->open()) {
+      done = true;
+      ec = ResultCode::kStoreUnavailable;
     } else {
       requests_.push_back({planning::CancelEvent(job), decided});
     }
@@ -148,8 +198,13 @@
 
 std::vector<planning::HostRoom> ShardRunner::Rooms() const {
   std::vector<planning::HostRoom> rooms;
+  // A worker that has been silent for half a lease gets nothing new: a grant there would end with
+  // the lease, be made again on the same host and never come to run.
+  const TimePoint now = Now();
   for (const auto& [id, worker] : workers_) {
-    rooms.push_back({id, worker.capacity, worker.usable && worker.session.confirmed});
+    const bool answers =
+        worker.session.confirmed && now - worker.session.clock_received <= settings_.lease_ttl / 2;
+    rooms.push_back({id, worker.capacity, worker.usable && answers});
   }
   return rooms;
 }
@@ -157,7 +212,10 @@
 void ShardRunner::AddRequests(Batch* batch) {
   std::map<std::string, planning::JobSpec> accepted;  // in this batch
   std::vector<Request> requests;
-  requests.swap(requests_);
+  const size_t taken = std::min(requests_.size(), kMaxRequests);
+  const auto end = requests_.begin() + static_cast<std::ptrdiff_t>(taken);
+  std::move(requests_.begin(), end, std::back_inserter(requests));
+  requests_.erase(requests_.begin(), end);
   for (Request& it : requests) {
     const bool accept = it.event.type == planning::EventType::kAccept;
     const bool repeated = accept && (!accepted.emplace(it.event.spec.id, it.event.spec).second ||
@@ -175,10 +233,18 @@
 ShardRunner::Batch ShardRunner::TakeBatch(TimePoint now) {
   Batch batch;
   const std::lock_guard<std::mutex> lock(mutex_);
-  batch.events.swap(reports_);
+  const size_t taken = std::min(reports_.size(), kMaxReports);
+  const auto end = reports_.begin() + static_cast<std::ptrdiff_t>(taken);
+  std::move(reports_.begin(), end, std::back_inserter(batch.events));
+  reports_.erase(reports_.begin(), end);
   for (auto& [id, worker] : workers_) {
-    if (worker.reported > worker.session.known) batch.reported[id] = worker.reported;
+    // Answers count as journalled only when all their events are in this batch.
+    if (reports_.empty() && worker.waiting) {
+      batch.reported[id] = {worker.reported, worker.reported_incarnation};
+    }
     for (planning::Event& it : planning::OnLeaseEnd(state_, worker.session, now)) {
+      // The rest follows from the state again for the next batch.
+      if (batch.events.size() >= kMaxReports) break;
       batch.events.push_back(std::move(it));
     }
   }
@@ -186,41 +252,119 @@
   for (planning::Event& it : planning::PlaceTasks(state_, Rooms(), kMaxGrants)) {
     batch.events.push_back(std::move(it));
   }
+  for (const planning::Event& it : batch.events) held_.insert(it.task);
   return batch;
 }
 
 void ShardRunner::RunJournal() {
-  while (!stopping_.load() && !replaced()) {
+  while (RunsOn()) {
     {
       std::unique_lock<std::mutex> lock(mutex_);
       changed_.wait_for(lock, settings_.commit_interval);
+      if (Now() > hold_end_ && !unproved_.empty()) ProveAll(Now());
+    }
+    if (!gate_->open()) {
+      RefuseRequests(ResultCode::kStoreUnavailable);
+      continue;
     }
     const Batch batch = TakeBatch(Now());
-    if (batch.events.empty() && batch.requests.empty()) continue;
-    Commit(batch);
-    if (replaced() || log_.pending()) continue;
-    if (log_.position() - log_.snapshot_position() < kRecordsPerSnapshot) continue;
-    std::string snapshot;
-    {
-      const std::lock_guard<std::mutex> lock(mutex_);
-      snapshot = planning::EncodeSnapshot(state_);
+    if (batch.events.empty() && batch.requests.empty()) {
+      if (!batch.reported.empty()) Complete(batch, {});
+      ConfirmOwnership();
+      continue;
     }
-    const std::error_code ec = log_.Compact(snapshot, RandomId());
-    if (ec == ResultCode::kNotOwner || ec == ResultCode::kOutcomeUnknown) Drop();
+    Commit(batch);
+    CompactIfLong();
   }
 }
 
-void ShardRunner::Commit(const Batch& batch) {
-  std::error_code ec;
-  if (!batch.events.empty()) {
-    ec = log_.Append(planning::EncodeEvents(batch.events), RandomId());
+void ShardRunner::CompactIfLong() {
+  if (!RunsOn() || log_.pending()) return;
+  if (log_.position() - log_.snapshot_position() < kRecordsPerSnapshot) return;
+  std::string snapshot;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    snapshot = planning::EncodeSnapshot(state_);
+  }
+  log_.SetUnproved(unproved());
+  // An append before the fate of this write is known would compare with an old head.
+  const std::error_code ec = Settle(log_.Compact(snapshot, RandomId()), nullptr);
+  if (ec == ResultCode::kNotOwner || ec == ResultCode::kOutcomeUnknown) Drop();
+}
+
+// An owner without appends has to look whether it still is the owner, since it may renew leases no
+// longer than hold_limit after the store last showed it.
+void ShardRunner::ConfirmOwnership() {
+  const TimePoint now = Now();
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (now - confirmed_ < std::min(kConfirmInterval, settings_.hold_limit / 4)) return;
   }
-  // Nothing else may be decided before this record's fate is known.
-  while (ec == ResultCode::kStoreAnswerLost && !stopping_.load()) {
+  const std::error_code ec = log_.Confirm();
+  if (ec == ResultCode::kNotOwner) return Drop();
+  if (ec) return gate_->Close();
+  const std::lock_guard<std::mutex> lock(mutex_);
+  confirmed_ = now;
+}
+
+// Waits until the fate of a write is known. Nothing else may be decided before that, but its
+// callers need not wait as long as an outage lasts.
+std::error_code ShardRunner::Settle(std::error_code ec, Batch* batch) {
+  if (ec == ResultCode::kStoreUnavailable) gate_->Close();
+  if (ec == ResultCode::kStoreAnswerLost) {
+    gate_->Close();
+    if (batch != nullptr) AnswerUnknown(batch);
+  }
+  while (ec == ResultCode::kStoreAnswerLost && RunsOn()) {
     std::this_thread::sleep_for(kResolvePause);
+    RefuseRequests(ResultCode::kStoreUnavailable);
+    if (!gate_->open()) continue;
     ec = log_.Resolve();
+    if (ec == ResultCode::kStoreAnswerLost) gate_->Close();
+  }
+  return ec;
+}
+
+void ShardRunner::AnswerUnknown(Batch* batch) {
+  std::vector<Request> requests;
+  requests.swap(batch->requests);
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    for (const Request& it : requests) {
+      const bool accept = it.event.type == planning::EventType::kAccept;
+      unknown_.insert(accept ? it.event.spec.id : it.event.job);
+    }
+  }
+  for (const Request& it : requests) it.decided(ResultCode::kOutcomeUnknown);
+}
+
+void ShardRunner::RefuseRequests(std::error_code ec) {
+  std::vector<std::pair<Decided, std::error_code>> answers;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    for (const Request& it : requests_) {
+      const bool accept = it.event.type == planning::EventType::kAccept;
+      const bool open = unknown_.count(accept ? it.event.spec.id : it.event.job) != 0;
+      answers.emplace_back(it.decided, open ? std::error_code(ResultCode::kOutcomeUnknown) : ec);
+    }
+    requests_.clear();
+  }
+  for (const auto& [decided, answer] : answers) decided(answer);
+}
+
+void ShardRunner::Commit(const Batch& taken) {
+  Batch batch = taken;
+  const TimePoint now = Now();
+  std::error_code ec;
+  if (!batch.events.empty()) {
+    log_.SetUnproved(unproved());
+    ec = Settle(log_.Append(planning::EncodeEvents(batch.events), RandomId()), &batch);
   }
   if (ec == ResultCode::kNotOwner || ec == ResultCode::kOutcomeUnknown) Drop();
+  if (!ec && !batch.events.empty()) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    confirmed_ = now;
+  }
   Complete(batch, ec);
 }
 
@@ -230,20 +374,26 @@
     store_ok_ = !ec;
     if (!ec) {
       for (const planning::Event& it : batch.events) planning::Apply(&state_, it);
-      for (const auto& [host, sequence] : batch.reported) {
-        workers_[host].session.known = sequence;
-        workers_[host].last_sent = TimePoint{};  // tell the worker soon
-      }
-    } else {
-      // Reports that were not journalled are asked for again.
-      for (const auto& [host, sequence] : batch.reported) {
-        workers_[host].reported = workers_[host].session.known;
-      }
+    }
+    for (const auto& [host, reported] : batch.reported) {
+      Worker& worker = workers_[host];
+      worker.waiting = false;
+      if (ec || worker.session.incarnation != reported.incarnation) continue;
+      if (worker.session.known == reported.sequence) continue;
+      worker.session.known = reported.sequence;
+      worker.last_sent = TimePoint{};  // tell the worker soon
+    }
+    if (ec) {
+      // Reports that were not journalled are asked for again, since `known` has not moved.
+      reports_.clear();
+      for (auto& [id, worker] : workers_) worker.waiting = false;
     }
     for (const planning::Event& it : batch.events) {
-      if (it.type != planning::EventType::kGrant) continue;
-      workers_[it.host].last_sent = TimePoint{};
+      if (it.type == planning::EventType::kGrant) workers_[it.host].last_sent = TimePoint{};
     }
+    held_.clear();
+    for (const planning::Event& it : reports_) held_.insert(it.task);
+    unknown_.clear();
   }
   metrics_->Count("journal_records_total");
   const bool unknown = ec == ResultCode::kStoreAnswerLost;
@@ -252,19 +402,16 @@
   }
 }
 
-void ShardRunner::Drop() {
-  if (replaced_.exchange(true)) return;
-  Log(LogLevel::kWarn, "shard", "replaced", {{"shard", shard_}, {"epoch", epoch_}});
-}
-
 void ShardRunner::RunExchanges() {
-  while (!stopping_.load() && !replaced()) {
+  while (RunsOn()) {
     const TimePoint now = Now();
     std::vector<std::string> due;
     {
       const std::lock_guard<std::mutex> lock(mutex_);
+      // Past hold_limit a successor counts on this owner having stopped renewing.
+      const bool held_too_long = now - confirmed_ > settings_.hold_limit;
       for (const auto& [id, worker] : workers_) {
-        if (worker.in_flight) continue;
+        if (worker.in_flight || held_too_long) continue;
         if (now - worker.last_sent >= settings_.exchange_interval) due.push_back(id);
       }
     }
@@ -289,9 +436,11 @@
   int64_t sequence = 0;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
+    if (halted_.load()) return;
     Worker& worker = workers_[host];
-    const planning::ExchangeRequest exchange = planning::MakeExchange(
-        state_, shard_, epoch_, settings_.lease_ttl, worker.acks, &worker.session);
+    planning::ExchangeRequest exchange = planning::MakeExchange(
+        state_, shard_, epoch_, settings_.lease_ttl, worker.acks, held_, &worker.session);
+    for (const planning::AttemptId& it : worker.strays) exchange.stops.push_back(it);
     worker.in_flight = true;
     worker.last_sent = now;
     client = worker.client;
@@ -326,10 +475,16 @@
     planning::ReplyDecision decision =
         planning::OnReply(state_, epoch_, reply, settings_.lease_ttl, Now(), &worker.session);
     replaced_by_other = worker.session.replaced;
-    if (reply.code == 0 && worker.session.known >= worker.reported) {
+    if (reply.code == 0 && !worker.waiting) {
       worker.acks = std::move(decision.acks);
+      worker.strays = std::move(decision.strays);
+      worker.waiting = !decision.events.empty() || reply.report_sequence != worker.session.known;
       worker.reported = reply.report_sequence;
-      for (planning::Event& it : decision.events) reports_.push_back(std::move(it));
+      worker.reported_incarnation = reply.incarnation;
+      for (planning::Event& it : decision.events) {
+        held_.insert(it.task);
+        reports_.push_back(std::move(it));
+      }
     }
   }
   (void)sequence;
--- a/apps/scheduler/shard_runner.h
+++ b/apps/scheduler/shard_runner.h
@@ -13,6 +13,7 @@
 #include <thread>
 #include <vector>
 
+#include "apps/scheduler/store_gate.h"
 #include "base/entry_settings.h"
 #include "http/http_client.h"
 #include "membership/host_list.h"
@@ -29,9 +30,11 @@
 
 class ShardRunner {
  public:
-  // `owner_stopped` tells whether the previous owner is proved to renew no leases any more.
+  // `unproved` are the earlier owners that may still renew leases. `taken` is when the takeover was
+  // sent to the store. `gate` and `metrics` must outlive the runner.
   ShardRunner(const EntrySettings& settings, std::string shard, store::ShardLog log,
-              planning::ShardState state, bool owner_stopped, metrics::Registry* metrics);
+              planning::ShardState state, std::vector<store::OwnerId> unproved, TimePoint taken,
+              StoreGate* gate, metrics::Registry* metrics);
   ~ShardRunner();
   ShardRunner(const ShardRunner&) = delete;
   ShardRunner& operator=(const ShardRunner&) = delete;
@@ -44,9 +47,18 @@
   // True when another process owns the shard; the runner does nothing any more.
   bool replaced() const { return replaced_.load(); }
 
+  // From the return on no message that renews a lease or starts a task is built. A message built
+  // before echoes a clock reading from before, so it cannot renew beyond one lease from now.
+  void Halt();
+  // Halt for a shard that a later epoch has taken.
+  void Drop();
+
+  int64_t epoch() const { return epoch_; }
+  std::vector<store::OwnerId> unproved();
+
   void SetHosts(const membership::HostList& hosts);
-  // From now on the previous owner is known to renew no leases.
-  void OwnerStopped(TimePoint now);
+  // From now on this earlier owner is known to renew no leases.
+  void OwnerStopped(const store::OwnerId& owner, TimePoint now);
 
   // `decided` is called when the job is durable (clear), refused, or its outcome is unknown.
   void Accept(planning::JobSpec spec, const Decided& decided);
@@ -68,13 +80,23 @@
     Resources capacity;
     bool in_flight = false;
     TimePoint last_sent;
-    int64_t reported = 0;  // sequence of the last answer whose events are in the next batch
+    // The last answer whose events are not all journalled yet; while `waiting`, later answers are
+    // not evaluated.
+    bool waiting = false;
+    int64_t reported = 0;
+    uint64_t reported_incarnation = 0;
     std::vector<planning::AttemptId> acks;
+    std::vector<planning::AttemptId> strays;
+  };
+  // How far the events of a worker's answers are in a batch.
+  struct Reported {
+    int64_t sequence = 0;
+    uint64_t incarnation = 0;
   };
   struct Batch {
     std::vector<planning::Event> events;
     std::vector<Request> requests;
-    std::map<std::string, int64_t> reported;  // by host
+    std::map<std::string, Reported> reported;  // by host
   };
 
   void RunJournal();
@@ -83,7 +105,13 @@
   void AddRequests(Batch* batch);
   void Commit(const Batch& batch);
   void Complete(const Batch& batch, std::error_code ec);
-  void Drop();
+  void AnswerUnknown(Batch* batch);
+  void RefuseRequests(std::error_code ec);
+  void CompactIfLong();
+  std::error_code Settle(std::error_code ec, Batch* batch);
+  void ConfirmOwnership();
+  void ProveAll(TimePoint now);
+  bool RunsOn() const { return !stopping_.load() && !halted_.load() && !replaced(); }
   void Exchange(const std::string& host, TimePoint now);
   void OnExchange(const std::string& host, int64_t sequence, const http::HttpResult& result);
   std::vector<planning::HostRoom> Rooms() const;
@@ -91,8 +119,11 @@
   const EntrySettings settings_;
   const std::string shard_;
   store::ShardLog log_;  // used by the journal thread only, and by Stop after it has ended
+  StoreGate* gate_;
   metrics::Registry* metrics_;
+  const TimePoint hold_end_;  // by then no earlier owner renews leases, proof or not
   std::atomic<bool> stopping_{false};
+  std::atomic<bool> halted_{false};
   std::atomic<bool> replaced_{false};
   std::thread journal_thread_;
   std::thread exchange_thread_;
@@ -104,7 +135,11 @@
   std::map<std::string, Worker> workers_;
   std::vector<Request> requests_;
   std::vector<planning::Event> reports_;
-  TimePoint unknown_lease_;  // end of leases that the previous owner may have renewed
+  std::set<std::string> held_;     // tasks with an event that is waiting or in flight
+  std::set<std::string> unknown_;  // jobs whose acceptance or cancellation has no answer yet
+  std::vector<store::OwnerId> unproved_;
+  TimePoint unknown_lease_;  // end of leases that earlier owners may have renewed
+  TimePoint confirmed_;      // the store showed at or after this time that the shard is owned
   int64_t epoch_ = 0;
   bool store_ok_ = true;
 };
--- a/fakes/store/main.cc
+++ b/fakes/store/main.cc
@@ -1,6 +1,7 @@
 // Stand-in for the platform's key-value store: the etcd v3 JSON gateway, in memory, with faults.
 #include <map>
 #include <mutex>
+#include <vector>
 
 #include "fakes/common/fake_program.h"
 #include "fakes/store/key_space.h"
@@ -43,15 +44,19 @@
   int64_t write_calls = 0;
   int64_t read_calls = 0;
   int64_t refused_calls = 0;
+  std::vector<http::Reply> unanswered;  // answered with an error when the faults change
 };
 
 http::HttpResponse Refuse(int status, const std::string& text) {
   return http::JsonResponse(status, {{"error", text}, {"code", 14}});
 }
 
-http::HttpResponse Run(FakeStore* fake, const Operation& operation, const std::string& body) {
+void Run(FakeStore* fake, const Operation& operation, const std::string& body,
+         const http::Reply& reply) {
   const Result<Json> request = ParseJson(body);
-  if (!request.ok() || !request.value.is_object()) return Refuse(kHttpBadRequest, "bad request");
+  if (!request.ok() || !request.value.is_object()) {
+    return reply(Refuse(kHttpBadRequest, "bad request"));
+  }
   const TimePoint now = Now();
   const std::lock_guard<std::mutex> lock(fake->mutex);
   (operation.write ? fake->write_calls : fake->read_calls) += 1;
@@ -59,15 +64,20 @@
                                         : Admit(&fake->reads, fake->faults.reads_per_second, now);
   if (!admitted) {
     fake->refused_calls += 1;
-    return Refuse(kHttpTooManyRequests, "too many requests");
+    return reply(Refuse(kHttpTooManyRequests, "too many requests"));
   }
   const Result<Json> answer = (fake->keys.*operation.call)(request.value, now);
-  if (!answer.ok()) return Refuse(kHttpBadRequest, answer.ec.message());
+  if (!answer.ok()) return reply(Refuse(kHttpBadRequest, answer.ec.message()));
+  if (operation.write && fake->faults.hang_answers > 0) {
+    fake->faults.hang_answers -= 1;
+    fake->unanswered.push_back(reply);
+    return;
+  }
   if (operation.write && fake->faults.lose_answers > 0) {
     fake->faults.lose_answers -= 1;
-    return Refuse(kHttpUnavailable, "answer lost");
+    return reply(Refuse(kHttpUnavailable, "answer lost"));
   }
-  return http::JsonResponse(200, answer.value);
+  reply(http::JsonResponse(200, answer.value));
 }
 
 http::HttpResponse SetFaults(FakeStore* fake, const std::string& body) {
@@ -76,8 +86,13 @@
   FieldErrors errors;
   const StoreFaults faults = ReadStoreFaults(document.value, &errors);
   if (!errors.empty()) return http::ErrorResponse(ResultCode::kBadField, ToString(errors));
-  const std::lock_guard<std::mutex> lock(fake->mutex);
-  fake->faults = faults;
+  std::vector<http::Reply> unanswered;
+  {
+    const std::lock_guard<std::mutex> lock(fake->mutex);
+    fake->faults = faults;
+    if (!faults.hang) unanswered.swap(fake->unanswered);
+  }
+  for (const http::Reply& it : unanswered) it(Refuse(kHttpUnavailable, "answer lost"));
   return http::JsonResponse(200, Json::object());
 }
 
@@ -99,12 +114,16 @@
     const std::lock_guard<std::mutex> lock(fake->mutex);
     // A refused connection cannot be imitated by a listening process; 429 means "not run" as well.
     if (fake->faults.outage) return reply(Refuse(kHttpTooManyRequests, "outage"));
+    if (fake->faults.hang) {
+      fake->unanswered.push_back(reply);
+      return;
+    }
     latency = fake->faults.latency;
   }
   const Operation operation = it->second;
-  if (latency == Duration::zero()) return reply(Run(fake, operation, request.body));
+  if (latency == Duration::zero()) return Run(fake, operation, request.body, reply);
   http::RunAfter(latency, [fake, operation, reply, body = request.body] {
-    reply(Run(fake, operation, body));
+    Run(fake, operation, body, reply);
   });
 }
 
--- a/fakes/store/store_faults.cc
+++ b/fakes/store/store_faults.cc
@@ -13,6 +13,8 @@
   StoreFaults faults;
   faults.latency = std::chrono::milliseconds(reader.IntOr("latency_ms", 0, kMaxLatencyMs, 0));
   faults.outage = reader.BoolOr("outage", false);
+  faults.hang = reader.BoolOr("hang", false);
+  faults.hang_answers = reader.IntOr("hang_answers", 0, kMaxCount, 0);
   faults.lose_answers = reader.IntOr("lose_answers", 0, kMaxCount, 0);
   faults.writes_per_second = reader.IntOr("writes_per_second", 0, kMaxCount, 0);
   faults.reads_per_second = reader.IntOr("reads_per_second", 0, kMaxCount, 0);
--- a/fakes/store/store_faults.h
+++ b/fakes/store/store_faults.h
@@ -13,7 +13,9 @@
 struct StoreFaults {
   Duration latency{};        // before each call takes effect
   bool outage = false;       // every call is refused before it takes effect
+  bool hang = false;         // no call takes effect or is answered while this is set
   int64_t lose_answers = 0;  // that many next writes take effect and are answered with an error
+  int64_t hang_answers = 0;  // that many next writes take effect and get no answer
   int64_t writes_per_second = 0;  // 0: no limit; calls above it are refused
   int64_t reads_per_second = 0;
 };
--- a/fakes/worker/main.cc
+++ b/fakes/worker/main.cc
@@ -1,7 +1,10 @@
 // Stand-in for worker hosts: several in one process, one address each.
 //
 // POST /v1/exchange is the worker protocol. GET /runs lists every run since the start, for checks
-// that do not trust the scheduler's word. POST /fault sets {"fail_starts", "cut_off"}.
+// that do not trust the scheduler's word. POST /fault sets {"fail_starts", "cut_off",
+// "cut_off_from_epoch"}; POST /restart
+// restarts the worker without losing that list.
+#include <limits>
 #include <memory>
 #include <mutex>
 #include <vector>
@@ -31,6 +34,10 @@
   const planning::ExchangeRequest request = planning::ReadExchangeRequest(document.value, &errors);
   if (!errors.empty()) return http::ErrorResponse(ResultCode::kBadField, ToString(errors));
   const std::lock_guard<std::mutex> lock(fake->mutex);
+  const int64_t cut_off = fake->state.faults.cut_off_from_epoch;
+  if (cut_off != 0 && request.epoch >= cut_off) {
+    return http::JsonResponse(503, {{"error", "cut off"}});
+  }
   return http::JsonResponse(200, planning::ToJson(fake->state.Exchange(request, Now())));
 }
 
@@ -64,6 +71,8 @@
   WorkerFaults faults;
   faults.fail_starts = reader.BoolOr("fail_starts", false);
   faults.cut_off = reader.BoolOr("cut_off", false);
+  faults.cut_off_from_epoch =
+      reader.IntOr("cut_off_from_epoch", 0, std::numeric_limits<int64_t>::max(), 0);
   reader.Finish();
   if (!errors.empty()) return http::ErrorResponse(ResultCode::kBadField, ToString(errors));
   const std::lock_guard<std::mutex> lock(fake->mutex);
@@ -74,6 +83,11 @@
 void Serve(FakeWorker* fake, const http::HttpRequest& request, const http::Reply& reply) {
   const std::string path = http::PathOf(request);
   if (path == "/fault") return reply(SetFaults(fake, request.body));
+  if (path == "/restart") {
+    const std::lock_guard<std::mutex> lock(fake->mutex);
+    fake->state.Restart(RandomIncarnation(), Now());
+    return reply(http::JsonResponse(200, Json::object()));
+  }
   if (path == "/runs") return reply(Runs(fake));
   if (path != "/v1/exchange") return reply(http::ErrorResponse(ResultCode::kNotFound, path));
   {
--- a/fakes/worker/worker_state.cc
+++ b/fakes/worker/worker_state.cc
@@ -43,6 +43,21 @@
   runs_[attempt->run].state = state;
 }
 
+void WorkerState::Restart(uint64_t incarnation, TimePoint now) {
+  Advance(now);
+  for (auto& [task, attempt] : attempts_) {
+    if (attempt.state == ReportState::kRunning) End(&attempt, ReportState::kStopped, now);
+  }
+  attempts_.clear();
+  for (auto& [id, shard] : shards_) {
+    shard.sequence = 0;
+    shard.lease_end = TimePoint{};
+  }
+  report_sequence_ = 0;
+  incarnation_ = incarnation;
+  start_ = now;
+}
+
 void WorkerState::Advance(TimePoint now) {
   for (auto& [task, attempt] : attempts_) {
     if (attempt.state != ReportState::kRunning) continue;
@@ -105,7 +120,8 @@
   shard.epoch = request.epoch;
   shard.sequence = request.sequence;
   reply.epoch = shard.epoch;
-  if (request.worker_clock > Duration::zero()) {
+  const bool known_incarnation = request.incarnation == incarnation_;
+  if (known_incarnation && request.worker_clock > Duration::zero()) {
     shard.lease_end = std::max(shard.lease_end, start_ + request.worker_clock + request.lease_ttl);
   }
   for (const AttemptId& it : request.acks) {
@@ -124,7 +140,7 @@
     const int64_t code = StartOne(request, it, now);
     if (code != 0) reply.refusals.push_back({it.id, code});
   }
-  reply.full = request.known == 0 || request.known > report_sequence_;
+  reply.full = request.known == 0 || !known_incarnation;
   for (const auto& [task, attempt] : attempts_) {
     if (attempt.shard != request.shard) continue;
     if (!reply.full && attempt.changed <= request.known) continue;
--- a/fakes/worker/worker_state.h
+++ b/fakes/worker/worker_state.h
@@ -16,6 +16,9 @@
 struct WorkerFaults {
   bool fail_starts = false;  // every task fails right after its start
   bool cut_off = false;      // messages are not answered
+  // Messages of this and later epochs are neither taken nor answered (0: all are), as when the
+  // worker can be reached by the previous owner of its shard only.
+  int64_t cut_off_from_epoch = 0;
 };
 
 // One run of a task, for checks of "one place only" by the worker's own record.
@@ -33,6 +36,10 @@
 
   planning::ExchangeReply Exchange(const planning::ExchangeRequest& request, TimePoint now);
 
+  // The worker process ends with its tasks and starts again. It forgets attempts and leases and has
+  // a new clock; the epochs are on its disk, and the record of runs is kept for the tests.
+  void Restart(uint64_t incarnation, TimePoint now);
+
   // Ends tasks that are done and those whose lease has ended.
   void Advance(TimePoint now);
 
--- a/src/base/entry_settings.h
+++ b/src/base/entry_settings.h
@@ -56,6 +56,10 @@
   Duration lease_ttl{};          // of a worker's run lease
   Duration member_ttl{};         // of a scheduler's membership in the store
   Duration exchange_interval{};  // between messages to a worker
+  // The longest time for which an owner that cannot reach the store renews run leases; a successor
+  // without proof that the owner has stopped waits this long.
+  Duration hold_limit{};
+  Duration job_retention{};  // an ended job is forgotten this long after its end
   std::vector<AccessKey> keys;
 };
 
--- a/src/planning/worker_protocol.cc
+++ b/src/planning/worker_protocol.cc
@@ -106,6 +106,7 @@
   return {{"shard", request.shard},
           {"epoch", request.epoch},
           {"sequence", request.sequence},
+          {"incarnation", std::to_string(request.incarnation)},
           {"worker_clock_us", request.worker_clock.count()},
           {"lease_ttl_us", request.lease_ttl.count()},
           {"known", request.known},
@@ -120,6 +121,7 @@
   request.shard = reader.String("shard");
   request.epoch = reader.Int("epoch", 1, kMaxInt);
   request.sequence = reader.Int("sequence", 1, kMaxInt);
+  request.incarnation = std::strtoull(reader.String("incarnation").c_str(), nullptr, 10);
   request.worker_clock = ReadMicroseconds(&reader, "worker_clock_us");
   request.lease_ttl = ReadMicroseconds(&reader, "lease_ttl_us");
   request.known = reader.IntOr("known", 0, kMaxInt, 0);
--- a/src/planning/worker_protocol.h
+++ b/src/planning/worker_protocol.h
@@ -38,6 +38,9 @@
   std::string shard;
   int64_t epoch = 0;
   int64_t sequence = 0;
+  // Of the worker's last answer, 0 before the first. A worker that has restarted since then renews
+  // nothing, because the echoed clock is not its own, and reports everything.
+  uint64_t incarnation = 0;
   // The worker's clock from its last answer; the lease ends at this reading plus `lease_ttl`. Zero
   // renews nothing. A delayed renewal therefore cannot lengthen a lease.
   Duration worker_clock{};
--- a/src/planning/worker_session.cc
+++ b/src/planning/worker_session.cc
@@ -47,7 +47,7 @@
 
 ExchangeRequest MakeExchange(const ShardState& state, const std::string& shard, int64_t epoch,
                              Duration lease_ttl, const std::vector<AttemptId>& acks,
-                             WorkerSession* session) {
+                             const std::set<std::string>& held, WorkerSession* session) {
   ExchangeRequest request;
   request.shard = shard;
   request.epoch = epoch;
@@ -55,6 +55,7 @@
   request.known = session->known;
   request.acks = acks;
   if (!session->confirmed) return request;
+  request.incarnation = session->incarnation;
   request.worker_clock = session->worker_clock;
   request.lease_ttl = lease_ttl;
   session->lease_end = std::max(session->lease_end, LeaseEnd(session->clock_received, lease_ttl));
@@ -63,7 +64,7 @@
   for (const std::string& it : tasks->second) {
     const Task& task = state.tasks.at(it);
     if (task.state == TaskState::kStopping) request.stops.push_back({task.id, task.attempt});
-    if (task.state != TaskState::kGranted) continue;
+    if (task.state != TaskState::kGranted || held.count(task.id) != 0) continue;
     const JobSpec& spec = state.jobs.at(task.job);
     request.starts.push_back({{task.id, task.attempt}, spec.need, spec.run_time, task.checkpoint});
   }
@@ -81,6 +82,8 @@
   session->confirmed = true;
   session->worker_clock = reply.worker_clock;
   session->clock_received = now;
+  // Report sequences start again with the worker.
+  if (session->incarnation != reply.incarnation) session->known = 0;
   session->incarnation = reply.incarnation;
   std::map<std::string, AttemptId> reported;
   for (const TaskReport& it : reply.reports) {
@@ -91,7 +94,7 @@
       }
       continue;
     }
-    if (it.state != ReportState::kRunning) decision.acks.push_back(it.id);
+    (it.state == ReportState::kRunning ? decision.strays : decision.acks).push_back(it.id);
   }
   if (!reply.full) return decision;
   // A full report that lacks an attempt which was reported running before means that the worker
--- a/src/planning/worker_session.h
+++ b/src/planning/worker_session.h
@@ -3,6 +3,7 @@
 #define POMELOPOND_PLANNING_WORKER_SESSION_H_
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -40,16 +41,18 @@
 TimePoint LeaseEnd(TimePoint clock_received, Duration ttl);
 
 // The next message to a worker. Starts are sent only to a worker that has answered at this epoch;
-// granted attempts are sent until they are reported. Updates the session's sequence and lease.
+// granted attempts are sent until they are reported. Tasks in `held` are not started: the end of
+// their attempt is being journalled. Updates the session's sequence and lease.
 ExchangeRequest MakeExchange(const ShardState& state, const std::string& shard, int64_t epoch,
                              Duration lease_ttl, const std::vector<AttemptId>& acks,
-                             WorkerSession* session);
+                             const std::set<std::string>& held, WorkerSession* session);
 
 // Events that an answer gives rise to. `events` are not applied yet; the caller journals them,
 // applies them and then sets session->known to the answer's report sequence.
 struct ReplyDecision {
   std::vector<Event> events;
-  std::vector<AttemptId> acks;  // attempts whose end is journalled already
+  std::vector<AttemptId> acks;    // attempts whose end is journalled already
+  std::vector<AttemptId> strays;  // attempts that run although they were replaced; to be stopped
 };
 
 ReplyDecision OnReply(const ShardState& state, int64_t epoch, const ExchangeReply& reply,
--- a/src/store/shard_head.cc
+++ b/src/store/shard_head.cc
@@ -32,6 +32,10 @@
 }
 
 std::string Encode(const ShardHead& head) {
+  Json unproved = Json::array();
+  for (const OwnerId& it : head.unproved) {
+    unproved.push_back({{"host", it.host}, {"incarnation", std::to_string(it.incarnation)}});
+  }
   const Json object = {{"epoch", head.epoch},
                        {"position", head.position},
                        {"write_id", head.write_id},
@@ -39,6 +43,7 @@
                        {"incarnation", std::to_string(head.incarnation)},
                        {"snapshot", head.snapshot},
                        {"snapshot_size", head.snapshot_size},
+                       {"unproved", unproved},
                        {"released", head.released}};
   return object.dump();
 }
@@ -56,6 +61,14 @@
   const std::string incarnation = reader.String("incarnation");
   head.snapshot = reader.Int("snapshot", 0, kMaxInt);
   head.snapshot_size = reader.Int("snapshot_size", 0, kMaxInt);
+  size_t n = 0;
+  for (const Json& it : reader.ArrayOr("unproved")) {
+    JsonReader owner(it, reader.PathOf("unproved") + "[" + std::to_string(n++) + "]", &errors);
+    const std::string host = owner.String("host");
+    head.unproved.push_back(
+        {host, std::strtoull(owner.String("incarnation").c_str(), nullptr, 10)});
+    owner.Finish();
+  }
   head.released = reader.BoolOr("released", false);
   reader.Finish();
   if (!errors.empty()) return {ResultCode::kStoreBadAnswer, {}};
--- a/src/store/shard_head.h
+++ b/src/store/shard_head.h
@@ -5,12 +5,23 @@
 #include <cstdint>
 #include <string>
 #include <tuple>
+#include <vector>
 
 #include "base/result.h"
 #include "store/txn.h"
 
 namespace pomelopond::store {
 
+// One run of the scheduler on one entry host.
+struct OwnerId {
+  std::string host;
+  uint64_t incarnation = 0;
+
+  friend bool operator==(const OwnerId& a, const OwnerId& b) {
+    return a.host == b.host && a.incarnation == b.incarnation;
+  }
+};
+
 // What the store holds under shard/<id>/head. Every append compares its mod revision, so a writer
 // that has been replaced fails by position and not by clock.
 struct ShardHead {
@@ -21,13 +32,16 @@
   uint64_t incarnation = 0;
   int64_t snapshot = 0;       // position that the newest snapshot covers, 0: none
   int64_t snapshot_size = 0;  // chunks of that snapshot
-  bool released = false;      // the owner handed the shard over and has stopped renewing leases
+  // Earlier owners that are not proved to have stopped renewing leases. Kept in the head, since the
+  // proof that the last owner has stopped says nothing of the owners before it.
+  std::vector<OwnerId> unproved;
+  bool released = false;  // the owner handed the shard over and has stopped renewing leases
 
   friend bool operator==(const ShardHead& a, const ShardHead& b) {
     return std::tie(a.epoch, a.position, a.write_id, a.owner, a.incarnation, a.snapshot,
-                    a.snapshot_size, a.released) == std::tie(b.epoch, b.position, b.write_id,
-                                                             b.owner, b.incarnation, b.snapshot,
-                                                             b.snapshot_size, b.released);
+                    a.snapshot_size, a.unproved,
+                    a.released) == std::tie(b.epoch, b.position, b.write_id, b.owner, b.incarnation,
+                                            b.snapshot, b.snapshot_size, b.unproved, b.released);
   }
 };
 
--- a/src/store/shard_log.cc
+++ b/src/store/shard_log.cc
@@ -39,13 +39,20 @@
   return ToVersionedHead(value.value);
 }
 
-Result<ShardContents> ShardLog::TakeOver(const VersionedHead& from, const std::string& owner,
-                                         uint64_t incarnation) {
+std::error_code ShardLog::Confirm() {
+  const Result<VersionedHead> found = Read();
+  if (!found.ok()) return found.ec;
+  return found.value.mod_revision == head_.mod_revision ? ResultCode::kOk : ResultCode::kNotOwner;
+}
+
+Result<ShardContents> ShardLog::TakeOver(const VersionedHead& from, const OwnerId& owner,
+                                         std::vector<OwnerId> unproved) {
   const std::string write_id = RandomId();
   ShardHead to = Next(from.head, write_id);
   to.epoch += 1;
-  to.owner = owner;
-  to.incarnation = incarnation;
+  to.owner = owner.host;
+  to.incarnation = owner.incarnation;
+  to.unproved = std::move(unproved);
   to.released = false;
   head_ = from;
   // The record of a takeover is empty; it only takes the position.
--- a/src/store/shard_log.h
+++ b/src/store/shard_log.h
@@ -29,10 +29,18 @@
   // The head as it is in the store.
   Result<VersionedHead> Read();
 
-  // Takes the shard over from `from` with the next epoch and reads its contents. Fails with
-  // kStoreCompareFailed when another process was faster.
-  Result<ShardContents> TakeOver(const VersionedHead& from, const std::string& owner,
-                                 uint64_t incarnation);
+  // Takes the shard over from `from` with the next epoch and reads its contents. `unproved` are the
+  // earlier owners that are not proved to have stopped. Fails with kStoreCompareFailed when another
+  // process was faster.
+  Result<ShardContents> TakeOver(const VersionedHead& from, const OwnerId& owner,
+                                 std::vector<OwnerId> unproved);
+
+  // Written with the next append.
+  void SetUnproved(std::vector<OwnerId> unproved) { head_.head.unproved = std::move(unproved); }
+
+  // Clear when this process still owns the shard, kNotOwner when another one does, else the error
+  // of the store. Not while an append is pending.
+  std::error_code Confirm();
 
   // Appends one record. Clear: it is durable. kStoreUnavailable: it is not and never will be, the
   // shard is still owned. kStoreAnswerLost: not known yet; call Resolve until it is known.
--- a/tests/planning/worker_session_test.cc
+++ b/tests/planning/worker_session_test.cc
@@ -30,7 +30,8 @@
 // One message and its answer, both without delay.
 ExchangeReply RoundTrip(const ShardState& state, int64_t epoch, fakes::WorkerState* worker,
                         WorkerSession* session, TimePoint now) {
-  ExchangeReply reply = worker->Exchange(MakeExchange(state, "s", epoch, kTtl, {}, session), now);
+  ExchangeReply reply =
+      worker->Exchange(MakeExchange(state, "s", epoch, kTtl, {}, {}, session), now);
   OnReply(state, epoch, reply, kTtl, now, session);
   return reply;
 }
@@ -47,7 +48,7 @@
   const ShardState state = OneGrantedTask();
   RoundTrip(state, 1, &worker, &session, At(1));
   RoundTrip(state, 1, &worker, &session, At(2));
-  const ExchangeRequest delayed = MakeExchange(state, "s", 1, kTtl, {}, &session);
+  const ExchangeRequest delayed = MakeExchange(state, "s", 1, kTtl, {}, {}, &session);
   worker.Exchange(delayed, At(21));
   worker.Advance(At(22.5));
   ASSERT_EQ(worker.runs().size(), 1u);
@@ -60,7 +61,7 @@
 TEST_F(WorkerSessionTest, RepeatedMessageStartsNothing) {
   const ShardState state = OneGrantedTask();
   RoundTrip(state, 1, &worker, &session, At(1));
-  const ExchangeRequest start = MakeExchange(state, "s", 1, kTtl, {}, &session);
+  const ExchangeRequest start = MakeExchange(state, "s", 1, kTtl, {}, {}, &session);
   worker.Exchange(start, At(2));
   ExchangeRequest stop = start;
   stop.sequence += 1;
@@ -114,11 +115,56 @@
   session.known = 1;
   fakes::WorkerState restarted(kCapacity, 8, At(3));
   const ExchangeReply reply =
-      restarted.Exchange(MakeExchange(state, "s", 1, kTtl, {}, &session), At(4));
+      restarted.Exchange(MakeExchange(state, "s", 1, kTtl, {}, {}, &session), At(4));
   const ReplyDecision decision = OnReply(state, 1, reply, kTtl, At(4), &session);
   ASSERT_EQ(decision.events.size(), 1u);
   EXPECT_EQ(decision.events[0].type, EventType::kStopped);
 }
 
+// Guards against a renewal for the worker's previous process: the echoed clock is not that of the
+// new one, and would make a lease as long as the old process had run.
+TEST_F(WorkerSessionTest, RestartedWorkerTakesNoRenewalForItsPreviousProcess) {
+  ShardState state = OneGrantedTask();
+  RoundTrip(state, 1, &worker, &session, At(1000));
+  const ExchangeRequest delayed = MakeExchange(state, "s", 1, kTtl, {}, {}, &session);
+  worker.Restart(8, At(1001));
+  const ExchangeReply reply = worker.Exchange(delayed, At(1001));
+  EXPECT_TRUE(worker.runs().empty());
+  EXPECT_TRUE(reply.full);
+  EXPECT_EQ(reply.refusals.size(), 1u);
+}
+
+// Guards against reports that stay hidden because the restarted worker counts them from 1 again.
+TEST_F(WorkerSessionTest, ReportSequenceStartsAgainWithTheWorker) {
+  const ShardState state = OneGrantedTask();
+  RoundTrip(state, 1, &worker, &session, At(1));
+  session.known = 50;
+  worker.Restart(8, At(2));
+  RoundTrip(state, 1, &worker, &session, At(3));
+  EXPECT_EQ(session.known, 0);
+}
+
+// Guards against a start of an attempt whose end by lease is being journalled: the task would be
+// granted elsewhere while it runs here.
+TEST_F(WorkerSessionTest, HeldTaskIsNotStarted) {
+  const ShardState state = OneGrantedTask();
+  RoundTrip(state, 1, &worker, &session, At(1));
+  EXPECT_EQ(MakeExchange(state, "s", 1, kTtl, {}, {}, &session).starts.size(), 1u);
+  EXPECT_TRUE(MakeExchange(state, "s", 1, kTtl, {}, {"job/0"}, &session).starts.empty());
+}
+
+// Guards against an attempt that runs on although it was replaced.
+TEST_F(WorkerSessionTest, RunningReplacedAttemptIsStray) {
+  ShardState state = OneGrantedTask();
+  RoundTrip(state, 1, &worker, &session, At(1));
+  RoundTrip(state, 1, &worker, &session, At(2));
+  Apply(&state, TaskEvent(EventType::kStopped, "job/0", 1));
+  const ExchangeReply reply =
+      worker.Exchange(MakeExchange(state, "s", 1, kTtl, {}, {}, &session), At(3));
+  const ReplyDecision decision = OnReply(state, 1, reply, kTtl, At(3), &session);
+  ASSERT_EQ(decision.strays.size(), 1u);
+  EXPECT_EQ(decision.strays[0], (AttemptId{"job/0", 1}));
+}
+
 }  // namespace
 }  // namespace pomelopond::planning
