--- /dev/null
+++ b/bench/takeover.cc
@@ -0,0 +1,115 @@
+// Kills the owner of several shards while tasks run: time to the first new start on those shards,
+// and whether any running task was lost, run in two places, over capacity or evicted.
+#include <cxxopts.hpp>
+#include <set>
+
+#include "bench/support/bench_result.h"
+#include "bench/support/task_bench.h"
+#include "membership/shard_assignment.h"
+
+namespace pomelopond::bench {
+namespace {
+
+constexpr int64_t kTasksPerJob = 100;
+constexpr int kNewJobs = 60;
+constexpr int kSubmitters = 8;
+
+struct Judgement {
+  double lost = 0;
+  double evicted = 0;
+  double first_start_s = -1;
+};
+
+// Tasks of the jobs "old-N" have to run on as they were; those of "new-N" are new.
+Judgement Judge(const support::Cluster& cluster, int64_t tasks, const std::set<std::string>& moved,
+                TimePoint killed) {
+  std::set<std::string> moved_workers;
+  for (const auto& [id, host] : cluster.hosts().hosts) {
+    if (moved.count(membership::ShardOf(host)) != 0) moved_workers.insert(ToString(host.worker));
+  }
+  Judgement judgement;
+  std::set<std::string> running;
+  std::map<std::string, int> starts;
+  for (const TaskRun& it : AllRuns(cluster)) {
+    if (it.task.rfind("old-", 0) == 0) {
+      starts[it.task] += 1;
+      if (it.running) running.insert(it.task);
+      continue;
+    }
+    if (moved_workers.count(ToString(it.worker)) == 0) continue;
+    const double after =
+        static_cast<double>(it.started_us - killed.time_since_epoch().count()) / 1e6;
+    const bool first = judgement.first_start_s < 0 || after < judgement.first_start_s;
+    if (after >= 0 && first) judgement.first_start_s = after;
+  }
+  judgement.lost = static_cast<double>(tasks) - static_cast<double>(running.size());
+  for (const auto& [task, count] : starts) judgement.evicted += count - 1;
+  return judgement;
+}
+
+int Main(int argc, char** argv) {
+  cxxopts::Options options("bench-takeover", "Time and safety of a takeover");
+  options.add_options()("tasks", "running tasks",
+                        cxxopts::value<int64_t>()->default_value("50000"))(
+      "seed", "accepted for uniformity; nothing is drawn",
+      cxxopts::value<int64_t>()->default_value("1"));
+  const auto args = options.parse(argc, argv);
+  const int64_t tasks = args["tasks"].as<int64_t>() / kTasksPerJob * kTasksPerJob;
+  support::ClusterOptions cluster_options;
+  cluster_options.net = 220;
+  cluster_options.entry_hosts = 6;
+  cluster_options.racks_per_domain = 2;
+  cluster_options.hosts_per_rack = 8;
+  support::Cluster cluster(cluster_options);
+  cluster.StartStandIns();
+  cluster.StartEntryHosts();
+  if (!cluster.PutDefaultReleaseInForce()) return Report("takeover", {{"started", 0}}, false);
+  support::SetFault(cluster.store(), PlannedStore());
+  std::vector<Json> jobs;
+  for (int64_t n = 0; n < tasks / kTasksPerJob; ++n) {
+    jobs.push_back(ServiceJob("old-" + std::to_string(n), kTasksPerJob, 8));
+  }
+  const bool all =
+      SubmitAll(cluster, jobs, kSubmitters, std::chrono::seconds(120)) &&
+      support::WaitUntil([&] { return RunningTasks(cluster) == static_cast<size_t>(tasks); },
+                         std::chrono::seconds(120));
+  if (!all) {
+    return Report("takeover", {{"running", static_cast<double>(RunningTasks(cluster))}}, false);
+  }
+  // The host that owns most shards, without the one that clients use first.
+  int owner = 1;
+  std::set<std::string> moved;
+  for (int n = 1; n < cluster.entry_hosts(); ++n) {
+    const Json answer = support::Get(cluster.Scheduler(n), "/v1/shards");
+    if (answer.is_null() || answer["owned"].size() <= moved.size()) continue;
+    owner = n;
+    moved.clear();
+    for (const Json& it : answer["owned"]) moved.insert(it["shard"]);
+  }
+  const TimePoint killed = Now();
+  cluster.ProgramOf("scheduler", owner).Kill();
+  std::vector<Json> fresh;
+  for (int n = 0; n < kNewJobs; ++n) fresh.push_back(ServiceJob("new-" + std::to_string(n), 1, 8));
+  const bool accepted = SubmitAll(cluster, fresh, kSubmitters, std::chrono::seconds(60));
+  const size_t expected = static_cast<size_t>(tasks) + fresh.size();
+  support::WaitUntil([&] { return RunningTasks(cluster) >= expected; }, std::chrono::seconds(60));
+  const Judgement judgement = Judge(cluster, tasks, moved, killed);
+  const double doubled = static_cast<double>(support::OverlappingRuns(cluster).size());
+  const bool capacity = support::CapacityHeld(cluster);
+  const bool held = accepted && judgement.lost == 0 && judgement.evicted == 0 && doubled == 0 &&
+                    capacity && judgement.first_start_s >= 0;
+  return Report("takeover",
+                {{"tasks", static_cast<double>(tasks)},
+                 {"shards_moved", static_cast<double>(moved.size())},
+                 {"first_start_s", judgement.first_start_s},
+                 {"lost", judgement.lost},
+                 {"in_two_places", doubled},
+                 {"over_capacity", capacity ? 0.0 : 1.0},
+                 {"evicted", judgement.evicted}},
+                held);
+}
+
+}  // namespace
+}  // namespace pomelopond::bench
+
+int main(int argc, char** argv) { return pomelopond::bench::Main(argc, argv); }
--- a/src/base/entry_settings.cc
+++ b/src/base/entry_settings.cc
@@ -103,7 +103,6 @@
   settings.member_ttl = MillisecondsOr(&reader, "member_ttl_ms", 1000, 600000, 10000);
   settings.exchange_interval = MillisecondsOr(&reader, "exchange_interval_ms", 50, 60000, 2000);
   settings.hold_limit = MillisecondsOr(&reader, "hold_limit_ms", 1000, kWeekMs, kDayMs);
-  settings.job_retention = MillisecondsOr(&reader, "job_retention_ms", 1000, kWeekMs, kDayMs);
   if (settings.exchange_interval * 3 > settings.lease_ttl) {
     reader.Fail("exchange_interval_ms", ResultCode::kBadField,
                 "must be at most a third of lease_ttl_ms, or one lost message ends a lease");
@@ -147,7 +146,6 @@
           {"member_ttl_ms", ToMs(settings.member_ttl)},
           {"exchange_interval_ms", ToMs(settings.exchange_interval)},
           {"hold_limit_ms", ToMs(settings.hold_limit)},
-          {"job_retention_ms", ToMs(settings.job_retention)},
           {"keys", keys}};
 }
 
--- a/src/base/entry_settings.h
+++ b/src/base/entry_settings.h
@@ -59,7 +59,6 @@
   // The longest time for which an owner that cannot reach the store renews run leases; a successor
   // without proof that the owner has stopped waits this long.
   Duration hold_limit{};
-  Duration job_retention{};  // an ended job is forgotten this long after its end
   std::vector<AccessKey> keys;
 };
 
