--- a/apps/scheduler/shard_runner.h
+++ b/apps/scheduler/shard_runner.h
@@ -78,6 +78,8 @@
     std::shared_ptr<http::HttpClient> client;
     bool usable = false;
     Resources capacity;
+    std::string rack;
+    std::string failure_domain;
     bool in_flight = false;
     TimePoint last_sent;
     // The last answer whose events are not all journalled yet; while `waiting`, later answers are
@@ -132,6 +134,7 @@
   std::mutex mutex_;
   std::condition_variable changed_;
   planning::ShardState state_;
+  planning::Planner planner_;  // follows state_
   std::map<std::string, Worker> workers_;
   std::vector<Request> requests_;
   std::vector<planning::Event> reports_;
--- a/tests/failure/task_owner_test.cc
+++ b/tests/failure/task_owner_test.cc
@@ -107,8 +107,12 @@
   cluster.StartStandIns();
   cluster.StartEntryHosts();
   ASSERT_TRUE(cluster.PutDefaultReleaseInForce());
-  const int owner = SomeOwner(cluster);
-  ASSERT_TRUE(WaitUntil([&] { return !OwnedShards(cluster, owner).empty(); }));
+  // The first scheduler to start owns all three shards until the others have joined.
+  ASSERT_TRUE(WaitUntil([&] {
+    return OwnedShards(cluster, 0).size() == 1 && OwnedShards(cluster, 1).size() == 1 &&
+           OwnedShards(cluster, 2).size() == 1;
+  }));
+  const int owner = 0;
   const auto [shard, epoch] = *OwnedShards(cluster, owner).begin();
   const auto fence = [&](int64_t at) {
     const http::HttpResult result = Send(cluster.Scheduler(owner), "POST", "/v1/fence",
