--- a/bench/capacity.cc
+++ b/bench/capacity.cc
@@ -220,7 +220,7 @@
   cost.micros = Micros(300, [&](int) {
     session.known = 0;
     const std::string request =
-        ToJson(planning::MakeExchange(state, "domain/rack", 1, kTtl, {}, &session)).dump();
+        ToJson(planning::MakeExchange(state, "domain/rack", 1, kTtl, {}, {}, &session)).dump();
     cost.bytes = static_cast<double>(request.size() + answer.size());
     FieldErrors errors;
     const planning::ExchangeReply read =
