--- a/tests/planning/lease_interleaving_test.cc
+++ b/tests/planning/lease_interleaving_test.cc
@@ -206,7 +206,7 @@
     if (!owner.active) return;
     owner.replies[host].reset();
     messages_.push_back({n, host,
-                         MakeExchange(owner.view, "s", owner.epoch, kTtl, owner.acks[host],
+                         MakeExchange(owner.view, "s", owner.epoch, kTtl, owner.acks[host], {},
                                       &owner.sessions[host])});
   }
 
