--- a/tests/store/shard_log_interleaving_test.cc
+++ b/tests/store/shard_log_interleaving_test.cc
@@ -91,22 +91,22 @@
   ShardLog successor("s", CallsOf(&store));
   bool lose = false;
   bool compact = false;
-  ShardLog owner("s",
-                 StoreCalls{[&](const std::string& key) {
-                              if (compact && key.find("/journal/") != std::string::npos) {
-                                compact = false;
-                                EXPECT_FALSE(successor.Compact("snapshot", WriteId(3)));
-                              }
-                              return store.Get(key);
-                            },
-                            [&](const Txn& txn) {
-                              if (!lose) return store.Commit(txn);
-                              const auto lost = store.Commit(txn, Fate::kAnswerLost);
-                              EXPECT_TRUE(successor.TakeOver(successor.Read().value, "b", 2).ok());
-                              compact = true;
-                              return lost;
-                            }});
-  ASSERT_TRUE(owner.TakeOver(owner.Read().value, "a", 1).ok());
+  ShardLog owner(
+      "s", StoreCalls{[&](const std::string& key) {
+                        if (compact && key.find("/journal/") != std::string::npos) {
+                          compact = false;
+                          EXPECT_FALSE(successor.Compact("snapshot", WriteId(3)));
+                        }
+                        return store.Get(key);
+                      },
+                      [&](const Txn& txn) {
+                        if (!lose) return store.Commit(txn);
+                        const auto lost = store.Commit(txn, Fate::kAnswerLost);
+                        EXPECT_TRUE(successor.TakeOver(successor.Read().value, {"b", 2}, {}).ok());
+                        compact = true;
+                        return lost;
+                      }});
+  ASSERT_TRUE(owner.TakeOver(owner.Read().value, {"a", 1}, {}).ok());
   lose = true;
   const std::error_code ec = owner.Append("record", WriteId(1));
   EXPECT_EQ(store.applied(WriteId(1)), 1);
@@ -127,7 +127,7 @@
                                    return store.Commit(txn,
                                                        lose ? Fate::kAnswerLost : Fate::kAnswered);
                                  }});
-  ASSERT_TRUE(owner.TakeOver(owner.Read().value, "a", 1).ok());
+  ASSERT_TRUE(owner.TakeOver(owner.Read().value, {"a", 1}, {}).ok());
   ASSERT_FALSE(owner.Append("one", WriteId(1)));
   lose = blind = true;
   EXPECT_EQ(owner.Compact("", WriteId(2)), ResultCode::kStoreAnswerLost);
@@ -188,7 +188,8 @@
       Finish(n, logs_[n].Resolve());
     } else if (!owns_[n]) {
       const Result<VersionedHead> head = logs_[n].Read();
-      owns_[n] = head.ok() && logs_[n].TakeOver(head.value, "host", n + 1).ok();
+      owns_[n] = head.ok() &&
+                 logs_[n].TakeOver(head.value, {"host", static_cast<uint64_t>(n) + 1}, {}).ok();
     } else {
       open_[n] = WriteId(next_++);
       const int what = *rc::gen::inRange(0, 5);
