Never say "not run" for a token that its issuer may have dispatched

Cause: three answers said "not run" of requests that had run. A router that does not list the token's issuer sent a fresh token; a caller's own Pomelopond-Forwarded header made a foreign token look forged; a request whose first attempt was sent and lost was refused by its second attempt. A duplicate that waits for the first request had no deadline of its own.

Change: these cases answer "unknown"; a waiting duplicate is answered at its deadline. The target stand-in uses plain sockets, so that it can close, cut, garble or double an answer and count what it ran.

--- a/apps/router/router.cc
+++ b/apps/router/router.cc
@@ -171,14 +171,19 @@
 void Router::HandleToken(const CallPtr& call, const std::string& text, bool forwarded) {
   const Result<routing::Token> token = routing::ParseToken(text);
   if (!token.ok()) return call->reply(TokenNeeded());
-  if (token.value.host != own_.id && !forwarded) return Forward(call, token.value.host, text);
+  if (token.value.host != own_.id) {
+    if (!forwarded) return Forward(call, token.value.host, text);
+    // Not "not run": the header may be the caller's own, and the issuer may have dispatched.
+    return call->reply(
+        http::ErrorResponse(ResultCode::kRouterGone, "the token was issued by another router"));
+  }
   const std::string fingerprint =
       call->request.method + " " + call->service + call->request.path + "\n" + call->request.body;
   http::HttpResponse replay;
   routing::TokenUse use;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
-    if (token.value.host == own_.id && token.value.incarnation != tokens_.incarnation) {
+    if (token.value.incarnation != tokens_.incarnation) {
       return call->reply(http::ErrorResponse(ResultCode::kRouterGone,
                                              "the router process that issued the token has ended"));
     }
@@ -201,6 +206,11 @@
       return Submit(call);
     }
     case routing::TokenUse::kWait:
+      // The first request may have a later deadline than this one.
+      http::RunAfter(call->deadline - Now(), [reply = call->reply] {
+        reply(http::ErrorResponse(ResultCode::kTimeout,
+                                  "the first request with this token is still in flight"));
+      });
       return;
     case routing::TokenUse::kReplay:
       return call->reply(replay);
@@ -230,7 +240,9 @@
     });
     return;
   }
-  call->reply(TokenNeeded());
+  // A host that was replaced under another id may have dispatched the request before.
+  call->reply(http::ErrorResponse(ResultCode::kRouterGone,
+                                  "the router that issued the token is not in the settings"));
 }
 
 std::shared_ptr<http::HttpClient> Router::ClientOf(const Endpoint& endpoint) {
@@ -326,6 +338,7 @@
     Finish(call, FromTarget(std::move(result.response)));
   } else {
     const bool nothing_sent = result.ec == ResultCode::kTargetUnreachable;
+    if (!nothing_sent) call->may_have_run = true;
     const bool again =
         (nothing_sent || !call->once) && call->attempts < kMaxAttempts && now < call->deadline;
     if (again) {
@@ -341,7 +354,13 @@
 }
 
 void Router::Finish(const CallPtr& call, http::HttpResponse response) {
-  const std::string outcome = http::HeaderOf(response.headers, http::kOutcomeHeader);
+  std::string outcome = http::HeaderOf(response.headers, http::kOutcomeHeader);
+  // A refusal of a later attempt says nothing about an earlier one that was sent.
+  if (call->may_have_run && outcome == OutcomeName(Outcome::kNotRun)) {
+    response = http::ErrorResponse(ResultCode::kOutcomeUnknown,
+                                   "an attempt was sent and not answered; then: " + response.body);
+    outcome = OutcomeName(Outcome::kUnknown);
+  }
   metrics_.Count(metrics::Labelled("answers_total", "outcome", outcome));
   metrics_.Observe(metrics::Labelled("request_seconds", "service", call->service),
                    Now() - call->received);
--- a/apps/router/router.h
+++ b/apps/router/router.h
@@ -47,6 +47,7 @@
     TimePoint deadline;
     bool once = false;  // must be sent at most once
     int attempts = 0;
+    bool may_have_run = false;  // an attempt was sent and not answered
     bool started = false;  // has left the queue
   };
   using CallPtr = std::shared_ptr<Call>;
--- a/fakes/target/main.cc
+++ b/fakes/target/main.cc
@@ -1,38 +1,47 @@
 // Stand-in for service executors: several targets in one process, one address each.
 //
-// POST /run answers after the service time and counts each request by its X-Request-Id header.
-// GET /counts gives how often each id was run. POST /fault sets faults of all targets of the
-// process: {"service_ms", "lose_answers", "refuse", "leaving"}.
+// POST /run (and any other path) answers after the service time and counts each request by its
+// X-Request-Id header. GET /counts gives how often each id and each target was run. POST /fault
+// replaces the faults of all targets of the process; see TargetFaults for the members.
 #include <map>
 #include <memory>
 #include <mutex>
 #include <vector>
 
 #include "fakes/common/fake_program.h"
-#include "http/http_client.h"
-#include "http/http_server.h"
+#include "fakes/target/raw_server.h"
 
 namespace pomelopond::fakes {
 namespace {
 
-constexpr int64_t kMaxBodyBytes = 8 << 20;
 constexpr int64_t kMaxServiceMs = 600000;
 constexpr int64_t kMaxCount = 1000000000;
-constexpr int kThreads = 4;
+constexpr Duration kUnaskedDelay = std::chrono::milliseconds(20);
 
+// Each count is of requests that are still to be treated so. All of these requests are run.
 struct TargetFaults {
   Duration service_time{};
-  int64_t lose_answers = 0;  // that many next requests are run and answered only after 1 hour
-  bool refuse = false;       // answer 503 without running
-  bool leaving = false;      // say so in every answer
+  int64_t lose_answers = 0;      // never answered
+  int64_t close_answers = 0;     // the connection is closed without an answer
+  int64_t cut_answers = 0;       // the connection is closed in the middle of the body
+  int64_t garble_answers = 0;    // the answer is not HTTP
+  int64_t unasked_answers = 0;   // a second answer follows on the kept-alive connection
+  int64_t redirect_answers = 0;  // 307 to the same path
+  bool refuse = false;           // answer 503 without running
+  bool leaving = false;          // say so in every answer
+  std::string only;              // `refuse` and `leaving` concern this endpoint only, if set
 };
 
+enum class AnswerKind { kWhole, kLost, kClosed, kCut, kGarbled, kUnasked, kRedirect };
+
 struct FakeTarget {
   std::mutex mutex;  // guards all members below
   TargetFaults faults;
-  std::map<std::string, int64_t> runs;      // by X-Request-Id
-  std::map<std::string, int64_t> running;   // by target
-  std::map<std::string, int64_t> max_seen;  // most requests at once, by target
+  std::map<std::string, int64_t> runs;               // by X-Request-Id
+  std::map<std::string, int64_t> runs_by_target;     // by endpoint
+  std::map<std::string, int64_t> arrived_by_target;  // by endpoint, also refused ones
+  std::map<std::string, int64_t> running;            // by endpoint
+  std::map<std::string, int64_t> max_seen;           // most requests at once, by endpoint
 };
 
 http::HttpResponse SetFaults(FakeTarget* fake, const std::string& body) {
@@ -43,8 +52,14 @@
   TargetFaults faults;
   faults.service_time = std::chrono::milliseconds(reader.IntOr("service_ms", 0, kMaxServiceMs, 0));
   faults.lose_answers = reader.IntOr("lose_answers", 0, kMaxCount, 0);
+  faults.close_answers = reader.IntOr("close_answers", 0, kMaxCount, 0);
+  faults.cut_answers = reader.IntOr("cut_answers", 0, kMaxCount, 0);
+  faults.garble_answers = reader.IntOr("garble_answers", 0, kMaxCount, 0);
+  faults.unasked_answers = reader.IntOr("unasked_answers", 0, kMaxCount, 0);
+  faults.redirect_answers = reader.IntOr("redirect_answers", 0, kMaxCount, 0);
   faults.refuse = reader.BoolOr("refuse", false);
   faults.leaving = reader.BoolOr("leaving", false);
+  faults.only = reader.StringOr("only", "");
   reader.Finish();
   if (!errors.empty()) return http::ErrorResponse(ResultCode::kBadField, ToString(errors));
   const std::lock_guard<std::mutex> lock(fake->mutex);
@@ -54,49 +69,103 @@
 
 http::HttpResponse Counts(FakeTarget* fake) {
   const std::lock_guard<std::mutex> lock(fake->mutex);
-  return http::JsonResponse(200, {{"runs", fake->runs}, {"max_running", fake->max_seen}});
+  return http::JsonResponse(200, {{"runs", fake->runs},
+                                  {"runs_by_target", fake->runs_by_target},
+                                  {"arrived_by_target", fake->arrived_by_target},
+                                  {"max_running", fake->max_seen}});
 }
 
-void Run(FakeTarget* fake, const std::string& target, const http::HttpRequest& request,
-         const http::Reply& reply) {
-  Duration delay;
-  bool lose = false;
-  bool leaving = false;
-  {
-    const std::lock_guard<std::mutex> lock(fake->mutex);
-    leaving = fake->faults.leaving;
-    if (fake->faults.refuse) return reply(http::JsonResponse(503, {{"error", "refused"}}));
-    fake->runs[http::HeaderOf(request.headers, "X-Request-Id")] += 1;
-    int64_t& running = fake->running[target];
-    running += 1;
-    fake->max_seen[target] = std::max(fake->max_seen[target], running);
-    delay = fake->faults.service_time;
-    lose = fake->faults.lose_answers > 0;
-    if (lose) fake->faults.lose_answers -= 1;
-  }
-  http::HttpResponse response =
-      http::JsonResponse(200, {{"target", target},
-                               {"request_id", http::HeaderOf(request.headers, "X-Request-Id")},
-                               {"echo_bytes", request.body.size()}});
-  if (leaving) response.headers[http::kLeavingHeader] = "1";
-  if (lose) delay = std::chrono::hours(1);
-  const auto finish = [fake, target, reply, response] {
-    {
-      const std::lock_guard<std::mutex> lock(fake->mutex);
-      fake->running[target] -= 1;
+bool Take(int64_t* count) {
+  if (*count == 0) return false;
+  *count -= 1;
+  return true;
+}
+
+AnswerKind NextKind(TargetFaults* faults) {
+  if (Take(&faults->lose_answers)) return AnswerKind::kLost;
+  if (Take(&faults->close_answers)) return AnswerKind::kClosed;
+  if (Take(&faults->cut_answers)) return AnswerKind::kCut;
+  if (Take(&faults->garble_answers)) return AnswerKind::kGarbled;
+  if (Take(&faults->unasked_answers)) return AnswerKind::kUnasked;
+  if (Take(&faults->redirect_answers)) return AnswerKind::kRedirect;
+  return AnswerKind::kWhole;
+}
+
+void Spoil(AnswerKind kind, const http::HttpRequest& request, RawAnswer* answer) {
+  switch (kind) {
+    case AnswerKind::kWhole:
+      return;
+    case AnswerKind::kLost:
+      answer->never = true;
+      return;
+    case AnswerKind::kClosed:
+      answer->bytes.clear();
+      answer->close = true;
+      return;
+    case AnswerKind::kCut:
+      answer->bytes.resize(answer->bytes.size() - 3);
+      answer->close = true;
+      return;
+    case AnswerKind::kGarbled:
+      answer->bytes = "garbage\r\n\r\n";
+      answer->close = true;
+      return;
+    case AnswerKind::kUnasked:
+      answer->unasked_bytes = answer->bytes;
+      answer->unasked_delay = kUnaskedDelay;
+      return;
+    case AnswerKind::kRedirect: {
+      http::HttpResponse response;
+      response.status = 307;
+      response.headers["Location"] = request.path;
+      answer->bytes = ToBytes(response);
+      return;
     }
-    reply(response);
+  }
+}
+
+RawAnswer Run(FakeTarget* fake, const std::string& target, const http::HttpRequest& request) {
+  const std::string id = http::HeaderOf(request.headers, "X-Request-Id");
+  const std::lock_guard<std::mutex> lock(fake->mutex);
+  TargetFaults& faults = fake->faults;
+  fake->arrived_by_target[target] += 1;
+  const bool concerned = faults.only.empty() || faults.only == target;
+  RawAnswer answer;
+  http::HttpResponse response = http::JsonResponse(
+      200, {{"target", target}, {"request_id", id}, {"echo_bytes", request.body.size()}});
+  if (faults.leaving && concerned) response.headers[http::kLeavingHeader] = "1";
+  if (faults.refuse && concerned) {
+    response.status = 503;
+    response.body = R"({"error":"refused"})";
+    answer.bytes = ToBytes(response);
+    return answer;
+  }
+  fake->runs[id] += 1;
+  fake->runs_by_target[target] += 1;
+  int64_t& running = fake->running[target];
+  running += 1;
+  fake->max_seen[target] = std::max(fake->max_seen[target], running);
+  answer.delay = faults.service_time;
+  answer.bytes = ToBytes(response);
+  answer.done = [fake, target] {
+    const std::lock_guard<std::mutex> done_lock(fake->mutex);
+    fake->running[target] -= 1;
   };
-  if (delay == Duration::zero()) return finish();
-  http::RunAfter(delay, finish);
+  Spoil(NextKind(&faults), request, &answer);
+  return answer;
 }
 
-void Serve(FakeTarget* fake, const std::string& target, const http::HttpRequest& request,
-           const http::Reply& reply) {
+RawAnswer Serve(FakeTarget* fake, const std::string& target, const http::HttpRequest& request) {
   const std::string path = http::PathOf(request);
-  if (path == "/fault") return reply(SetFaults(fake, request.body));
-  if (path == "/counts") return reply(Counts(fake));
-  Run(fake, target, request, reply);
+  RawAnswer answer;
+  if (path == "/fault") {
+    answer.bytes = ToBytes(SetFaults(fake, request.body));
+  } else if (path == "/counts") {
+    answer.bytes = ToBytes(Counts(fake));
+  } else {
+    answer = Run(fake, target, request);
+  }
+  return answer;
 }
 
 int Main(int argc, char** argv) {
@@ -107,22 +176,18 @@
       "service-ms", "service time", cxxopts::value<int64_t>()->default_value("0"));
   const auto args = ParseArguments(&options, argc, argv);
   if (!args || args->count("listen") == 0) return kExitUsage;
-  http::InitThreads(kThreads);
   FakeTarget fake;
   fake.faults.service_time = std::chrono::milliseconds((*args)["service-ms"].as<int64_t>());
-  std::vector<std::unique_ptr<http::HttpServer>> servers;
+  std::vector<std::unique_ptr<RawServer>> servers;
   for (const std::string& it : (*args)["listen"].as<std::vector<std::string>>()) {
     const Result<Endpoint> endpoint = ParseEndpoint(it);
     if (!endpoint.ok()) return kExitUsage;
-    servers.push_back(std::make_unique<http::HttpServer>(
-        endpoint.value, kMaxBodyBytes,
-        [&fake, it](const http::HttpRequest& request, const http::Reply& reply) {
-          Serve(&fake, it, request, reply);
-        }));
-    if (servers.back()->Start()) return kExitFailure;
+    servers.push_back(std::make_unique<RawServer>(
+        endpoint.value,
+        [&fake, it](const http::HttpRequest& request) { return Serve(&fake, it, request); }));
+    if (!servers.back()->Start()) return kExitFailure;
   }
   ServeUntilStopped();
-  for (const auto& it : servers) it->Stop(Duration::zero());
   return kExitOk;
 }
 
--- /dev/null
+++ b/tests/failure/request_once_test.cc
@@ -0,0 +1,229 @@
+// Failure tests of requests that must run at most once. The judge is the target's own count.
+#include <gtest/gtest.h>
+#include <signal.h>
+
+#include <thread>
+
+#include "tests/support/cluster.h"
+#include "tests/support/once.h"
+
+namespace pomelopond::support {
+namespace {
+
+constexpr const char* kBuy = "/v1/services/svc/buy";
+constexpr Duration kLong = std::chrono::seconds(60);
+constexpr Duration kShort = std::chrono::milliseconds(400);
+
+using Names = std::vector<std::string>;
+
+struct RequestOnceTest : testing::Test {
+  void Start(int net, int64_t service_ms = 1) {
+    ClusterOptions options;
+    options.net = net;
+    options.service_ms = service_ms;
+    cluster = std::make_unique<Cluster>(options);
+    cluster->StartStandIns();
+    for (int n = 0; n < cluster->entry_hosts(); ++n) {
+      for (const char* it : {"admin", "router", "scheduler"}) cluster->StartProgram(it, n);
+    }
+    ASSERT_TRUE(cluster->PutDefaultReleaseInForce());
+  }
+
+  // Sends the request through all routers at once and waits for all answers.
+  std::vector<http::HttpResult> SendThroughAll(const std::string& id, const std::string& token,
+                                               Duration deadline) {
+    std::vector<http::HttpResult> results(static_cast<size_t>(cluster->entry_hosts()));
+    std::vector<std::thread> threads;
+    for (int n = 0; n < cluster->entry_hosts(); ++n) {
+      threads.emplace_back([this, n, &results, &id, &token, deadline] {
+        results[static_cast<size_t>(n)] =
+            SendWithToken(cluster->Router(n), kBuy, id, token, deadline, &log);
+      });
+    }
+    for (std::thread& it : threads) it.join();
+    return results;
+  }
+
+  int64_t RunsOf(const std::string& id) const {
+    const Json counts = Get(cluster->Targets().front(), "/counts");
+    return counts.is_null() ? 0 : counts["runs"].value(id, int64_t{0});
+  }
+
+  bool RouterIsReady(int n) const {
+    return Send(cluster->Router(n), "GET", "/readyz").response.status == 200;
+  }
+
+  void ExpectNoViolation() const {
+    const Json counts = Get(cluster->Targets().front(), "/counts");
+    ASSERT_FALSE(counts.is_null());
+    const Verdict verdict = Judge(log.All(), counts["runs"]);
+    EXPECT_EQ(verdict.run_twice, Names{});
+    EXPECT_EQ(verdict.false_not_run, Names{});
+    EXPECT_EQ(verdict.false_done, Names{});
+  }
+
+  std::unique_ptr<Cluster> cluster;
+  OutcomeLog log;
+};
+
+// Guards against two routers, or one router twice, dispatching duplicates of one request.
+TEST_F(RequestOnceTest, DuplicatesThroughAllRoutersRunOnceAndGetTheSameAnswer) {
+  Start(110, 20);
+  for (int n = 0; n < 30; ++n) {
+    const std::string id = "buy-" + std::to_string(n);
+    const std::string token = FetchToken(cluster->Router(n % 3), kBuy);
+    ASSERT_FALSE(token.empty());
+    const std::vector<http::HttpResult> results = SendThroughAll(id, token, kLong);
+    const http::HttpResult again =
+        SendWithToken(cluster->Router((n + 1) % 3), kBuy, id, token, kLong, &log);
+    for (const http::HttpResult& it : results) {
+      EXPECT_EQ(it.response.status, 200) << it.response.body;
+      EXPECT_EQ(it.response.body, again.response.body);
+    }
+    EXPECT_EQ(RunsOf(id), 1);
+  }
+  ExpectNoViolation();
+}
+
+// Guards against a repeat by the router or its HTTP library when the target has run the request
+// but the answer is lost, cut, malformed or a redirect to another address.
+TEST_F(RequestOnceTest, TargetsThatDoNotAnswerGetTheRequestOnce) {
+  Start(111);
+  const char* faults[] = {"lose_answers", "close_answers", "cut_answers", "garble_answers",
+                          "redirect_answers"};
+  for (const char* fault : faults) {
+    for (int n = 0; n < 6; ++n) {
+      const std::string id = std::string(fault) + "-" + std::to_string(n);
+      const std::string token = FetchToken(cluster->Router(n % 3), kBuy);
+      ASSERT_FALSE(token.empty());
+      ASSERT_TRUE(SetFault(cluster->Targets().front(), {{fault, 1}}));
+      SendThroughAll(id, token, std::chrono::seconds(2));
+      EXPECT_EQ(RunsOf(id), 1) << id;
+    }
+  }
+  ExpectNoViolation();
+}
+
+// Guards against a replacement of a killed router dispatching requests that the killed one may
+// have dispatched, and against "not run" for these.
+TEST_F(RequestOnceTest, KilledRouterLeavesItsOpenTokensUnknown) {
+  Start(112, 300);
+  for (int round = 0; round < 3; ++round) {
+    std::vector<std::pair<std::string, std::string>> open;
+    for (int n = 0; n < 8; ++n) {
+      const std::string id = "buy-" + std::to_string(round) + "-" + std::to_string(n);
+      open.emplace_back(id, FetchToken(cluster->Router(0), kBuy));
+      ASSERT_FALSE(open.back().second.empty());
+    }
+    std::vector<std::thread> threads;
+    // The last two tokens are not used before the kill.
+    for (size_t n = 0; n + 2 < open.size(); ++n) {
+      threads.emplace_back([this, n, &open] {
+        SendWithToken(cluster->Router(static_cast<int>(n % 3)), kBuy, open[n].first, open[n].second,
+                      kLong, &log);
+      });
+    }
+    EXPECT_TRUE(WaitUntil([this, &open] { return RunsOf(open[0].first) == 1; }));
+    cluster->ProgramOf("router", 0).Kill();
+    for (std::thread& it : threads) it.join();
+    for (const auto& [id, token] : open) {
+      const http::HttpResult result =
+          SendWithToken(cluster->Router(1), kBuy, id, token, kLong, &log);
+      EXPECT_EQ(http::HeaderOf(result.response.headers, http::kOutcomeHeader), "unknown");
+    }
+    cluster->StartProgram("router", 0);
+    ASSERT_TRUE(WaitUntil([this] { return RouterIsReady(0); }));
+    for (const auto& [id, token] : open) {
+      for (const http::HttpResult& it : SendThroughAll(id, token, kLong)) {
+        EXPECT_EQ(http::HeaderOf(it.response.headers, http::kOutcomeHeader), "unknown");
+      }
+    }
+  }
+  ExpectNoViolation();
+}
+
+// Guards against a second dispatch when the issuing router is paused past the deadline of its
+// requests, the callers repeat them elsewhere, and it resumes.
+TEST_F(RequestOnceTest, PausedRouterRunsItsRequestsAtMostOnce) {
+  Start(113, 50);
+  for (int round = 0; round < 4; ++round) {
+    std::vector<std::pair<std::string, std::string>> open;
+    for (int n = 0; n < 6; ++n) {
+      const std::string id = "buy-" + std::to_string(round) + "-" + std::to_string(n);
+      open.emplace_back(id, FetchToken(cluster->Router(0), kBuy));
+      ASSERT_FALSE(open.back().second.empty());
+    }
+    std::vector<std::thread> threads;
+    for (size_t n = 0; n < open.size(); ++n) {
+      threads.emplace_back([this, n, &open] {
+        SendWithToken(cluster->Router(static_cast<int>(n % 3)), kBuy, open[n].first, open[n].second,
+                      kShort, &log);
+      });
+    }
+    cluster->ProgramOf("router", 0).Signal(SIGSTOP);
+    std::this_thread::sleep_for(2 * kShort);
+    for (const auto& [id, token] : open) {
+      SendWithToken(cluster->Router(1), kBuy, id, token, kShort, &log);
+    }
+    cluster->ProgramOf("router", 0).Signal(SIGCONT);
+    for (std::thread& it : threads) it.join();
+    ASSERT_TRUE(WaitUntil([this] { return RouterIsReady(0); }));
+    for (const auto& [id, token] : open) SendThroughAll(id, token, kLong);
+  }
+  ExpectNoViolation();
+}
+
+// Guards against "not run" for a token that its issuer may have dispatched: said by a router that
+// does not know the issuer, or because of a forwarding header that the caller itself has set.
+TEST_F(RequestOnceTest, RouterThatCannotAskTheIssuerNeverSaysNotRun) {
+  Start(114);
+  const std::string token = FetchToken(cluster->Router(0), kBuy);
+  EXPECT_EQ(SendWithToken(cluster->Router(0), kBuy, "a", token, kLong, &log).response.status, 200);
+  const http::HttpResult forwarded = SendWithToken(cluster->Router(1), kBuy, "a", token, kLong,
+                                                   &log, {{http::kForwardedHeader, "1"}});
+  EXPECT_EQ(http::HeaderOf(forwarded.response.headers, http::kOutcomeHeader), "unknown");
+  // As a host that was removed from the settings after it had issued the token.
+  const std::string removed = "entry-9" + token.substr(token.find('.'));
+  const http::HttpResult foreign =
+      SendWithToken(cluster->Router(1), kBuy, "a", removed, kLong, &log);
+  EXPECT_EQ(http::HeaderOf(foreign.response.headers, http::kOutcomeHeader), "unknown");
+  EXPECT_TRUE(http::HeaderOf(foreign.response.headers, http::kTokenHeader).empty());
+  ExpectNoViolation();
+}
+
+// Guards against a duplicate that waits for the first request beyond its own deadline.
+TEST_F(RequestOnceTest, WaitingDuplicateIsAnsweredAtItsOwnDeadline) {
+  Start(115);
+  ASSERT_TRUE(SetFault(cluster->Targets().front(), {{"lose_answers", 1}}));
+  const std::string token = FetchToken(cluster->Router(0), kBuy);
+  std::thread first(
+      [this, &token] { SendWithToken(cluster->Router(0), kBuy, "a", token, kLong, &log); });
+  EXPECT_TRUE(WaitUntil([this] { return RunsOf("a") == 1; }));
+  const http::HttpResult duplicate =
+      SendWithToken(cluster->Router(0), kBuy, "a", token, kShort, &log);
+  EXPECT_EQ(http::HeaderOf(duplicate.response.headers, http::kOutcomeHeader), "unknown");
+  cluster->StandIn("fake-target").Signal(SIGTERM);  // ends the first request
+  first.join();
+  for (const auto& [id, outcomes] : log.All()) {
+    for (const std::string& it : outcomes) EXPECT_EQ(it, "unknown");
+  }
+}
+
+// Guards against "not run" for a request whose first attempt was sent, when later attempts find no
+// target.
+TEST_F(RequestOnceTest, RefusalOfALaterAttemptDoesNotSayNotRun) {
+  Start(116, 30000);
+  http::HttpResult result;
+  std::thread caller([this, &result] {
+    result = Send(cluster->Router(0), "POST", "/v1/services/svc/quote", "", {{"X-Request-Id", "a"}},
+                  kLong);
+  });
+  EXPECT_TRUE(WaitUntil([this] { return RunsOf("a") == 1; }));
+  cluster->StandIn("fake-target").Kill();
+  caller.join();
+  EXPECT_EQ(http::HeaderOf(result.response.headers, http::kOutcomeHeader), "unknown")
+      << result.response.body;
+}
+
+}  // namespace
+}  // namespace pomelopond::support
--- /dev/null
+++ b/tests/support/once.cc
@@ -0,0 +1,63 @@
+#include "tests/support/once.h"
+
+#include <algorithm>
+
+namespace pomelopond::support {
+namespace {
+
+// A caller waits a little longer than its deadline, so that the router's answer can reach it.
+constexpr Duration kCallerPatience = std::chrono::seconds(10);
+
+bool Has(const std::vector<std::string>& outcomes, const std::string& outcome) {
+  return std::find(outcomes.begin(), outcomes.end(), outcome) != outcomes.end();
+}
+
+}  // namespace
+
+std::string FetchToken(const Endpoint& router, const std::string& service_path) {
+  const http::HttpResult result = Send(router, "POST", service_path);
+  return result.ec ? "" : http::HeaderOf(result.response.headers, http::kTokenHeader);
+}
+
+void OutcomeLog::Add(const std::string& id, const std::string& outcome) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  outcomes_[id].push_back(outcome);
+}
+
+std::map<std::string, std::vector<std::string>> OutcomeLog::All() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return outcomes_;
+}
+
+Verdict Judge(const std::map<std::string, std::vector<std::string>>& outcomes, const Json& runs) {
+  Verdict verdict;
+  for (const auto& [id, list] : outcomes) {
+    const int64_t n = runs.value(id, int64_t{0});
+    const bool done = Has(list, "done");
+    const bool not_run = Has(list, "not-run");
+    if (n > 1) verdict.run_twice.push_back(id);
+    if (not_run && n > 0) verdict.false_not_run.push_back(id);
+    if (done && n == 0) verdict.false_done.push_back(id);
+    verdict.requests += 1;
+    verdict.done += done ? 1 : 0;
+    verdict.not_run += not_run ? 1 : 0;
+    verdict.unknown += done || not_run ? 0 : 1;
+  }
+  return verdict;
+}
+
+http::HttpResult SendWithToken(const Endpoint& router, const std::string& service_path,
+                               const std::string& id, const std::string& token, Duration deadline,
+                               OutcomeLog* log, const http::Headers& more) {
+  http::Headers headers = more;
+  headers["X-Request-Id"] = id;
+  headers[http::kKeyHeader] = token;
+  headers[http::kTimeoutHeader] =
+      std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(deadline).count());
+  http::HttpResult result =
+      Send(router, "POST", service_path, id, headers, deadline + kCallerPatience);
+  log->Add(id, result.ec ? "" : http::HeaderOf(result.response.headers, http::kOutcomeHeader));
+  return result;
+}
+
+}  // namespace pomelopond::support
