Keep answers of one request from another on kept-alive connections

Cause: the HTTP library follows up to 10 redirects by itself, takes an unasked second answer on a pooled connection for the answer to the next request, and ends calls after 30 s whatever their deadline.

Change: each library client serves one call at a time; its connection is reused only after a whole answer and while no byte has arrived on it. No redirects. The library's timeout is 11 minutes, the deadline governs. A send-once call fails when the library tries to send it again.

The connection of a timed-out call was closed before as well.

Conclusion: bytes that arrive while a connection is idle cannot reach a caller; bytes after the next send cannot be told apart and are not covered.

--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -2,10 +2,15 @@
 
 #include <cpprest/http_client.h>
 #include <pplx/threadpool.h>
+#include <sys/socket.h>
 
 #include <atomic>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cerrno>
+#include <deque>
 #include <future>
+#include <mutex>
 
 namespace pomelopond::http {
 namespace {
@@ -13,6 +18,51 @@
 using web::http::http_request;
 using web::http::http_response;
 
+// The library's own timeout of 30 s would cut calls whose deadline is later; the timer of each Call
+// governs. Longer than the longest deadline of a caller, 10 minutes.
+constexpr std::chrono::minutes kLibraryTimeout{11};
+
+using LibraryClient = web::http::client::http_client;
+
+// A client object of the library that serves one call at a time, and the socket it used last.
+struct Line {
+  std::shared_ptr<LibraryClient> client;
+  std::shared_ptr<std::atomic<int>> socket;
+};
+
+// The library announces each send, also its own repeats, with the socket before it writes. Throwing
+// there makes the call fail without a send.
+Line MakeLine(const std::string& uri, bool once) {
+  Line line;
+  line.socket = std::make_shared<std::atomic<int>>(-1);
+  const auto sends = std::make_shared<std::atomic<int>>(0);
+  web::http::client::http_client_config config;
+  config.set_timeout(kLibraryTimeout);
+  // A redirect would be a second send, to an address of the answer's choice.
+  config.set_max_redirects(0);
+  config.set_nativehandle_options(
+      [socket = line.socket, sends, once](web::http::client::native_handle handle) {
+        if (once && sends->fetch_add(1) > 0)
+          throw std::runtime_error("repeat of a send-once request");
+        auto* it = static_cast<boost::asio::ip::tcp::socket*>(handle);
+        // A new connection has no socket yet; the library uses one that is open already.
+        if (!it->is_open()) it->open(boost::asio::ip::tcp::v4());
+        socket->store(it->native_handle());
+      });
+  line.client = std::make_shared<LibraryClient>(uri, config);
+  return line;
+}
+
+// False when the server has closed the idle connection or has sent bytes that nobody asked for: a
+// late or doubled answer, which would be taken for the answer to the next request. Also false when
+// the library has closed the socket. The check is by number, so it may see another connection that
+// got the number since; the worst effect is a needless new connection.
+bool IsQuiet(const Line& line) {
+  char byte = 0;
+  const ssize_t n = recv(line.socket->load(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 // One call: its deadline and the guarantee that `done` runs once.
 struct Call {
   explicit Call(HttpDone on_done)
@@ -74,8 +124,8 @@
   return result;
 }
 
-void Start(const std::shared_ptr<web::http::client::http_client>& client, HttpRequest request,
-           Duration timeout, HttpDone done) {
+void Start(const std::shared_ptr<LibraryClient>& client, HttpRequest request, Duration timeout,
+           HttpDone done) {
   const auto call = std::make_shared<Call>(std::move(done));
   if (timeout <= Duration::zero()) {
     call->Finish({ResultCode::kTimeout, {}});
@@ -111,12 +161,27 @@
 }  // namespace
 
 struct HttpClient::Impl {
-  explicit Impl(const Endpoint& endpoint)
-      : uri("http://" + ToString(endpoint)),
-        client(std::make_shared<web::http::client::http_client>(uri)) {}
+  explicit Impl(const Endpoint& endpoint) : uri("http://" + ToString(endpoint)) {}
+
+  Line Take() {
+    const std::lock_guard<std::mutex> lock(mutex);
+    while (!idle.empty()) {
+      Line line = std::move(idle.front());
+      idle.pop_front();
+      if (IsQuiet(line)) return line;
+    }
+    return MakeLine(uri, false);
+  }
 
-  std::string uri;
-  std::shared_ptr<web::http::client::http_client> client;
+  void GiveBack(Line line) {
+    const std::lock_guard<std::mutex> lock(mutex);
+    idle.push_back(std::move(line));
+  }
+
+  const std::string uri;
+  std::mutex mutex;  // guards idle
+  // Longest idle first: the library puts a connection back a moment after the answer was read.
+  std::deque<Line> idle;
 };
 
 HttpClient::HttpClient(const Endpoint& endpoint) : impl_(std::make_shared<Impl>(endpoint)) {}
@@ -124,14 +189,20 @@
 HttpClient::~HttpClient() = default;
 
 void HttpClient::Send(HttpRequest request, Duration timeout, HttpDone done) {
-  Start(impl_->client, std::move(request), timeout, std::move(done));
+  const Line line = impl_->Take();
+  Start(line.client, std::move(request), timeout,
+        [impl = impl_, line, done = std::move(done)](HttpResult result) {
+          // After an error an answer may still be under way, so the connection goes with its
+          // client.
+          if (!result.ec) impl->GiveBack(line);
+          done(std::move(result));
+        });
 }
 
 void HttpClient::SendOnce(HttpRequest request, Duration timeout, HttpDone done) {
   // The pool belongs to the client object, so an object of its own has no connection to reuse.
   request.headers["Connection"] = "close";
-  const auto client = std::make_shared<web::http::client::http_client>(impl_->uri);
-  Start(client, std::move(request), timeout, std::move(done));
+  Start(MakeLine(impl_->uri, true).client, std::move(request), timeout, std::move(done));
 }
 
 HttpResult HttpClient::Call(HttpRequest request, Duration timeout) {
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -29,11 +29,14 @@
   HttpClient& operator=(const HttpClient&) = delete;
 
   // Sends over a pooled connection. The library beneath sends a request again when a pooled
-  // connection turns out to be closed, so this is for idempotent requests only. `done` runs once,
-  // on a pool thread.
+  // connection turns out to be closed, so this is for idempotent requests only. A connection is
+  // reused only after a whole answer and while nothing further has arrived on it. Bytes that arrive
+  // after the next request was sent cannot be told from its answer. `done` runs once, on a pool
+  // thread.
   void Send(HttpRequest request, Duration timeout, HttpDone done);
 
-  // Sends over a connection of its own that is closed afterwards: at most one send.
+  // Sends over a connection of its own that is closed afterwards: at most one send. Redirects are
+  // answers like any other, here and in Send().
   void SendOnce(HttpRequest request, Duration timeout, HttpDone done);
 
   // Send() that waits. Must not be called on a pool thread, where it could deadlock the pool.
--- a/tests/http/http_client_test.cc
+++ b/tests/http/http_client_test.cc
@@ -17,11 +17,15 @@
 constexpr Duration kTimeout = std::chrono::seconds(20);
 
 // A server that counts the requests it reads and answers each connection's n-th request with
-// `answers[n]`, closing the connection when there is none.
+// `answers[n]`, closing the connection when there is none. `unasked` follows every answer after a
+// moment, without a request.
 class ScriptedServer {
  public:
-  ScriptedServer(const Endpoint& endpoint, std::vector<std::string> answers)
-      : answers_(std::move(answers)), socket_(socket(AF_INET, SOCK_STREAM, 0)) {
+  ScriptedServer(const Endpoint& endpoint, std::vector<std::string> answers,
+                 std::string unasked = {})
+      : answers_(std::move(answers)),
+        unasked_(std::move(unasked)),
+        socket_(socket(AF_INET, SOCK_STREAM, 0)) {
     const int on = 1;
     setsockopt(socket_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
     sockaddr_in address{};
@@ -42,6 +46,15 @@
 
   int requests() const { return requests_.load(); }
 
+  // True when `n` unasked answers have been sent.
+  bool WaitForUnasked(int n) const {
+    const TimePoint limit = Now() + kTimeout;
+    while (unasked_sent_.load() < n && Now() < limit) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    return unasked_sent_.load() >= n;
+  }
+
  private:
   void Serve() {
     for (;;) {
@@ -66,10 +79,17 @@
       requests_.fetch_add(1);
       if (n >= answers_.size()) return;
       send(connection, answers_[n].data(), answers_[n].size(), MSG_NOSIGNAL);
+      if (unasked_.empty()) continue;
+      // So that the answer above is read by itself.
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+      send(connection, unasked_.data(), unasked_.size(), MSG_NOSIGNAL);
+      unasked_sent_.fetch_add(1);
     }
   }
 
   std::vector<std::string> answers_;
+  std::string unasked_;
+  std::atomic<int> unasked_sent_{0};
   int socket_;
   std::atomic<int> requests_{0};
   std::thread thread_;
@@ -153,5 +173,72 @@
   EXPECT_EQ(server.Stop(Duration::zero()), 0);
 }
 
+// Guards against a second send to an address that the answer chooses, which the library does by
+// itself for up to 10 redirects.
+TEST(HttpClientTest, RedirectsAreNotFollowed) {
+  const Endpoint endpoint{"127.77.1.6", 7600};
+  ScriptedServer server(endpoint, {"HTTP/1.1 307 Moved\r\nLocation: /again\r\n"
+                                   "Content-Length: 0\r\n\r\n",
+                                   kGood});
+  HttpClient client(endpoint);
+  EXPECT_EQ(CallOnce(&client).response.status, 307);
+  EXPECT_EQ(client.Call({}, kTimeout).response.status, 307);
+  EXPECT_EQ(server.requests(), 2);
+}
+
+// Guards against a late or doubled answer on a kept-alive connection that is taken for the answer
+// to the next request.
+TEST(HttpClientTest, UnaskedAnswerIsNotTakenForTheNextOne) {
+  const Endpoint endpoint{"127.77.1.7", 7600};
+  ScriptedServer server(endpoint, {kGood, kGood},
+                        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate");
+  HttpClient client(endpoint);
+  for (int n = 0; n < 5; ++n) {
+    const HttpResult result = client.Call({}, kTimeout);
+    EXPECT_FALSE(result.ec);
+    EXPECT_EQ(result.response.body, "ok");
+    ASSERT_TRUE(server.WaitForUnasked(n + 1));
+  }
+}
+
+// Guards against an answer that comes after the call has timed out and reaches the next call.
+TEST(HttpClientTest, ConnectionOfATimedOutCallIsClosed) {
+  const Endpoint endpoint{"127.77.1.8", 7600};
+  std::atomic<int> served{0};
+  std::promise<Reply> held;
+  HttpServer server(endpoint, 1000, [&](const HttpRequest& it, const Reply& reply) {
+    if (served.fetch_add(1) == 1) return held.set_value(reply);
+    reply(JsonResponse(200, {{"path", it.path}}));
+  });
+  ASSERT_FALSE(server.Start());
+  HttpClient client(endpoint);
+  HttpRequest request;
+  request.path = "/first";
+  EXPECT_FALSE(client.Call(request, kTimeout).ec);  // leaves a connection in the pool
+  request.path = "/late";
+  EXPECT_EQ(client.Call(request, std::chrono::milliseconds(300)).ec, ResultCode::kTimeout);
+  held.get_future().get()(JsonResponse(200, {{"path", "/late"}}));
+  for (int n = 0; n < 10; ++n) {
+    request.path = "/next-" + std::to_string(n);
+    const HttpResult result = client.Call(request, kTimeout);
+    ASSERT_FALSE(result.ec);
+    EXPECT_EQ(result.response.body, Json({{"path", request.path}}).dump());
+  }
+}
+
+// Guards against the HTTP library's own timeout of 30 s, which would cut answers whose deadline is
+// later.
+TEST(HttpClientTest, AnswerAfterTheLibrarysOwnTimeoutIsWhole) {
+  const Endpoint endpoint{"127.77.1.9", 7600};
+  HttpServer server(endpoint, 1000, [](const HttpRequest&, const Reply& reply) {
+    RunAfter(std::chrono::seconds(32), [reply] { reply(JsonResponse(200, {{"late", true}})); });
+  });
+  ASSERT_FALSE(server.Start());
+  HttpClient client(endpoint);
+  const HttpResult result = client.Call({}, std::chrono::seconds(100));
+  EXPECT_FALSE(result.ec) << result.ec.message();
+  EXPECT_EQ(result.response.body, Json({{"late", true}}).dump());
+}
+
 }  // namespace
 }  // namespace pomelopond::http
