Follow a request's token whatever release the router holds

Cause: whether a request needs a token was read from the router's own release alone. After a note that marks the operation idempotent, a duplicate with its token was dispatched again (run twice). A router without a release yet, as after a restart, answered "not run" for requests that had run. A forwarded request with less than 1 ms left was refused as malformed.

Change: a request whose Idempotency-Key is a token goes by the token; the release decides only about a token that has not been used. The remaining time is passed on as at least 1 ms.

--- a/apps/router/router.cc
+++ b/apps/router/router.cc
@@ -138,22 +138,31 @@
   call->reply = reply;
   call->received = Now();
   call->deadline = call->received + timeout.value;
-  {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    if (release_version_ == 0) {
-      return reply(http::ErrorResponse(ResultCode::kNoRelease, "no release is in force yet"));
-    }
-    const auto it = services_.find(service);
-    if (it == services_.end()) {
-      return reply(http::ErrorResponse(ResultCode::kNotFound, "no such service: " + service));
-    }
-    const std::vector<std::string>& once = it->second.non_idempotent;
-    call->once = std::find(once.begin(), once.end(), operation) != once.end();
-  }
+  const std::string key = http::HeaderOf(request.headers, http::kKeyHeader);
+  // A token decides whatever release this router holds: another router may have dispatched the
+  // request while the operation or the service was listed, or while this one had no release.
+  call->once = routing::ParseToken(key).ok();
+  const std::optional<http::HttpResponse> refusal = CheckService(call, operation);
+  if (refusal && !call->once) return reply(*refusal);
   metrics_.Count(metrics::Labelled("requests_total", "service", service));
   if (!call->once) return Submit(call);
   const bool forwarded = !http::HeaderOf(request.headers, http::kForwardedHeader).empty();
-  HandleToken(call, http::HeaderOf(request.headers, http::kKeyHeader), forwarded);
+  HandleToken(call, key, forwarded, refusal);
+}
+
+std::optional<http::HttpResponse> Router::CheckService(const CallPtr& call,
+                                                       const std::string& operation) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (release_version_ == 0) {
+    return http::ErrorResponse(ResultCode::kNoRelease, "no release is in force yet");
+  }
+  const auto it = services_.find(call->service);
+  if (it == services_.end()) {
+    return http::ErrorResponse(ResultCode::kNotFound, "no such service: " + call->service);
+  }
+  const std::vector<std::string>& once = it->second.non_idempotent;
+  call->once = call->once || std::find(once.begin(), once.end(), operation) != once.end();
+  return std::nullopt;
 }
 
 http::HttpResponse Router::TokenNeeded() {
@@ -168,7 +177,8 @@
   return response;
 }
 
-void Router::HandleToken(const CallPtr& call, const std::string& text, bool forwarded) {
+void Router::HandleToken(const CallPtr& call, const std::string& text, bool forwarded,
+                         const std::optional<http::HttpResponse>& refusal) {
   const Result<routing::Token> token = routing::ParseToken(text);
   if (!token.ok()) return call->reply(TokenNeeded());
   if (token.value.host != own_.id) {
@@ -203,6 +213,7 @@
         reply(response);
         for (const auto& it : waiting) it(response);
       };
+      if (refusal) return call->reply(*refusal);
       return Submit(call);
     }
     case routing::TokenUse::kWait:
@@ -231,7 +242,9 @@
     request.headers[http::kForwardedHeader] = "1";
     request.headers[http::kKeyHeader] = text;
     const TimePoint now = Now();
-    request.headers[http::kTimeoutHeader] = std::to_string(MillisecondsLeft(call->deadline, now));
+    // 0 would be refused as malformed, with "not run".
+    request.headers[http::kTimeoutHeader] =
+        std::to_string(std::max<int64_t>(1, MillisecondsLeft(call->deadline, now)));
     // The token makes a repeat harmless, so a pooled connection will do.
     ClientOf(it.router)->Send(request, call->deadline - now, [call](http::HttpResult result) {
       if (!result.ec) return call->reply(std::move(result.response));
--- a/apps/router/router.h
+++ b/apps/router/router.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -48,12 +49,17 @@
     bool once = false;  // must be sent at most once
     int attempts = 0;
     bool may_have_run = false;  // an attempt was sent and not answered
-    bool started = false;  // has left the queue
+    bool started = false;       // has left the queue
   };
   using CallPtr = std::shared_ptr<Call>;
 
   void HandleService(const http::HttpRequest& request, const http::Reply& reply);
-  void HandleToken(const CallPtr& call, const std::string& text, bool forwarded);
+  // The refusal when the release in force does not offer the service; sets `once` of the call when
+  // its operation is not idempotent.
+  std::optional<http::HttpResponse> CheckService(const CallPtr& call, const std::string& operation);
+  // `refusal` is the answer when the token has not been used before.
+  void HandleToken(const CallPtr& call, const std::string& text, bool forwarded,
+                   const std::optional<http::HttpResponse>& refusal);
   void Forward(const CallPtr& call, const std::string& host, const std::string& text);
   http::HttpResponse TokenNeeded();
   http::HttpResponse Ready();
--- a/tests/failure/request_once_test.cc
+++ b/tests/failure/request_once_test.cc
@@ -225,5 +225,44 @@
       << result.response.body;
 }
 
+// Guards against "not run" for a duplicate by a router that has no release yet, as after a restart.
+TEST_F(RequestOnceTest, RouterWithoutAReleaseFollowsTheToken) {
+  Start(124);
+  const std::string own = FetchToken(cluster->Router(1), kBuy);
+  const std::string token = FetchToken(cluster->Router(0), kBuy);
+  EXPECT_EQ(SendWithToken(cluster->Router(1), kBuy, "a", own, kLong, &log).response.status, 200);
+  EXPECT_EQ(SendWithToken(cluster->Router(0), kBuy, "b", token, kLong, &log).response.status, 200);
+  cluster->ProgramOf("admin", 1).Kill();
+  cluster->ProgramOf("router", 1).Kill();
+  cluster->StartProgram("router", 1);
+  EXPECT_TRUE(WaitUntil([this] { return !Get(cluster->Router(1), "/healthz").is_null(); }));
+  const http::HttpResult gone = SendWithToken(cluster->Router(1), kBuy, "a", own, kLong, &log);
+  EXPECT_EQ(http::HeaderOf(gone.response.headers, http::kOutcomeHeader), "unknown");
+  const http::HttpResult forwarded =
+      SendWithToken(cluster->Router(1), kBuy, "b", token, kLong, &log);
+  EXPECT_EQ(forwarded.response.status, 200) << forwarded.response.body;
+  ExpectNoViolation();
+}
+
+// Guards against a duplicate that is dispatched again because a newer release calls its operation
+// idempotent, or refused as "not run" because the service was withdrawn.
+TEST_F(RequestOnceTest, TokenHoldsWhenTheReleaseChanges) {
+  Start(125);
+  const std::string token = FetchToken(cluster->Router(0), kBuy);
+  EXPECT_EQ(SendWithToken(cluster->Router(0), kBuy, "a", token, kLong, &log).response.status, 200);
+  ASSERT_TRUE(WaitUntil([this] {
+    return cluster->ApplyNote(
+        {{"base", 1},
+         {"author", "test"},
+         {"change",
+          {{"services", {{"svc", {{"team", "team"}, {"non_idempotent", Json::array()}}}}}}}});
+  }));
+  EXPECT_TRUE(WaitUntil([this] { return FetchToken(cluster->Router(0), kBuy).empty(); }));
+  for (const http::HttpResult& it : SendThroughAll("a", token, kLong)) {
+    EXPECT_EQ(it.response.status, 200) << it.response.body;
+  }
+  ExpectNoViolation();
+}
+
 }  // namespace
 }  // namespace pomelopond::support
