Match answers to requests and close callers' connections while stopping

Cause: a doubled answer that arrived after the next request was sent was taken for its answer. The listener cuts a request that arrives while it closes, and kept-alive callers send until that moment.

A connection is reused only when the answer repeats the name, and an answer with another name is an error; targets without the echo get a connection per request. While stopping, each answer closes its connection, a request counts as in flight until its answer is written, and the listener closes after 300 ms without a request.

--- a/apps/router/main.cc
+++ b/apps/router/main.cc
@@ -45,6 +45,7 @@
     router.UpdateHosts(feed.hosts());
   }
   router.BeginStop();
+  server.BeginStop();
   Log(LogLevel::kInfo, "main", "stopping", {{"in_flight", server.InFlight()}});
   // The balancer needs this long to see /readyz and to send new requests elsewhere.
   const TimePoint closing = Now() + settings.drain_grace;
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -28,6 +28,7 @@
 struct Line {
   std::shared_ptr<LibraryClient> client;
   std::shared_ptr<std::atomic<int>> socket;
+  int64_t calls = 0;  // answered so far
 };
 
 // The library announces each send, also its own repeats, with the socket before it writes. Throwing
@@ -161,7 +162,8 @@
 }  // namespace
 
 struct HttpClient::Impl {
-  explicit Impl(const Endpoint& endpoint) : uri("http://" + ToString(endpoint)) {}
+  Impl(const Endpoint& endpoint, Reuse the_reuse)
+      : uri("http://" + ToString(endpoint)), reuse(the_reuse) {}
 
   Line Take() {
     const std::lock_guard<std::mutex> lock(mutex);
@@ -174,27 +176,42 @@
   }
 
   void GiveBack(Line line) {
+    line.calls += 1;
     const std::lock_guard<std::mutex> lock(mutex);
     idle.push_back(std::move(line));
   }
 
   const std::string uri;
+  const Reuse reuse;
   std::mutex mutex;  // guards idle
   // Longest idle first: the library puts a connection back a moment after the answer was read.
   std::deque<Line> idle;
 };
 
-HttpClient::HttpClient(const Endpoint& endpoint) : impl_(std::make_shared<Impl>(endpoint)) {}
+HttpClient::HttpClient(const Endpoint& endpoint, Reuse reuse)
+    : impl_(std::make_shared<Impl>(endpoint, reuse)) {}
 
 HttpClient::~HttpClient() = default;
 
 void HttpClient::Send(HttpRequest request, Duration timeout, HttpDone done) {
+  static std::atomic<int64_t> next_name{1};
+  const std::string name = std::to_string(next_name.fetch_add(1));
   const Line line = impl_->Take();
+  if (impl_->reuse == Reuse::kEchoed) request.headers[kRequestHeader] = name;
   Start(line.client, std::move(request), timeout,
-        [impl = impl_, line, done = std::move(done)](HttpResult result) {
+        [impl = impl_, line, name, done = std::move(done)](HttpResult result) {
+          bool reusable = !result.ec;
+          if (impl->reuse == Reuse::kEchoed) {
+            const std::string echo = HeaderOf(result.response.headers, kRequestHeader);
+            result.response.headers.erase(kRequestHeader);
+            reusable = reusable && echo == name;
+            // Without an echo the connection is new, since it is not reused after such an answer.
+            const bool foreign = echo.empty() ? line.calls > 0 : echo != name;
+            if (!result.ec && foreign) result = {ResultCode::kTruncatedAnswer, {}};
+          }
           // After an error an answer may still be under way, so the connection goes with its
           // client.
-          if (!result.ec) impl->GiveBack(line);
+          if (reusable) impl->GiveBack(line);
           done(std::move(result));
         });
 }
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -21,18 +21,27 @@
 
 using HttpDone = std::function<void(HttpResult)>;
 
+// When a kept-alive connection may carry another request.
+enum class Reuse {
+  // After a whole answer, while nothing further has arrived. A doubled answer that arrives after
+  // the
+  // next request was sent would be taken for its answer.
+  kQuiet,
+  // Only if, besides, the answer repeats the request's kRequestHeader. An answer that names another
+  // request is an error. For servers that are not trusted to answer each request once.
+  kEchoed,
+};
+
 class HttpClient {
  public:
-  explicit HttpClient(const Endpoint& endpoint);
+  explicit HttpClient(const Endpoint& endpoint, Reuse reuse = Reuse::kQuiet);
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
   // Sends over a pooled connection. The library beneath sends a request again when a pooled
-  // connection turns out to be closed, so this is for idempotent requests only. A connection is
-  // reused only after a whole answer and while nothing further has arrived on it. Bytes that arrive
-  // after the next request was sent cannot be told from its answer. `done` runs once, on a pool
-  // thread.
+  // connection turns out to be closed, so this is for idempotent requests only. `done` runs once,
+  // on a pool thread.
   void Send(HttpRequest request, Duration timeout, HttpDone done);
 
   // Sends over a connection of its own that is closed afterwards: at most one send. Redirects are
--- a/src/http/http_message.h
+++ b/src/http/http_message.h
@@ -24,6 +24,9 @@
 inline constexpr const char* kCallerHeader = "Pomelopond-Caller";
 inline constexpr const char* kKeyHeader = "Idempotency-Key";
 inline constexpr const char* kTimeoutHeader = "Request-Timeout-Ms";
+// Names a request on its connection; a server that repeats it in the answer allows reuse of the
+// connection, see HttpClient.
+inline constexpr const char* kRequestHeader = "Pomelopond-Request";
 
 struct HttpRequest {
   std::string method = "GET";
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -13,24 +13,33 @@
 using web::http::http_response;
 
 constexpr Duration kStopPoll = std::chrono::milliseconds(5);
-// Time for the library to write responses that were just handed over.
-constexpr Duration kFlushTime = std::chrono::milliseconds(50);
+// Closing the listener cuts a request that arrives in that moment, so it closes only after no
+// request has arrived for this long.
+constexpr Duration kQuietTime = std::chrono::milliseconds(300);
 
-void Send(const http_request& request, HttpResponse response) {
+// Calls `written` when the response has been written or its connection is gone.
+void Send(const http_request& request, HttpResponse response, bool last,
+          std::function<void()> written) {
   http_response out(static_cast<web::http::status_code>(response.status));
   for (const auto& [name, value] : response.headers) {
     if (strcasecmp(name.c_str(), "Content-Length") == 0) continue;
+    if (last && strcasecmp(name.c_str(), "Connection") == 0) continue;
+    if (strcasecmp(name.c_str(), kRequestHeader) == 0) continue;
     out.headers().add(name, value);
   }
+  if (last) out.headers().add("Connection", "close");
+  const auto name = request.headers().find(kRequestHeader);
+  if (name != request.headers().end()) out.headers().add(name->first, name->second);
   const std::string type = HeaderOf(response.headers, "Content-Type");
   out.set_body(std::move(response.body), type.empty() ? "application/octet-stream" : type);
   // The peer may be gone; its error must be observed or the library ends the process.
-  request.reply(out).then([](const pplx::task<void>& task) {
+  request.reply(out).then([written = std::move(written)](const pplx::task<void>& task) {
     try {
       task.get();
     } catch (const std::exception&) {
-      return;
+      return written();
     }
+    written();
   });
 }
 
@@ -53,24 +62,32 @@
 
 void InitThreads(int n) { crossplat::threadpool::initialize_with_threads(static_cast<size_t>(n)); }
 
+// Outlives the server, since replies may come after it.
+struct Traffic {
+  std::atomic<int64_t> in_flight{0};
+  std::atomic<int64_t> arrived{0};
+  std::atomic<bool> stopping{false};
+};
+
 struct HttpServer::Impl {
   Impl(const Endpoint& endpoint, int64_t limit, Handler handle)
       : listener("http://" + ToString(endpoint)),
         max_body_bytes(limit),
         handler(std::move(handle)),
-        in_flight(std::make_shared<std::atomic<int64_t>>(0)) {}
+        traffic(std::make_shared<Traffic>()) {}
 
   Reply MakeReply(const http_request& request) {
     const auto answered = std::make_shared<std::atomic<bool>>(false);
-    return [request, answered, counter = in_flight](HttpResponse response) {
+    return [request, answered, all = traffic](HttpResponse response) {
       if (answered->exchange(true)) return;
-      Send(request, std::move(response));
-      counter->fetch_sub(1);
+      Send(request, std::move(response), all->stopping.load(),
+           [all] { all->in_flight.fetch_sub(1); });
     };
   }
 
   void Handle(const http_request& request) {
-    in_flight->fetch_add(1);
+    traffic->in_flight.fetch_add(1);
+    traffic->arrived.fetch_add(1);
     const Reply reply = MakeReply(request);
     if (const std::error_code ec = CheckBody(request, max_body_bytes)) {
       const auto code = static_cast<ResultCode>(ec.value());
@@ -94,7 +111,7 @@
   web::http::experimental::listener::http_listener listener;
   int64_t max_body_bytes;
   Handler handler;
-  std::shared_ptr<std::atomic<int64_t>> in_flight;
+  std::shared_ptr<Traffic> traffic;
   bool open = false;
 };
 
@@ -114,14 +131,24 @@
   return {};
 }
 
-int64_t HttpServer::InFlight() const { return impl_->in_flight->load(); }
+int64_t HttpServer::InFlight() const { return impl_->traffic->in_flight.load(); }
+
+void HttpServer::BeginStop() { impl_->traffic->stopping.store(true); }
 
 int64_t HttpServer::Stop(Duration timeout) {
   if (!impl_->open) return 0;
+  BeginStop();
   const TimePoint deadline = Now() + timeout;
-  while (InFlight() > 0 && Now() < deadline) std::this_thread::sleep_for(kStopPoll);
+  int64_t arrived = impl_->traffic->arrived.load();
+  TimePoint quiet_since = Now();
+  for (TimePoint now = Now(); now < deadline; now = Now()) {
+    const int64_t n = impl_->traffic->arrived.load();
+    if (n != arrived || InFlight() > 0) quiet_since = now;
+    arrived = n;
+    if (now - quiet_since >= kQuietTime) break;
+    std::this_thread::sleep_for(kStopPoll);
+  }
   const int64_t left = InFlight();
-  std::this_thread::sleep_for(kFlushTime);
   impl_->open = false;
   try {
     impl_->listener.close().wait();
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -35,11 +35,15 @@
   // Listens; fails with kBadEndpoint when the address cannot be bound.
   std::error_code Start();
 
-  // Requests that have no response yet.
+  // Requests whose response has not been written to the last byte.
   int64_t InFlight() const;
 
-  // Waits until no request is in flight or `timeout` has passed, then stops listening. Returns the
-  // number of requests still in flight.
+  // From now on each response closes its connection, so that callers open the next one elsewhere.
+  void BeginStop();
+
+  // BeginStop(), waits until no request is in flight and none has arrived for a moment, or until
+  // `timeout` has passed, then stops listening and closes idle connections. Returns the number of
+  // requests still in flight.
   int64_t Stop(Duration timeout);
 
  private:
--- a/tests/http/http_client_test.cc
+++ b/tests/http/http_client_test.cc
@@ -46,6 +46,8 @@
 
   int requests() const { return requests_.load(); }
 
+  int connections() const { return accepted_.load(); }
+
   // True when `n` unasked answers have been sent.
   bool WaitForUnasked(int n) const {
     const TimePoint limit = Now() + kTimeout;
@@ -60,6 +62,7 @@
     for (;;) {
       const int connection = accept(socket_, nullptr, nullptr);
       if (connection < 0) return;
+      accepted_.fetch_add(1);
       connections_.emplace_back([this, connection] {
         ServeConnection(connection);
         close(connection);
@@ -92,6 +95,7 @@
   std::atomic<int> unasked_sent_{0};
   int socket_;
   std::atomic<int> requests_{0};
+  std::atomic<int> accepted_{0};
   std::thread thread_;
   std::vector<std::thread> connections_;
 };
@@ -201,6 +205,39 @@
   }
 }
 
+// Guards against a doubled answer that arrives after the next request was sent. Without an echo the
+// connection is not reused; with one, an answer that names another request is an error.
+TEST(HttpClientTest, AnswerToAnotherRequestIsAnError) {
+  const Endpoint endpoint{"127.77.1.10", 7600};
+  ScriptedServer silent(endpoint, {kGood, kGood});
+  HttpClient client(endpoint, Reuse::kEchoed);
+  for (int n = 1; n <= 5; ++n) {
+    EXPECT_FALSE(client.Call({}, kTimeout).ec);
+    EXPECT_EQ(silent.connections(), n);
+  }
+  const Endpoint other{"127.77.1.11", 7600};
+  ScriptedServer wrong(other, {"HTTP/1.1 200 OK\r\nPomelopond-Request: x\r\n"
+                               "Content-Length: 2\r\n\r\nok"});
+  HttpClient wrong_client(other, Reuse::kEchoed);
+  EXPECT_EQ(wrong_client.Call({}, kTimeout).ec, ResultCode::kTruncatedAnswer);
+}
+
+// Guards against a connection per request where the server repeats the request's name.
+TEST(HttpClientTest, EchoedConnectionIsReused) {
+  const Endpoint endpoint{"127.77.1.12", 7600};
+  HttpServer server(endpoint, 1000, [](const HttpRequest& it, const Reply& reply) {
+    reply(JsonResponse(200, {{"named", !HeaderOf(it.headers, kRequestHeader).empty()}}));
+  });
+  ASSERT_FALSE(server.Start());
+  HttpClient client(endpoint, Reuse::kEchoed);
+  for (int n = 0; n < 5; ++n) {
+    const HttpResult result = client.Call({}, kTimeout);
+    EXPECT_FALSE(result.ec);
+    EXPECT_EQ(result.response.body, R"({"named":true})");
+    EXPECT_EQ(HeaderOf(result.response.headers, kRequestHeader), "");
+  }
+}
+
 // Guards against an answer that comes after the call has timed out and reaches the next call.
 TEST(HttpClientTest, ConnectionOfATimedOutCallIsClosed) {
   const Endpoint endpoint{"127.77.1.8", 7600};
