Keep a target's own word against a lagging host list; fix a false refusal

Cause: the next host list, read every 200 ms, undid a target's own leaving mark while it still said "live". Submit() decided "queue full" from a flag that another thread sets when it dispatches the call, so a dispatched request was now and then answered "not run".

Change: the own word holds until a list says that the host is not live. An idempotent request that a leaving target refuses goes to another target. Submit() keeps its decision in a local variable.

--- a/apps/router/router.cc
+++ b/apps/router/router.cc
@@ -14,11 +14,13 @@
 constexpr int64_t kMaxTimeoutMs = 600000;
 constexpr size_t kMaxQueue = 1000;  // calls of one service
 constexpr int kMaxAttempts = 3;
+constexpr int kUnavailable = 503;  // with the leaving header: the target has not run the request
 
 // Headers that concern one connection or that the router sets itself.
 constexpr const char* kHopHeaders[] = {"Connection",        "Host",
                                        "Content-Length",    "Keep-Alive",
-                                       "Transfer-Encoding", http::kForwardedHeader};
+                                       "Transfer-Encoding", http::kForwardedHeader,
+                                       http::kRequestHeader};
 
 std::vector<std::string> HostIds(const EntrySettings& settings) {
   std::vector<std::string> ids;
@@ -261,25 +263,28 @@
 std::shared_ptr<http::HttpClient> Router::ClientOf(const Endpoint& endpoint) {
   const std::lock_guard<std::mutex> lock(mutex_);
   std::shared_ptr<http::HttpClient>& client = clients_[endpoint];
-  if (!client) client = std::make_shared<http::HttpClient>(endpoint);
+  if (!client) client = std::make_shared<http::HttpClient>(endpoint, http::Reuse::kEchoed);
   return client;
 }
 
 void Router::Submit(const CallPtr& call) {
+  // Not read from the call: once it is in the queue, another thread may dispatch it.
+  bool full = false;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     std::deque<CallPtr>& queue = queues_[call->service];
-    if (queue.size() < kMaxQueue) {
-      queue.push_back(call);
-    } else {
-      call->started = true;
-    }
+    full = queue.size() >= kMaxQueue;
+    if (!full) queue.push_back(call);
+    call->started = full;
   }
-  if (call->started) {
+  if (full) {
     return Finish(call, http::ErrorResponse(ResultCode::kQueueFull, "too many requests wait"));
   }
   Pump(call->service);
-  if (call->started) return;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (call->started) return;
+  }
   http::RunAfter(call->deadline - Now(), [this, call] { ExpireInQueue(call); });
 }
 
@@ -336,18 +341,22 @@
 void Router::OnAnswer(const CallPtr& call, const Endpoint& endpoint, TimePoint sent,
                       http::HttpResult result) {
   const TimePoint now = Now();
+  const bool said_leaving = !http::HeaderOf(result.response.headers, http::kLeavingHeader).empty();
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     routing::Target* target = routing::FindTarget(&targets_, call->service, endpoint);
     if (target != nullptr) {
       target->in_flight -= 1;
       target->latency = routing::UpdateLatency(target->latency, now - sent);
-      if (!http::HeaderOf(result.response.headers, http::kLeavingHeader).empty()) {
-        target->leaving = true;
-      }
+      target->said_leaving = target->said_leaving || said_leaving;
+      target->leaving = target->leaving || said_leaving;
     }
   }
-  if (!result.ec) {
+  const bool refused = said_leaving && result.response.status == kUnavailable;
+  if (refused && !call->once && call->attempts < kMaxAttempts && now < call->deadline) {
+    metrics_.Count(metrics::Labelled("retries_total", "service", call->service));
+    Submit(call);
+  } else if (!result.ec) {
     Finish(call, FromTarget(std::move(result.response)));
   } else {
     const bool nothing_sent = result.ec == ResultCode::kTargetUnreachable;
@@ -356,7 +365,6 @@
         (nothing_sent || !call->once) && call->attempts < kMaxAttempts && now < call->deadline;
     if (again) {
       metrics_.Count(metrics::Labelled("retries_total", "service", call->service));
-      call->started = false;
       Submit(call);
     } else {
       const auto code = static_cast<ResultCode>(result.ec.value());
--- a/bench/at_most_once.cc
+++ b/bench/at_most_once.cc
@@ -73,8 +73,11 @@
                        {http::kTimeoutHeader, std::to_string(kDeadline.count() / 1000)}};
     load->sends.fetch_add(1);
     const http::HttpResult result = routers[router]->Call(std::move(request), kCallTimeout);
-    load->log.Add(id,
-                  result.ec ? "" : http::HeaderOf(result.response.headers, http::kOutcomeHeader));
+    const std::string outcome =
+        result.ec ? "" : http::HeaderOf(result.response.headers, http::kOutcomeHeader);
+    load->log.Add(id, outcome);
+    // Rare, so each is shown with its code.
+    if (outcome == "not-run") std::cout << id << " " << result.response.body + "\n";
   }
 
   // One in ten has a duplicate at the same time, one in twenty is repeated afterwards.
--- a/src/routing/target.h
+++ b/src/routing/target.h
@@ -18,13 +18,14 @@
   Endpoint endpoint;
   int64_t share = 0;  // requests this router may have in flight there
   int64_t in_flight = 0;
-  Duration latency{};  // exponentially weighted mean of answers' times
-  bool leaving = false;
+  Duration latency{};         // exponentially weighted mean of answers' times
+  bool leaving = false;       // the host list or the target itself says so
+  bool said_leaving = false;  // the target itself has said so
 
   friend bool operator==(const Target& a, const Target& b) {
     return a.host == b.host && a.failure_domain == b.failure_domain && a.endpoint == b.endpoint &&
            a.share == b.share && a.in_flight == b.in_flight && a.latency == b.latency &&
-           a.leaving == b.leaving;
+           a.leaving == b.leaving && a.said_leaving == b.said_leaving;
   }
 };
 
--- a/src/routing/target_set.cc
+++ b/src/routing/target_set.cc
@@ -1,6 +1,7 @@
 #include "routing/target_set.h"
 
 #include <algorithm>
+#include <set>
 
 #include "membership/slot_share.h"
 
@@ -19,6 +20,7 @@
 TargetSet UpdateTargets(const TargetSet& current, const membership::HostList& hosts,
                         const std::string& own_host, const std::vector<std::string>& entry_hosts) {
   TargetSet next = current;
+  std::set<Endpoint> listed_live;
   for (auto& [service, list] : next) {
     for (Target& it : list) it.leaving = true;
   }
@@ -35,12 +37,18 @@
       // One request at a time uses one connection, so the smaller of both bounds them.
       const int64_t limit = std::min(it.slots, it.connections);
       known->share = membership::SlotShare(ToString(it.endpoint), limit, own_host, entry_hosts);
-      known->leaving = leaving;
+      // A list that lags still says "live"; only one that says otherwise ends the target's own
+      // word.
+      known->leaving = leaving || known->said_leaving;
+      if (!leaving) listed_live.insert(it.endpoint);
     }
   }
   for (auto& [service, list] : next) {
+    for (Target& it : list) it.said_leaving = it.said_leaving && listed_live.count(it.endpoint) > 0;
     list.erase(std::remove_if(list.begin(), list.end(),
-                              [](const Target& it) { return it.leaving && it.in_flight == 0; }),
+                              [](const Target& it) {
+                                return it.leaving && !it.said_leaving && it.in_flight == 0;
+                              }),
                list.end());
   }
   return next;
--- a/src/routing/target_set.h
+++ b/src/routing/target_set.h
@@ -15,7 +15,9 @@
 using TargetSet = std::map<std::string, std::vector<Target>>;
 
 // The set after a new host list: counts and latencies of known targets are kept. A target that is
-// not live any more stays as leaving while requests are in flight there.
+// not live any more stays as leaving while requests are in flight there. A target that has said
+// that it leaves stays so until a list says that it is not live; after that a list may bring it
+// back.
 TargetSet UpdateTargets(const TargetSet& current, const membership::HostList& hosts,
                         const std::string& own_host, const std::vector<std::string>& entry_hosts);
 
