Answer requests with too large a body without waiting for the body

Cause: the HTTP library writes no response before it has read the whole body. A caller that announced a large body and sent nothing got no answer and kept a stopping router from ending; one that sent it filled memory.

Change: a refused request ends that wait, and the response closes the connection.

Measured: failure_test 'RequestHostile*' before: no answer within 10 s to "Content-Length:". http_test 'HttpServer*' after: 411 and 413 for huge, maximal and chunked bodies, and the server stops.

Conclusion: the body limit holds before the body is read.

--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -91,8 +91,13 @@
     const Reply reply = MakeReply(request);
     if (const std::error_code ec = CheckBody(request, max_body_bytes)) {
       const auto code = static_cast<ResultCode>(ec.value());
-      reply(ErrorResponse(code, "the limit is " + std::to_string(max_body_bytes) +
-                                    " bytes, sent with Content-Length"));
+      HttpResponse refusal = ErrorResponse(code, "the limit is " + std::to_string(max_body_bytes) +
+                                                     " bytes, sent with Content-Length");
+      refusal.headers["Connection"] = "close";
+      reply(std::move(refusal));
+      // The library writes no response before it has read the body, however long. This ends the
+      // wait; the connection is closed after the response.
+      request._get_impl()->_get_data_available().set(0);
       return;
     }
     request.extract_vector().then([this, request,
--- a/tests/http/http_client_test.cc
+++ b/tests/http/http_client_test.cc
@@ -10,6 +10,7 @@
 #include <thread>
 
 #include "http/http_server.h"
+#include "tests/support/raw_client.h"
 
 namespace pomelopond::http {
 namespace {
@@ -277,5 +278,25 @@
   EXPECT_EQ(result.response.body, Json({{"late", true}}).dump());
 }
 
+// Guards against a refusal that waits for the rest of a body that is too large, and against a
+// request that keeps a server from stopping because its body never comes.
+TEST(HttpServerTest, RefusalDoesNotWaitForTheBody) {
+  const Endpoint endpoint{"127.77.1.13", 7600};
+  HttpServer server(endpoint, 1000, [](const HttpRequest&, const Reply& reply) {
+    reply(JsonResponse(200, Json::object()));
+  });
+  ASSERT_FALSE(server.Start());
+  for (const char* it : {"Content-Length: 99999999999", "Content-Length: 18446744073709551615",
+                         "Transfer-Encoding: chunked"}) {
+    support::RawClient client(endpoint);
+    ASSERT_TRUE(client.Connect());
+    ASSERT_TRUE(client.Write(std::string("POST / HTTP/1.1\r\nHost: a\r\n") + it + "\r\n\r\n"));
+    const std::optional<HttpResponse> response = client.Read(kTimeout);
+    ASSERT_TRUE(response) << it;
+    EXPECT_GE(response->status, 411) << it;
+  }
+  EXPECT_EQ(server.Stop(kTimeout), 0);
+}
+
 }  // namespace
 }  // namespace pomelopond::http
