Refuse malformed headers, lengths and versions with a number

Cause: the HTTP library takes a Content-Length that is not a number for 0, accepts any HTTP version, passes control bytes in headers on, and answers OPTIONS and TRACE by itself. Such requests reached targets.

Change: the server refuses them with bad_field, or method_not_allowed for the two methods.

Conclusion: requests whose request line is not HTTP, such as an invalid path, still get the library's bare 400 without a number.

--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -3,7 +3,10 @@
 #include <cpprest/http_listener.h>
 #include <pplx/threadpool.h>
 
+#include <algorithm>
 #include <atomic>
+#include <cctype>
+#include <cstring>
 #include <thread>
 
 namespace pomelopond::http {
@@ -51,9 +54,33 @@
   return out;
 }
 
-// Empty when the body may be read.
-std::error_code CheckBody(const http_request& in, int64_t limit) {
+bool IsDigits(const std::string& text) {
+  return !text.empty() && text.find_first_not_of("0123456789") == std::string::npos;
+}
+
+bool IsToken(const std::string& text) {
+  static constexpr const char* kSymbols = "!#$%&'*+-.^_`|~";
+  return !text.empty() && std::all_of(text.begin(), text.end(), [](unsigned char it) {
+    return it < 128 && (std::isalnum(it) != 0 || std::strchr(kSymbols, it) != nullptr);
+  });
+}
+
+// A header passed on with a line feed inside would be two headers, or two requests, to a target.
+bool HasControls(const std::string& text) {
+  return std::any_of(text.begin(), text.end(),
+                     [](unsigned char it) { return (it < 32 && it != '\t') || it == 127; });
+}
+
+// Empty when headers and body may be read. The library takes a length that is not a number for 0
+// and would read the body as the next request.
+std::error_code CheckRequest(const http_request& in, int64_t limit) {
+  if (in.http_version().major != 1) return ResultCode::kBadField;
+  for (const auto& [name, value] : in.headers()) {
+    if (!IsToken(name) || HasControls(value)) return ResultCode::kBadField;
+  }
   if (in.headers().has("Transfer-Encoding")) return ResultCode::kLengthRequired;
+  const auto length = in.headers().find("Content-Length");
+  if (length != in.headers().end() && !IsDigits(length->second)) return ResultCode::kBadField;
   if (in.headers().content_length() > static_cast<uint64_t>(limit)) return ResultCode::kTooLarge;
   return {};
 }
@@ -89,10 +116,13 @@
     traffic->in_flight.fetch_add(1);
     traffic->arrived.fetch_add(1);
     const Reply reply = MakeReply(request);
-    if (const std::error_code ec = CheckBody(request, max_body_bytes)) {
+    if (const std::error_code ec = CheckRequest(request, max_body_bytes)) {
       const auto code = static_cast<ResultCode>(ec.value());
-      HttpResponse refusal = ErrorResponse(code, "the limit is " + std::to_string(max_body_bytes) +
-                                                     " bytes, sent with Content-Length");
+      const std::string text = code == ResultCode::kBadField
+                                   ? "malformed header or HTTP version"
+                                   : "the limit is " + std::to_string(max_body_bytes) +
+                                         " bytes, sent with Content-Length";
+      HttpResponse refusal = ErrorResponse(code, text);
       refusal.headers["Connection"] = "close";
       reply(std::move(refusal));
       // The library writes no response before it has read the body, however long. This ends the
@@ -126,7 +156,11 @@
 HttpServer::~HttpServer() { Stop(Duration::zero()); }
 
 std::error_code HttpServer::Start() {
-  impl_->listener.support([impl = impl_.get()](const http_request& it) { impl->Handle(it); });
+  const auto handle = [impl = impl_.get()](const http_request& it) { impl->Handle(it); };
+  impl_->listener.support(handle);
+  // The library would answer these two by itself, TRACE with the caller's headers.
+  impl_->listener.support(web::http::methods::OPTIONS, handle);
+  impl_->listener.support(web::http::methods::TRCE, handle);
   try {
     impl_->listener.open().wait();
   } catch (const std::exception&) {
