Give the body of a refused request time to arrive

Cause: the early answer to a body that is too large closed the connection while the caller still sent, which reset it before the answer was read.

Change: the wait for the body ends 250 ms after the answer was decided.

Measured: failure_test '*HostileRequestsGet*' (2 MiB body) before: no answer; after: passes, as do 'RequestHostile*' and 'HttpServer*'.

Conclusion: a caller that needs longer than 250 ms to send a refused body may see a reset connection in place of the number.

--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -9,6 +9,8 @@
 #include <cstring>
 #include <thread>
 
+#include "http/http_client.h"
+
 namespace pomelopond::http {
 namespace {
 
@@ -20,6 +22,9 @@
 // request has arrived for this long.
 constexpr Duration kQuietTime = std::chrono::milliseconds(300);
 
+// Time for the body of a refused request to arrive.
+constexpr Duration kDrainTime = std::chrono::milliseconds(250);
+
 // Calls `written` when the response has been written or its connection is gone.
 void Send(const http_request& request, HttpResponse response, bool last,
           std::function<void()> written) {
@@ -126,8 +131,9 @@
       refusal.headers["Connection"] = "close";
       reply(std::move(refusal));
       // The library writes no response before it has read the body, however long. This ends the
-      // wait; the connection is closed after the response.
-      request._get_impl()->_get_data_available().set(0);
+      // wait; the connection is closed after the response. Not at once, since a close while the
+      // caller still sends resets the connection before it reads the response.
+      RunAfter(kDrainTime, [request] { request._get_impl()->_get_data_available().set(0); });
       return;
     }
     request.extract_vector().then([this, request,
