--- a/apps/router/router.cc
+++ b/apps/router/router.cc
@@ -21,7 +21,8 @@
 // Headers that concern one connection or that the router sets itself.
 constexpr const char* kHopHeaders[] = {"Connection",        "Host",
                                        "Content-Length",    "Keep-Alive",
-                                       "Transfer-Encoding", http::kForwardedHeader};
+                                       "Transfer-Encoding", http::kForwardedHeader,
+                                       http::kRequestHeader};
 
 std::vector<std::string> HostIds(const EntrySettings& settings) {
   std::vector<std::string> ids;
@@ -229,22 +230,31 @@
   call->reply = reply;
   call->received = Now();
   call->deadline = call->received + timeout.value;
-  {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    if (release_version_ == 0) {
-      return reply(http::ErrorResponse(ResultCode::kNoRelease, "no release is in force yet"));
-    }
-    const auto it = services_.find(service);
-    if (it == services_.end()) {
-      return reply(http::ErrorResponse(ResultCode::kNotFound, "no such service: " + service));
-    }
-    const std::vector<std::string>& once = it->second.non_idempotent;
-    call->once = std::find(once.begin(), once.end(), operation) != once.end();
-  }
+  const std::string key = http::HeaderOf(request.headers, http::kKeyHeader);
+  // A token decides whatever release this router holds: another router may have dispatched the
+  // request while the operation or the service was listed, or while this one had no release.
+  call->once = routing::ParseToken(key).ok();
+  const std::optional<http::HttpResponse> refusal = CheckService(call, operation);
+  if (refusal && !call->once) return reply(*refusal);
   metrics_.Count(metrics::Labelled("requests_total", "service", service));
   if (!call->once) return Submit(call);
   const bool forwarded = !http::HeaderOf(request.headers, http::kForwardedHeader).empty();
-  HandleToken(call, http::HeaderOf(request.headers, http::kKeyHeader), forwarded);
+  HandleToken(call, key, forwarded, refusal);
+}
+
+std::optional<http::HttpResponse> Router::CheckService(const CallPtr& call,
+                                                       const std::string& operation) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (release_version_ == 0) {
+    return http::ErrorResponse(ResultCode::kNoRelease, "no release is in force yet");
+  }
+  const auto it = services_.find(call->service);
+  if (it == services_.end()) {
+    return http::ErrorResponse(ResultCode::kNotFound, "no such service: " + call->service);
+  }
+  const std::vector<std::string>& once = it->second.non_idempotent;
+  call->once = call->once || std::find(once.begin(), once.end(), operation) != once.end();
+  return std::nullopt;
 }
 
 http::HttpResponse Router::TokenNeeded() {
@@ -259,17 +269,23 @@
   return response;
 }
 
-void Router::HandleToken(const CallPtr& call, const std::string& text, bool forwarded) {
+void Router::HandleToken(const CallPtr& call, const std::string& text, bool forwarded,
+                         const std::optional<http::HttpResponse>& refusal) {
   const Result<routing::Token> token = routing::ParseToken(text);
   if (!token.ok()) return call->reply(TokenNeeded());
-  if (token.value.host != own_.id && !forwarded) return Forward(call, token.value.host, text);
+  if (token.value.host != own_.id) {
+    if (!forwarded) return Forward(call, token.value.host, text);
+    // Not "not run": the header may be the caller's own, and the issuer may have dispatched.
+    return call->reply(
+        http::ErrorResponse(ResultCode::kRouterGone, "the token was issued by another router"));
+  }
   const std::string fingerprint =
       call->request.method + " " + call->service + call->request.path + "\n" + call->request.body;
   http::HttpResponse replay;
   routing::TokenUse use;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
-    if (token.value.host == own_.id && token.value.incarnation != tokens_.incarnation) {
+    if (token.value.incarnation != tokens_.incarnation) {
       return call->reply(http::ErrorResponse(ResultCode::kRouterGone,
                                              "the router process that issued the token has ended"));
     }
@@ -289,9 +305,15 @@
         reply(response);
         for (const auto& it : waiting) it(response);
       };
+      if (refusal) return call->reply(*refusal);
       return Submit(call);
     }
     case routing::TokenUse::kWait:
+      // The first request may have a later deadline than this one.
+      http::RunAfter(call->deadline - Now(), [reply = call->reply] {
+        reply(http::ErrorResponse(ResultCode::kTimeout,
+                                  "the first request with this token is still in flight"));
+      });
       return;
     case routing::TokenUse::kReplay:
       return call->reply(replay);
@@ -312,7 +334,9 @@
     request.headers[http::kForwardedHeader] = "1";
     request.headers[http::kKeyHeader] = text;
     const TimePoint now = Now();
-    request.headers[http::kTimeoutHeader] = std::to_string(MillisecondsLeft(call->deadline, now));
+    // 0 would be refused as malformed, with "not run".
+    request.headers[http::kTimeoutHeader] =
+        std::to_string(std::max<int64_t>(1, MillisecondsLeft(call->deadline, now)));
     // The token makes a repeat harmless, so a pooled connection will do.
     ClientOf(it.router)->Send(request, call->deadline - now, [call](http::HttpResult result) {
       if (!result.ec) return call->reply(std::move(result.response));
@@ -321,13 +345,15 @@
     });
     return;
   }
-  call->reply(TokenNeeded());
+  // A host that was replaced under another id may have dispatched the request before.
+  call->reply(http::ErrorResponse(ResultCode::kRouterGone,
+                                  "the router that issued the token is not in the settings"));
 }
 
 std::shared_ptr<http::HttpClient> Router::ClientOf(const Endpoint& endpoint) {
   const std::lock_guard<std::mutex> lock(mutex_);
   std::shared_ptr<http::HttpClient>& client = clients_[endpoint];
-  if (!client) client = std::make_shared<http::HttpClient>(endpoint);
+  if (!client) client = std::make_shared<http::HttpClient>(endpoint, http::Reuse::kEchoed);
   return client;
 }
 
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -21,9 +21,20 @@
 
 using HttpDone = std::function<void(HttpResult)>;
 
+// When a kept-alive connection may carry another request.
+enum class Reuse {
+  // After a whole answer, while nothing further has arrived. A doubled answer that arrives after
+  // the
+  // next request was sent would be taken for its answer.
+  kQuiet,
+  // Only if, besides, the answer repeats the request's kRequestHeader. An answer that names another
+  // request is an error. For servers that are not trusted to answer each request once.
+  kEchoed,
+};
+
 class HttpClient {
  public:
-  explicit HttpClient(const Endpoint& endpoint);
+  explicit HttpClient(const Endpoint& endpoint, Reuse reuse = Reuse::kQuiet);
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
@@ -33,7 +44,8 @@
   // on a pool thread.
   void Send(HttpRequest request, Duration timeout, HttpDone done);
 
-  // Sends over a connection of its own that is closed afterwards: at most one send.
+  // Sends over a connection of its own that is closed afterwards: at most one send. Redirects are
+  // answers like any other, here and in Send().
   void SendOnce(HttpRequest request, Duration timeout, HttpDone done);
 
   // Send() that waits. Must not be called on a pool thread, where it could deadlock the pool.
