--- a/apps/scheduler/main.cc
+++ b/apps/scheduler/main.cc
@@ -35,6 +35,7 @@
   Log(LogLevel::kInfo, "main", "started",
       {{"host", own.id}, {"endpoint", ToString(own.scheduler)}, {"incarnation", incarnation}});
   AdminFeed feed(own.peer, "scheduler", incarnation);
+  scheduler.Start();
   while (!WaitForStop(kFeedInterval)) {
     if (feed.Poll(kFeedTimeout)) {
       scheduler.UpdateHosts(feed.hosts());
--- a/apps/scheduler/scheduler.cc
+++ b/apps/scheduler/scheduler.cc
@@ -16,6 +16,11 @@
 constexpr const char* kJobsPath = "/v1/jobs";
 constexpr size_t kMaxSpecBytes = 1024;  // bounds journal records
 constexpr Duration kForwardTimeout = std::chrono::seconds(10);
+constexpr Duration kRenewalPoll = std::chrono::milliseconds(100);
+// Members, head, takeover, snapshot and journal, with some to spare.
+constexpr int64_t kHandoverCalls = 8;
+// How long one slow call keeps shards where they are.
+constexpr Duration kSlowMemory = std::chrono::seconds(10);
 constexpr Duration kMembersInterval = std::chrono::seconds(1);
 constexpr Duration kStoreFresh = std::chrono::seconds(10);
 // Processes return to the store at random times within this after an outage.
@@ -88,6 +93,22 @@
   release_version_ = std::max(release_version_, release.version);
 }
 
+void Scheduler::Start() {
+  renewal_thread_ = std::thread([this] { RunRenewals(); });
+}
+
+void Scheduler::RunRenewals() {
+  std::minstd_rand random(static_cast<unsigned>(incarnation_ >> 32));
+  while (!stopping_.load()) {
+    Duration pause = kRenewalPoll;
+    if (!RenewMembership()) {
+      std::uniform_int_distribution<int64_t> wait(0, kStoreReturn.count());
+      pause = Duration(wait(random));
+    }
+    std::this_thread::sleep_for(pause);
+  }
+}
+
 bool Scheduler::RenewMembership() {
   const TimePoint now = Now();
   if (lease_ != 0 && now < next_renewal_) return true;
@@ -138,7 +159,8 @@
 void Scheduler::Tick(TimePoint now) {
   DropShards();
   if (now < next_read_) return;
-  if (!RenewMembership() || !ReadMembers()) {
+  const TimePoint began = Now();
+  if (!ReadMembers()) {
     gate_.Close();
     std::uniform_int_distribution<int64_t> wait(0, kStoreReturn.count());
     next_read_ = Now() + Duration(wait(random_));
@@ -149,6 +171,8 @@
   if (last_read_ != TimePoint{} && now - last_read_ > settings_.member_ttl) {
     settled_ = now + std::max(settings_.member_ttl, kStoreReturn * 2);
   }
+  // Handing a shard over takes several store calls, during which nobody renews its leases.
+  if ((Now() - began) * kHandoverCalls > settings_.lease_ttl) slow_until_ = Now() + kSlowMemory;
   last_read_ = now;
   next_read_ = now + kMembersInterval;
   ProveOwnersStopped();
@@ -156,7 +180,7 @@
 }
 
 void Scheduler::DropShards() {
-  const bool settled = Now() >= settled_ && gate_.open();
+  const bool settled = Now() >= std::max(settled_, slow_until_) && gate_.open();
   std::vector<std::pair<std::shared_ptr<ShardRunner>, bool>> drop;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
@@ -374,6 +398,7 @@
     runners.swap(runners_);
   }
   for (const auto& [shard, runner] : runners) runner->Stop(true);
+  if (renewal_thread_.joinable()) renewal_thread_.join();
   if (lease_ != 0) store_.Revoke(lease_);
 }
 
--- a/apps/scheduler/scheduler.h
+++ b/apps/scheduler/scheduler.h
@@ -9,6 +9,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <thread>
 
 #include "apps/scheduler/shard_runner.h"
 #include "apps/scheduler/store_gate.h"
@@ -31,7 +32,10 @@
   void UpdateHosts(const membership::HostList& hosts);
   void UpdateRelease(const release::Release& release);
 
-  // Renews the membership, reads the members and takes over or hands over shards. Blocks on store
+  // Starts renewing the membership.
+  void Start();
+
+  // Reads the members and takes over or hands over shards. Blocks on store
   // calls; called by one thread only.
   void Tick(TimePoint now);
 
@@ -44,6 +48,7 @@
     uint64_t incarnation = 0;
   };
 
+  void RunRenewals();
   bool RenewMembership();
   bool ReadMembers();
   void TakeShards();
@@ -75,13 +80,16 @@
   const uint64_t incarnation_;
   store::StoreClient store_;  // used by Tick and Stop only
   StoreGate gate_;
+  // Renews the membership on its own: a takeover in Tick may take longer than the membership.
+  std::thread renewal_thread_;
   metrics::Registry metrics_;
   std::atomic<bool> stopping_{false};
-  int64_t lease_ = 0;  // of the membership; Tick and Stop only
+  int64_t lease_ = 0;  // of the membership; the renewal thread only, and Stop after it has ended
   TimePoint next_renewal_;
-  TimePoint next_read_;  // of the members
-  TimePoint last_read_;  // of the members, successful
-  TimePoint settled_;    // shards move only after this
+  TimePoint slow_until_;  // no shard is handed over before this
+  TimePoint next_read_;   // of the members
+  TimePoint last_read_;   // of the members, successful
+  TimePoint settled_;     // shards move only after this
   std::minstd_rand random_;
   std::map<std::string, TimePoint> wanted_since_;  // by shard that another process owns
 
--- a/src/store/shard_log.cc
+++ b/src/store/shard_log.cc
@@ -14,6 +14,7 @@
 }
 
 constexpr size_t kWriteIdBytes = 32;
+constexpr int64_t kRecordsPerRead = 64;
 
 std::string WriteIdOf(const std::string& entry) { return entry.substr(0, kWriteIdBytes); }
 
@@ -74,12 +75,18 @@
     if (chunk.value.mod_revision == 0) return {ResultCode::kStoreBadAnswer, {}};
     contents.snapshot += chunk.value.value;
   }
-  for (int64_t n = previous.snapshot + 1; n <= previous.position; ++n) {
-    const Result<KeyValue> entry = store_.get(JournalKey(shard_, n));
-    if (!entry.ok()) return {entry.ec, {}};
-    if (entry.value.mod_revision == 0) return {ResultCode::kStoreBadAnswer, {}};
-    std::string record = RecordOf(entry.value.value);
-    if (!record.empty()) contents.records.push_back(std::move(record));
+  // With a slow store, a call for each record would take longer than the workers' leases.
+  const std::string end = JournalKey(shard_, previous.position + 1);
+  for (int64_t n = previous.snapshot + 1; n <= previous.position;) {
+    const Result<std::vector<KeyValue>> page =
+        store_.range(JournalKey(shard_, n), end, kRecordsPerRead);
+    if (!page.ok()) return {page.ec, {}};
+    if (page.value.empty()) return {ResultCode::kStoreBadAnswer, {}};
+    for (const KeyValue& it : page.value) {
+      if (it.key != JournalKey(shard_, n++)) return {ResultCode::kStoreBadAnswer, {}};
+      std::string record = RecordOf(it.value);
+      if (!record.empty()) contents.records.push_back(std::move(record));
+    }
   }
   return {{}, std::move(contents)};
 }
--- a/src/store/store_calls.h
+++ b/src/store/store_calls.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "base/result.h"
 #include "store/store_client.h"
@@ -11,17 +12,23 @@
 
 namespace pomelopond::store {
 
-// Same results as StoreClient::Get and StoreClient::Commit. Tests put other functions in their
+// Same results as the functions of StoreClient. Tests put other functions in their
 // place, to lose answers and to deliver writes late.
 struct StoreCalls {
   std::function<Result<KeyValue>(const std::string& key)> get;
   std::function<Result<TxnResult>(const Txn& txn)> commit;
+  std::function<Result<std::vector<KeyValue>>(const std::string& first, const std::string& end,
+                                              int64_t limit)>
+      range;
 };
 
 // Calls of `client`, which must outlive them.
 inline StoreCalls CallsOf(StoreClient* client) {
   return {[client](const std::string& key) { return client->Get(key); },
-          [client](const Txn& txn) { return client->Commit(txn); }};
+          [client](const Txn& txn) { return client->Commit(txn); },
+          [client](const std::string& first, const std::string& end, int64_t limit) {
+            return client->Range(first, end, limit);
+          }};
 }
 
 }  // namespace pomelopond::store
--- a/src/store/store_client.cc
+++ b/src/store/store_client.cc
@@ -66,6 +66,13 @@
                        {"limit", std::to_string(limit)}});
 }
 
+Result<std::vector<KeyValue>> StoreClient::Range(const std::string& first, const std::string& end,
+                                                 int64_t limit) {
+  return impl_->Range({{"key", EncodeBase64(first)},
+                       {"range_end", EncodeBase64(end)},
+                       {"limit", std::to_string(limit)}});
+}
+
 Result<TxnResult> StoreClient::Commit(const Txn& txn) {
   const Result<Json> answer = impl_->Post("/v3/kv/txn", ToJson(txn));
   if (!answer.ok()) return {answer.ec, {}};
--- a/src/store/store_client.h
+++ b/src/store/store_client.h
@@ -30,6 +30,10 @@
   // All keys that start with `prefix`, in order, at most `limit` (0: no limit).
   Result<std::vector<KeyValue>> List(const std::string& prefix, int64_t limit);
 
+  // The keys in [first, end), in order, at most `limit`.
+  Result<std::vector<KeyValue>> Range(const std::string& first, const std::string& end,
+                                      int64_t limit);
+
   // Runs a transaction; `value.succeeded` tells whether the comparisons held.
   Result<TxnResult> Commit(const Txn& txn);
 
--- a/tests/http/http_client_test.cc
+++ b/tests/http/http_client_test.cc
@@ -102,12 +102,13 @@
 };
 
 HttpResult CallOnce(HttpClient* client) {
-  std::promise<HttpResult> promise;
+  // Shared: the waiting thread may go on while set_value still uses the promise.
+  const auto promise = std::make_shared<std::promise<HttpResult>>();
   HttpRequest request;
   request.method = "POST";
   client->SendOnce(std::move(request), kTimeout,
-                   [&promise](HttpResult it) { promise.set_value(std::move(it)); });
-  return promise.get_future().get();
+                   [promise](HttpResult it) { promise->set_value(std::move(it)); });
+  return promise->get_future().get();
 }
 
 constexpr const char* kGood = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
@@ -148,11 +149,11 @@
     const Endpoint endpoint{"127.77.1.3", port++};
     ScriptedServer server(endpoint, {it});
     HttpClient client(endpoint);
-    std::promise<HttpResult> promise;
+    const auto promise = std::make_shared<std::promise<HttpResult>>();
     // The server waits for a second request on this connection, so it has to be ended from here.
     client.Send({}, std::chrono::seconds(2),
-                [&promise](HttpResult result) { promise.set_value(std::move(result)); });
-    EXPECT_TRUE(promise.get_future().get().ec) << it;
+                [promise](HttpResult result) { promise->set_value(std::move(result)); });
+    EXPECT_TRUE(promise->get_future().get().ec) << it;
   }
 }
 
--- a/tests/planning/lease_interleaving_test.cc
+++ b/tests/planning/lease_interleaving_test.cc
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "base/result_code.h"
@@ -65,6 +66,7 @@
   ShardState view;
   WorkerSession sessions[2];
   std::vector<AttemptId> acks[2];
+  std::vector<AttemptId> strays[2];
   std::optional<ExchangeReply> replies[2];  // on the way back
   // Decided, but not in the journal yet.
   std::vector<Event> open;
@@ -205,9 +207,12 @@
     Owner& owner = owners_[n];
     if (!owner.active) return;
     owner.replies[host].reset();
-    messages_.push_back({n, host,
-                         MakeExchange(owner.view, "s", owner.epoch, kTtl, owner.acks[host], {},
-                                      &owner.sessions[host])});
+    std::set<std::string> held;
+    for (const Event& it : owner.open) held.insert(it.task);
+    ExchangeRequest request = MakeExchange(owner.view, "s", owner.epoch, kTtl, owner.acks[host],
+                                           held, &owner.sessions[host]);
+    for (const AttemptId& it : owner.strays[host]) request.stops.push_back(it);
+    messages_.push_back({n, host, std::move(request)});
   }
 
   // Most messages arrive in order and once; others are dropped, or stay and arrive again.
@@ -244,6 +249,7 @@
     if (session.replaced) owner.active = false;
     if (reply.code != 0 || owner.open_known.count(host) != 0) return;
     owner.acks[host] = decision.acks;
+    owner.strays[host] = decision.strays;
     owner.open_known[host] = reply.report_sequence;
     Open(&owner, std::move(decision.events));
     if (!faults_.slow_appends) Commit(n);
--- a/tests/store/shard_log_interleaving_test.cc
+++ b/tests/store/shard_log_interleaving_test.cc
@@ -73,15 +73,30 @@
     return it == applied_.end() ? 0 : it->second;
   }
 
+  Result<std::vector<KeyValue>> Range(const std::string& first, const std::string& end,
+                                      int64_t limit) {
+    const Json request = {{"key", EncodeBase64(first)},
+                          {"range_end", EncodeBase64(end)},
+                          {"limit", std::to_string(limit)}};
+    return ParseRangeResult(keys_.Range(request, TimePoint{}).value);
+  }
+
  private:
   fakes::KeySpace keys_;
   std::map<std::string, int64_t> applied_;
   std::deque<Txn> late_;
 };
 
+std::function<Result<std::vector<KeyValue>>(const std::string&, const std::string&, int64_t)>
+RangeOf(CountingStore* store) {
+  return [store](const std::string& first, const std::string& end, int64_t limit) {
+    return store->Range(first, end, limit);
+  };
+}
+
 StoreCalls CallsOf(CountingStore* store) {
   return {[store](const std::string& key) { return store->Get(key); },
-          [store](const Txn& txn) { return store->Commit(txn); }};
+          [store](const Txn& txn) { return store->Commit(txn); }, RangeOf(store)};
 }
 
 // Guards against "not in the journal" for a record that is: the successor compacts it away between
@@ -105,7 +120,8 @@
                         EXPECT_TRUE(successor.TakeOver(successor.Read().value, {"b", 2}, {}).ok());
                         compact = true;
                         return lost;
-                      }});
+                      },
+                      RangeOf(&store)});
   ASSERT_TRUE(owner.TakeOver(owner.Read().value, {"a", 1}, {}).ok());
   lose = true;
   const std::error_code ec = owner.Append("record", WriteId(1));
@@ -126,7 +142,8 @@
                                  [&](const Txn& txn) {
                                    return store.Commit(txn,
                                                        lose ? Fate::kAnswerLost : Fate::kAnswered);
-                                 }});
+                                 },
+                                 RangeOf(&store)});
   ASSERT_TRUE(owner.TakeOver(owner.Read().value, {"a", 1}, {}).ok());
   ASSERT_FALSE(owner.Append("one", WriteId(1)));
   lose = blind = true;
@@ -153,8 +170,9 @@
  public:
   TwoOwners() {
     for (int64_t n = 0; n < 2; ++n) {
-      logs_.emplace_back("s", StoreCalls{[this, n](const std::string& key) { return Get(n, key); },
-                                         [this, n](const Txn& txn) { return Commit(n, txn); }});
+      logs_.emplace_back(
+          "s", StoreCalls{[this, n](const std::string& key) { return Get(n, key); },
+                          [this, n](const Txn& txn) { return Commit(n, txn); }, RangeOf(&store_)});
     }
   }
 
