Run the release's jobs and watches, and move tasks off drained hosts

Cause: sections jobs and watches were checked and then ignored; a drained host kept its tasks. Jobs carry the version of the release that asked for them, so that a process with an older release cancels nothing. Ruled out: a flag in place of the version, for that reason.

--- a/apps/scheduler/scheduler.cc
+++ b/apps/scheduler/scheduler.cc
@@ -90,7 +90,9 @@
 
 void Scheduler::UpdateRelease(const release::Release& release) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  release_version_ = std::max(release_version_, release.version);
+  if (release.version <= release_version_) return;
+  release_version_ = release.version;
+  release_jobs_ = release::JobsOf(release);
 }
 
 void Scheduler::Start() {
@@ -177,6 +179,27 @@
   next_read_ = now + kMembersInterval;
   ProveOwnersStopped();
   if (now >= settled_) TakeShards();
+  FollowRelease();
+}
+
+void Scheduler::FollowRelease() {
+  std::map<std::string, std::shared_ptr<ShardRunner>> runners;
+  std::vector<planning::JobSpec> jobs;
+  int64_t version = 0;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    runners = runners_;
+    jobs = release_jobs_;
+    version = release_version_;
+  }
+  // Without a release yet, nothing is known to be withdrawn.
+  if (version == 0) return;
+  std::map<std::string, std::vector<planning::JobSpec>> wanted;
+  for (planning::JobSpec& it : jobs) {
+    const std::string shard = HomeShard(it.id);
+    wanted[shard].push_back(std::move(it));
+  }
+  for (const auto& [shard, runner] : runners) runner->FollowRelease(wanted[shard], version);
 }
 
 void Scheduler::DropShards() {
@@ -484,6 +507,9 @@
   if (!document.ok()) return reply(http::ErrorResponse(ResultCode::kBadJson, "body is not JSON"));
   FieldErrors errors;
   planning::JobSpec spec = planning::ReadJobSpec(document.value, "", &errors);
+  if (spec.release_version != 0) {
+    errors.push_back({"release_version", ResultCode::kUnknownField, "is not a known member"});
+  }
   if (!errors.empty()) {
     return reply(http::ErrorResponse(errors.front().code, ToString(errors)));
   }
--- a/apps/scheduler/scheduler.h
+++ b/apps/scheduler/scheduler.h
@@ -52,6 +52,7 @@
   bool RenewMembership();
   bool ReadMembers();
   void TakeShards();
+  void FollowRelease();
   void DropShards();
   void TakeOver(const std::string& shard);
   bool ProvedStopped(const store::OwnerId& owner) const;
@@ -97,6 +98,7 @@
   std::mutex mutex_;
   membership::HostList hosts_;
   int64_t release_version_ = 0;
+  std::vector<planning::JobSpec> release_jobs_;
   std::map<std::string, Member> members_;
   std::map<std::string, std::string> table_;  // host by shard
   std::map<std::string, std::shared_ptr<ShardRunner>> runners_;
--- a/apps/scheduler/shard_runner.cc
+++ b/apps/scheduler/shard_runner.cc
@@ -7,10 +7,13 @@
 #include "base/random_id.h"
 #include "base/result_code.h"
 #include "membership/shard_assignment.h"
+#include "planning/release_jobs.h"
 
 namespace pomelopond::apps {
 namespace {
 
+// Stops of one drained host in one record: a drain must not hold up other decisions.
+constexpr size_t kMaxDrainStops = 50;
 constexpr size_t kMaxGrants = 500;  // in one record
 // Bound a record to 512 KiB: with ids of the longest length an event of a task takes at most 160
 // bytes, a grant 290, and an acceptance kMaxSpecBytes.
@@ -21,6 +24,21 @@
 constexpr Duration kExchangeTick = std::chrono::milliseconds(20);
 constexpr Duration kResolvePause = std::chrono::milliseconds(200);
 
+// Counts what the report shows: starts, ends and stops of tasks.
+void CountEvents(const std::vector<planning::Event>& events, metrics::Registry* metrics) {
+  int64_t grants = 0;
+  int64_t stops = 0;
+  int64_t finished = 0;
+  for (const planning::Event& it : events) {
+    grants += it.type == planning::EventType::kGrant ? 1 : 0;
+    stops += it.type == planning::EventType::kStop ? 1 : 0;
+    finished += it.type == planning::EventType::kFinished ? 1 : 0;
+  }
+  metrics->Count("task_grants_total", grants);
+  metrics->Count("task_evictions_total", stops);
+  metrics->Count("task_finished_total", finished);
+}
+
 }  // namespace
 
 ShardRunner::ShardRunner(const EntrySettings& settings, std::string shard, store::ShardLog log,
@@ -67,7 +85,10 @@
 
 void ShardRunner::SetHosts(const membership::HostList& hosts) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  for (auto& [id, worker] : workers_) worker.usable = false;
+  for (auto& [id, worker] : workers_) {
+    worker.usable = false;
+    worker.draining = false;
+  }
   for (const auto& [id, host] : hosts.hosts) {
     if (membership::ShardOf(host) != shard_) continue;
     const bool known = workers_.count(id) != 0;
@@ -81,6 +102,7 @@
     worker.rack = host.rack;
     worker.failure_domain = host.failure_domain;
     worker.usable = host.state == membership::HostState::kLive;
+    worker.draining = host.state == membership::HostState::kLeaving;
   }
 }
 
@@ -150,6 +172,25 @@
   if (done) decided(ec);
 }
 
+void ShardRunner::FollowRelease(const std::vector<planning::JobSpec>& wanted, int64_t version) {
+  planning::ReleaseJobChanges changes;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    changes = planning::CompareWithRelease(state_, wanted, version);
+  }
+  const auto log = [this](const char* event, const std::string& job) {
+    return [shard = shard_, event, job](std::error_code ec) {
+      Log(ec ? LogLevel::kWarn : LogLevel::kInfo, "release", event,
+          {{"shard", shard}, {"job", job}, {"result", ec.message()}});
+    };
+  };
+  for (planning::JobSpec& it : changes.accept) {
+    const std::string job = it.id;
+    Accept(std::move(it), log("job_added", job));
+  }
+  for (const std::string& it : changes.cancel) Cancel(it, log("job_withdrawn", it));
+}
+
 void ShardRunner::Cancel(const std::string& job, const Decided& decided) {
   std::error_code ec;
   bool done = false;
@@ -268,6 +309,13 @@
     }
   }
   AddRequests(&batch);
+  for (const auto& [id, worker] : workers_) {
+    if (!worker.draining) continue;
+    for (planning::Event& it : planning::DrainHost(state_, id, kMaxDrainStops)) {
+      // An attempt whose end is in this batch needs no stop.
+      if (held_.count(it.task) == 0) batch.events.push_back(std::move(it));
+    }
+  }
   planning::Advance(&health_, now);
   ExcuseFailures(&batch);
   for (const planning::HostRoom& it : Rooms()) planning::SetHost(&planner_, it);
@@ -463,6 +511,7 @@
     unknown_.clear();
   }
   metrics_->Count("journal_records_total");
+  if (!ec) CountEvents(batch.events, metrics_);
   const bool unknown = ec == ResultCode::kStoreAnswerLost;
   for (const Request& it : batch.requests) {
     it.decided(unknown ? std::error_code(ResultCode::kOutcomeUnknown) : ec);
--- a/apps/scheduler/shard_runner.h
+++ b/apps/scheduler/shard_runner.h
@@ -59,6 +59,9 @@
   std::vector<store::OwnerId> unproved();
 
   void SetHosts(const membership::HostList& hosts);
+
+  // Accepts and cancels jobs until the shard has those of release `version` whose home it is.
+  void FollowRelease(const std::vector<planning::JobSpec>& wanted, int64_t version);
   // From now on this earlier owner is known to renew no leases.
   void OwnerStopped(const store::OwnerId& owner, TimePoint now);
 
@@ -79,6 +82,7 @@
     planning::WorkerSession session;
     std::shared_ptr<http::HttpClient> client;
     bool usable = false;
+    bool draining = false;
     Resources capacity;
     std::string rack;
     std::string failure_domain;
--- a/src/planning/release_jobs.cc
+++ b/src/planning/release_jobs.cc
@@ -16,7 +16,8 @@
 
 }  // namespace
 
-ReleaseJobChanges CompareWithRelease(const ShardState& state, const std::vector<JobSpec>& wanted) {
+ReleaseJobChanges CompareWithRelease(const ShardState& state, const std::vector<JobSpec>& wanted,
+                                     int64_t version) {
   ReleaseJobChanges changes;
   std::set<std::string> names;
   for (const JobSpec& it : wanted) {
@@ -24,7 +25,8 @@
     if (state.jobs.count(it.id) == 0) changes.accept.push_back(it);
   }
   for (const auto& [id, spec] : state.jobs) {
-    if (!spec.from_release || names.count(id) != 0) continue;
+    if (spec.release_version == 0 || spec.release_version >= version) continue;
+    if (names.count(id) != 0) continue;
     if (HasOpenTask(state, spec)) changes.cancel.push_back(id);
   }
   return changes;
--- a/src/planning/task.cc
+++ b/src/planning/task.cc
@@ -11,6 +11,7 @@
 constexpr int64_t kMaxRank = 1000000;
 constexpr int64_t kMaxRunMs = 366LL * 24 * 3600 * 1000;
 constexpr int64_t kMaxAttempts = 1000;
+constexpr int64_t kMaxVersion = 1LL << 62;
 constexpr size_t kMaxIdBytes = 128;
 
 JobKind ReadKind(JsonReader* reader) {
@@ -76,7 +77,7 @@
           {"need", ToJson(spec.need)},
           {"run_ms", spec.run_time.count() / 1000},
           {"max_attempts", spec.max_attempts},
-          {"from_release", spec.from_release}};
+          {"release_version", spec.release_version}};
 }
 
 JobSpec ReadJobSpec(const Json& document, const std::string& path, FieldErrors* errors) {
@@ -95,7 +96,7 @@
   spec.need = ReadResources(reader.Object("need"), reader.PathOf("need"), errors);
   spec.run_time = std::chrono::milliseconds(reader.IntOr("run_ms", 0, kMaxRunMs, 0));
   spec.max_attempts = reader.IntOr("max_attempts", 1, kMaxAttempts, 5);
-  spec.from_release = reader.BoolOr("from_release", false);
+  spec.release_version = reader.IntOr("release_version", 0, kMaxVersion, 0);
   if (spec.kind == JobKind::kBatch && spec.run_time == Duration::zero()) {
     reader.Fail("run_ms", ResultCode::kBadField, "must be above 0 for a batch job");
   }
--- a/src/planning/task.h
+++ b/src/planning/task.h
@@ -27,13 +27,13 @@
   Resources need;       // of one task
   Duration run_time{};  // declared; zero: runs until it is cancelled
   int64_t max_attempts = 5;
-  bool from_release = false;  // asked for by the release in force, not by a caller
+  int64_t release_version = 0;  // of the release that asked for it; 0: a caller did
 
   friend bool operator==(const JobSpec& a, const JobSpec& b) {
     return std::tie(a.id, a.kind, a.team, a.work_class, a.rank, a.count, a.need, a.run_time,
-                    a.max_attempts, a.from_release) == std::tie(b.id, b.kind, b.team, b.work_class,
-                                                                b.rank, b.count, b.need, b.run_time,
-                                                                b.max_attempts, b.from_release);
+                    a.max_attempts, a.release_version) ==
+           std::tie(b.id, b.kind, b.team, b.work_class, b.rank, b.count, b.need, b.run_time,
+                    b.max_attempts, b.release_version);
   }
   friend bool operator!=(const JobSpec& a, const JobSpec& b) { return !(a == b); }
 };
--- a/src/release/release.cc
+++ b/src/release/release.cc
@@ -30,11 +30,11 @@
                                  const Json& object, const std::string& path, FieldErrors* errors) {
   Json spec = object;
   if (!spec.is_object()) return planning::ReadJobSpec(spec, path, errors);
-  if (spec.contains("id")) {
-    errors->push_back({path + ".id", ResultCode::kUnknownField, "the name is the id"});
+  for (const char* it : {"id", "release_version"}) {
+    if (!spec.contains(it)) continue;
+    errors->push_back({path + "." + it, ResultCode::kUnknownField, "is not a known member"});
   }
   spec["id"] = name;
-  spec["from_release"] = true;
   const bool watch = section == "watches";
   if (watch && spec.value("kind", Json("watch")) != "watch") {
     errors->push_back({path + ".kind", ResultCode::kBadField, "must be watch"});
@@ -161,6 +161,7 @@
     if (objects == release.sections.end()) continue;
     for (const auto& [name, object] : objects->second) {
       jobs.push_back(ReadReleaseJob(section, name, object, name, &ignored));
+      jobs.back().release_version = release.version;
     }
   }
   return jobs;
--- a/tests/planning/release_jobs_test.cc
+++ b/tests/planning/release_jobs_test.cc
@@ -5,36 +5,37 @@
 namespace pomelopond::planning {
 namespace {
 
-JobSpec Watch(const std::string& id, bool from_release) {
+JobSpec Watch(const std::string& id, int64_t release_version) {
   JobSpec spec;
   spec.id = id;
   spec.kind = JobKind::kWatch;
   spec.team = "team";
   spec.need = {100, 10, 0};
-  spec.from_release = from_release;
+  spec.release_version = release_version;
   return spec;
 }
 
-// Guards against a restart that accepts a watch twice or cancels a caller's job.
+// Guards against a restart that accepts a watch twice or cancels a caller's job, and against a
+// process with an older release that cancels what a newer one added.
 TEST(ReleaseJobsTest, OnlyMissingJobsAreAcceptedAndOnlyWithdrawnOnesCancelled) {
   ShardState state;
   for (const JobSpec& it :
-       {Watch("kept", true), Watch("withdrawn", true), Watch("caller", false)}) {
+       {Watch("kept", 1), Watch("withdrawn", 1), Watch("newer", 3), Watch("caller", 0)}) {
     Apply(&state, AcceptEvent(it));
   }
   const ReleaseJobChanges changes =
-      CompareWithRelease(state, {Watch("kept", true), Watch("new", true)});
+      CompareWithRelease(state, {Watch("kept", 2), Watch("new", 2)}, 2);
   ASSERT_EQ(changes.accept.size(), 1u);
   EXPECT_EQ(changes.accept[0].id, "new");
   EXPECT_EQ(changes.cancel, std::vector<std::string>{"withdrawn"});
   Apply(&state, CancelEvent("withdrawn"));
-  EXPECT_TRUE(CompareWithRelease(state, {Watch("kept", true)}).cancel.empty());
+  EXPECT_TRUE(CompareWithRelease(state, {Watch("kept", 2)}, 2).cancel.empty());
 }
 
 // Guards against a drain that stops attempts which the worker has not reported, or stops twice.
 TEST(ReleaseJobsTest, DrainStopsRunningTasksOnce) {
   ShardState state;
-  JobSpec spec = Watch("w", true);
+  JobSpec spec = Watch("w", 1);
   spec.count = 3;
   Apply(&state, AcceptEvent(spec));
   for (int n = 0; n < 3; ++n) {
