--- a/apps/scheduler/scheduler.cc
+++ b/apps/scheduler/scheduler.cc
@@ -90,9 +90,7 @@
 
 void Scheduler::UpdateRelease(const release::Release& release) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  if (release.version <= release_version_) return;
-  release_version_ = release.version;
-  release_jobs_ = release::JobsOf(release);
+  if (release.version > release_.version) release_ = release;
 }
 
 void Scheduler::Start() {
@@ -185,12 +183,14 @@
 void Scheduler::FollowRelease() {
   std::map<std::string, std::shared_ptr<ShardRunner>> runners;
   std::vector<planning::JobSpec> jobs;
+  std::map<std::string, planning::TeamQuota> quotas;
   int64_t version = 0;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     runners = runners_;
-    jobs = release_jobs_;
-    version = release_version_;
+    version = release_.version;
+    jobs = release::JobsOf(release_);
+    quotas = release::QuotasOf(release_, static_cast<int64_t>(table_.size()));
   }
   // Without a release yet, nothing is known to be withdrawn.
   if (version == 0) return;
@@ -199,7 +199,10 @@
     const std::string shard = HomeShard(it.id);
     wanted[shard].push_back(std::move(it));
   }
-  for (const auto& [shard, runner] : runners) runner->FollowRelease(wanted[shard], version);
+  for (const auto& [shard, runner] : runners) {
+    runner->SetQuotas(quotas);
+    runner->FollowRelease(wanted[shard], version);
+  }
 }
 
 void Scheduler::DropShards() {
@@ -451,7 +454,7 @@
   return http::JsonResponse(ready ? 200 : 503, {{"ready", ready},
                                                 {"state", fresh ? "ok" : "degraded"},
                                                 {"shards", runners_.size()},
-                                                {"release", release_version_}});
+                                                {"release", release_.version}});
 }
 
 http::HttpResponse Scheduler::Shards() {
--- a/apps/scheduler/scheduler.h
+++ b/apps/scheduler/scheduler.h
@@ -97,8 +97,7 @@
   // Lock order: mutex_ before a runner's mutex; not held during store calls.
   std::mutex mutex_;
   membership::HostList hosts_;
-  int64_t release_version_ = 0;
-  std::vector<planning::JobSpec> release_jobs_;
+  release::Release release_;
   std::map<std::string, Member> members_;
   std::map<std::string, std::string> table_;  // host by shard
   std::map<std::string, std::shared_ptr<ShardRunner>> runners_;
--- a/apps/scheduler/shard_runner.cc
+++ b/apps/scheduler/shard_runner.cc
@@ -172,6 +172,13 @@
   if (done) decided(ec);
 }
 
+void ShardRunner::SetQuotas(std::map<std::string, planning::TeamQuota> quotas) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (quotas == quotas_) return;
+  quotas_ = std::move(quotas);
+  quotas_changed_ = true;
+}
+
 void ShardRunner::FollowRelease(const std::vector<planning::JobSpec>& wanted, int64_t version) {
   planning::ReleaseJobChanges changes;
   {
@@ -318,6 +325,13 @@
   }
   planning::Advance(&health_, now);
   ExcuseFailures(&batch);
+  if (quotas_changed_) {
+    // No grant is on its way to the journal here, so the state holds all of them.
+    quotas_changed_ = false;
+    planning::PlacementSettings settings;
+    settings.quotas = quotas_;
+    planner_ = planning::MakePlanner(state_, Rooms(), settings);
+  }
   for (const planning::HostRoom& it : Rooms()) planning::SetHost(&planner_, it);
   for (planning::Event& it : planning::PlaceTasks(state_, &planner_, kMaxGrants, now)) {
     batch.events.push_back(std::move(it));
--- a/apps/scheduler/shard_runner.h
+++ b/apps/scheduler/shard_runner.h
@@ -60,6 +60,9 @@
 
   void SetHosts(const membership::HostList& hosts);
 
+  // Takes effect with the next record.
+  void SetQuotas(std::map<std::string, planning::TeamQuota> quotas);
+
   // Accepts and cancels jobs until the shard has those of release `version` whose home it is.
   void FollowRelease(const std::vector<planning::JobSpec>& wanted, int64_t version);
   // From now on this earlier owner is known to renew no leases.
@@ -147,6 +150,8 @@
   planning::HealthTable health_;
   std::minstd_rand random_{std::random_device{}()};
   std::map<std::string, Worker> workers_;
+  std::map<std::string, planning::TeamQuota> quotas_;
+  bool quotas_changed_ = false;
   std::vector<Request> requests_;
   std::vector<planning::Event> reports_;
   std::set<std::string> held_;     // tasks with an event that is waiting or in flight
--- a/bench/at_most_once.cc
+++ b/bench/at_most_once.cc
@@ -25,7 +25,7 @@
 constexpr Duration kCallTimeout = std::chrono::milliseconds(1500);
 constexpr Duration kPause = std::chrono::milliseconds(1500);  // longer than every deadline
 constexpr Duration kRetryPause = std::chrono::milliseconds(10);
-constexpr int kFaultyAnswers = 10;  // of each kind, at one fault point
+constexpr int64_t kFaultyAnswers = 10;  // of each kind, at one fault point
 
 struct Options {
   int64_t requests = 0;
--- a/src/release/release.cc
+++ b/src/release/release.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr double kMaxObjectiveMs = 3600000;
+constexpr double kMinShare = 0.001;
 constexpr double kMaxShare = 1000000;
 constexpr int64_t kMaxPerSecond = 1000000;
 constexpr int64_t kMaxLimitWeight = 1000;
@@ -45,7 +46,7 @@
 
 void CheckQuota(const Json& object, const std::string& path, FieldErrors* errors) {
   JsonReader reader(object, path, errors);
-  reader.NumberOr("share", 0, kMaxShare, 1);
+  reader.NumberOr("share", kMinShare, kMaxShare, 1);
   planning::ReadResources(reader.ObjectOr("most"), path + ".most", errors);
   reader.Finish();
 }
@@ -153,6 +154,21 @@
   return drains;
 }
 
+std::map<std::string, planning::TeamQuota> QuotasOf(const Release& release, int64_t shards) {
+  std::map<std::string, planning::TeamQuota> quotas;
+  const auto section = release.sections.find("quotas");
+  if (section == release.sections.end() || shards < 1) return quotas;
+  FieldErrors ignored;  // the objects were checked when the release was accepted
+  for (const auto& [team, object] : section->second) {
+    planning::TeamQuota& quota = quotas[team];
+    quota.weight = object.value("share", 1.0);
+    if (!object.contains("most")) continue;
+    const Resources most = planning::ReadResources(object["most"], team, &ignored);
+    quota.limit = {most.cpu_milli / shards, most.memory_mb / shards, most.accelerators / shards};
+  }
+  return quotas;
+}
+
 std::vector<planning::JobSpec> JobsOf(const Release& release) {
   std::vector<planning::JobSpec> jobs;
   FieldErrors ignored;  // the objects were checked when the release was accepted
--- a/src/release/release.h
+++ b/src/release/release.h
@@ -9,6 +9,7 @@
 
 #include "base/json_reader.h"
 #include "membership/drain.h"
+#include "planning/placement.h"
 #include "planning/task.h"
 
 namespace pomelopond::release {
@@ -67,6 +68,10 @@
 // The batch jobs, services and watches of the sections jobs and watches.
 std::vector<planning::JobSpec> JobsOf(const Release& release);
 
+// Each team's quota in one of `shards` shards. A limit is divided evenly, so that the shards
+// together never exceed it; the remainder of the division is not used.
+std::map<std::string, planning::TeamQuota> QuotasOf(const Release& release, int64_t shards);
+
 // All services of a release, by name.
 std::map<std::string, ServiceSpec> ServicesOf(const Release& release);
 
--- a/tests/release/note_test.cc
+++ b/tests/release/note_test.cc
@@ -54,6 +54,17 @@
   EXPECT_EQ(errors[0].code, ResultCode::kStaleBase);
 }
 
+// Guards against a team that gets more than its quota because each shard grants all of it.
+TEST(ReleaseQuotaTest, ShardsTogetherStayWithinTheQuota) {
+  Release release = EmptyRelease();
+  release.sections["quotas"]["t"] = {{"share", 2}, {"most", {{"cpu_milli", 10000}}}};
+  release.sections["quotas"]["u"] = {{"share", 0.5}};
+  const auto quotas = QuotasOf(release, 3);
+  EXPECT_EQ(quotas.at("t").limit, (Resources{3333, 0, 0}));
+  EXPECT_EQ(quotas.at("t").weight, 2);
+  EXPECT_EQ(quotas.at("u").limit, planning::kUnlimited);
+}
+
 // Guards against releases above the store's 1 MB a value, and against damaged chunks.
 TEST(ChunksTest, LargeReleaseSurvivesSplitAndJoin) {
   Release release = EmptyRelease();
