--- a/bench/starts.cc
+++ b/bench/starts.cc
@@ -42,7 +42,8 @@
     pool.emplace_back([&, n] {
       for (size_t it = next++; it < sent.size(); it = next++) {
         const TimePoint due =
-            start + Duration(static_cast<int64_t>(1e6 * seconds * static_cast<double>(it) / jobs));
+            start + Duration(static_cast<int64_t>(1e6 * seconds * static_cast<double>(it) /
+                                                  static_cast<double>(jobs)));
         std::this_thread::sleep_until(due);
         // Latency counts from when the job was due, so a stalled submitter hides nothing.
         sent[it] = due;
--- a/src/base/entry_settings.cc
+++ b/src/base/entry_settings.cc
@@ -6,7 +6,7 @@
 namespace {
 
 constexpr int64_t kMaxEntryHosts = 64;
-constexpr int64_t kDayMs = 24 * 3600 * 1000;
+constexpr int64_t kDayMs = 24LL * 3600 * 1000;
 constexpr int64_t kWeekMs = 7 * kDayMs;
 
 Duration MillisecondsOr(JsonReader* reader, const std::string& key, int64_t min, int64_t max,
--- a/tests/failure/task_owner_test.cc
+++ b/tests/failure/task_owner_test.cc
@@ -113,7 +113,9 @@
            OwnedShards(cluster, 2).size() == 1;
   }));
   const int owner = 0;
-  const auto [shard, epoch] = *OwnedShards(cluster, owner).begin();
+  const std::map<std::string, int64_t> first = OwnedShards(cluster, owner);
+  const std::string shard = first.begin()->first;
+  const int64_t epoch = first.begin()->second;
   const auto fence = [&](int64_t at) {
     const http::HttpResult result = Send(cluster.Scheduler(owner), "POST", "/v1/fence",
                                          Json{{"shard", shard}, {"epoch", at}}.dump());
