--- a/apps/admin/admin.cc
+++ b/apps/admin/admin.cc
@@ -282,12 +282,7 @@
   const std::string path = http::PathOf(request);
   if (path == "/healthz") return reply(http::JsonResponse(200, {{"status", "ok"}}));
   if (path == "/readyz") return reply(Ready());
-  if (path == "/metrics") {
-    http::HttpResponse response;
-    response.headers["Content-Type"] = "text/plain; version=0.0.4";
-    response.body = metrics_.Text();
-    return reply(std::move(response));
-  }
+  if (path == "/metrics") return reply(http::MetricsResponse(metrics_.Text()));
   const AccessKey* key = FindKey(settings_.keys, request);
   const bool post = request.method == "POST";
   if (!post && request.method != "GET") {
--- a/apps/router/router.cc
+++ b/apps/router/router.cc
@@ -193,12 +193,7 @@
   const std::string path = http::PathOf(request);
   if (path == "/healthz") return reply(http::JsonResponse(200, {{"status", "ok"}}));
   if (path == "/readyz") return reply(Ready());
-  if (path == "/metrics") {
-    http::HttpResponse response;
-    response.headers["Content-Type"] = "text/plain; version=0.0.4";
-    response.body = metrics_.Text();
-    return reply(std::move(response));
-  }
+  if (path == "/metrics") return reply(http::MetricsResponse(metrics_.Text()));
   if (path == "/v1/metrics") return reply(MetricsJson());
   if (path.rfind(kServicePrefix, 0) == 0) return HandleService(request, reply);
   reply(http::ErrorResponse(ResultCode::kNotFound, "no such path: " + path));
--- a/apps/scheduler/scheduler.cc
+++ b/apps/scheduler/scheduler.cc
@@ -476,12 +476,7 @@
   if (path == "/readyz") return reply(Ready());
   if (path == "/v1/shards") return reply(Shards());
   if (path == "/v1/metrics") return reply(http::JsonResponse(200, metrics_.Snapshot()));
-  if (path == "/metrics") {
-    http::HttpResponse response;
-    response.headers["Content-Type"] = "text/plain; version=0.0.4";
-    response.body = metrics_.Text();
-    return reply(std::move(response));
-  }
+  if (path == "/metrics") return reply(http::MetricsResponse(metrics_.Text()));
   if (path == kFencePath) return HandleFence(request, reply);
   if (path == kJobsPath || path.rfind(std::string(kJobsPath) + "/", 0) == 0) {
     return HandleJobs(request, reply);
--- a/src/http/http_message.cc
+++ b/src/http/http_message.cc
@@ -67,6 +67,13 @@
   return response;
 }
 
+HttpResponse MetricsResponse(std::string text) {
+  HttpResponse response;
+  response.headers["Content-Type"] = "text/plain; version=0.0.4";
+  response.body = std::move(text);
+  return response;
+}
+
 HttpResponse ErrorResponse(ResultCode code, const std::string& text) {
   const char* outcome = OutcomeName(OutcomeOf(code));
   HttpResponse response = JsonResponse(HttpStatusOf(code), {{"code", static_cast<int>(code)},
--- a/src/http/http_message.h
+++ b/src/http/http_message.h
@@ -50,6 +50,8 @@
 std::string QueryOf(const HttpRequest& request, const std::string& name);
 
 HttpResponse JsonResponse(int status, const Json& body);
+// The text exposition format of metrics.
+HttpResponse MetricsResponse(std::string text);
 // An error body {"code", "result", "outcome", "text"} with the code's HTTP status.
 HttpResponse ErrorResponse(ResultCode code, const std::string& text);
 
