Read the release's jobs once, and drop a parameter that nothing used

Cause: on a last reading the scheduler parsed all jobs of the release every second under its lock, OnExchange took a sequence number that it ignored, and two benchmarks had the same table of deployments. Change: jobs are read when a release arrives; the parameter is gone; bench/support/deployment.h holds the table. Behaviour stays as it is. Ruled out: sharing the start of the programs' main functions and the stand-ins' fault handlers, which differ in what they own. Conclusion: none.

--- a/apps/scheduler/scheduler.cc
+++ b/apps/scheduler/scheduler.cc
@@ -90,7 +90,9 @@
 
 void Scheduler::UpdateRelease(const release::Release& release) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  if (release.version > release_.version) release_ = release;
+  if (release.version <= release_.version) return;
+  release_ = release;
+  release_jobs_ = release::JobsOf(release);
 }
 
 void Scheduler::Start() {
@@ -189,7 +191,7 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     runners = runners_;
     version = release_.version;
-    jobs = release::JobsOf(release_);
+    jobs = release_jobs_;
     quotas = release::QuotasOf(release_, static_cast<int64_t>(table_.size()));
   }
   // Without a release yet, nothing is known to be withdrawn.
--- a/apps/scheduler/scheduler.h
+++ b/apps/scheduler/scheduler.h
@@ -98,6 +98,7 @@
   std::mutex mutex_;
   membership::HostList hosts_;
   release::Release release_;
+  std::vector<planning::JobSpec> release_jobs_;  // of release_, read once
   std::map<std::string, Member> members_;
   std::map<std::string, std::string> table_;  // host by shard
   std::map<std::string, std::shared_ptr<ShardRunner>> runners_;
--- a/apps/scheduler/shard_runner.cc
+++ b/apps/scheduler/shard_runner.cc
@@ -563,7 +563,6 @@
 void ShardRunner::Exchange(const std::string& host, TimePoint now) {
   http::HttpRequest request;
   std::shared_ptr<http::HttpClient> client;
-  int64_t sequence = 0;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     if (halted_.load()) return;
@@ -574,20 +573,16 @@
     worker.in_flight = true;
     worker.last_sent = now;
     client = worker.client;
-    sequence = exchange.sequence;
     request.body = planning::ToJson(exchange).dump();
   }
   request.method = "POST";
   request.path = "/v1/exchange";
   request.headers["Content-Type"] = "application/json";
   client->Send(std::move(request), settings_.exchange_interval * 2,
-               [this, host, sequence](const http::HttpResult& result) {
-                 OnExchange(host, sequence, result);
-               });
+               [this, host](const http::HttpResult& result) { OnExchange(host, result); });
 }
 
-void ShardRunner::OnExchange(const std::string& host, int64_t sequence,
-                             const http::HttpResult& result) {
+void ShardRunner::OnExchange(const std::string& host, const http::HttpResult& result) {
   FieldErrors errors;
   planning::ExchangeReply reply;
   bool usable = !result.ec && result.response.status == 200;
@@ -617,7 +612,6 @@
       }
     }
   }
-  (void)sequence;
   if (replaced_by_other) Drop();
   changed_.notify_all();
 }
--- a/apps/scheduler/shard_runner.h
+++ b/apps/scheduler/shard_runner.h
@@ -127,7 +127,7 @@
   void ExcuseFailures(Batch* batch);
   void Follow(const planning::Event& event, bool excused, TimePoint now);
   void Exchange(const std::string& host, TimePoint now);
-  void OnExchange(const std::string& host, int64_t sequence, const http::HttpResult& result);
+  void OnExchange(const std::string& host, const http::HttpResult& result);
   std::vector<planning::HostRoom> Rooms() const;
 
   const EntrySettings settings_;
--- a/bench/routing_overload.cc
+++ b/bench/routing_overload.cc
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "bench/support/bench_result.h"
+#include "bench/support/deployment.h"
 #include "routing/admission.h"
 #include "routing/ejection.h"
 #include "routing/fair_queue.h"
@@ -297,18 +298,6 @@
   CallerCounts ignored_;
 };
 
-struct Deployment {
-  const char* name;
-  int domains;
-  Duration one_way;
-};
-
-// From the sizes in docs/design.md, section 2.
-constexpr Deployment kDeployments[] = {
-    {"falaj", 3, std::chrono::microseconds(1400)},
-    {"kumlama", 4, std::chrono::microseconds(500)},
-};
-
 // Prints a row for each caller and adds the figures of one deployment; true when all targets hold.
 bool RunDeployment(const Deployment& deployment, Setup setup, Figures* figures) {
   setup.domains = deployment.domains;
--- a/bench/routing_tail.cc
+++ b/bench/routing_tail.cc
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "bench/support/bench_result.h"
+#include "bench/support/deployment.h"
 #include "routing/target_choice.h"
 #include "routing/target_choice_alternatives.h"
 
@@ -386,18 +387,6 @@
   return (*times)[static_cast<size_t>(n)] / 1000;
 }
 
-struct Deployment {
-  const char* name;
-  int domains;
-  Duration one_way;
-};
-
-// From the sizes in docs/design.md, section 2.
-constexpr Deployment kDeployments[] = {
-    {"falaj", 3, std::chrono::microseconds(1400)},
-    {"kumlama", 4, std::chrono::microseconds(500)},
-};
-
 // Prints one row for each load and policy; returns p99 in use divided by the ideal's at 85%.
 double RunDeployment(const Deployment& deployment, Setup setup, const std::vector<double>& loads) {
   setup.domains = deployment.domains;
