Acknowledge an end only when it is durable, also when it is listed twice

Cause: a second report of the same end reset the commit that the acknowledgement waits for, so any later commit acknowledged it. Ruled out: a commit that was lost (the term record orders all commits). Change: the commit is noted only when a report brings something new; an empty commit a second proves the ownership while nothing changes. Test: DispatcherTest.EndIsAcknowledgedOnlyWhenDurable failed before.

--- a/src/dispatch/choose_worker.cc
+++ b/src/dispatch/choose_worker.cc
@@ -23,6 +23,14 @@
   return need;
 }
 
+// Processor time that neither reservations nor filling tasks ask for.
+int64_t LeftOver(const WorkerState& worker) { return RoomOf(worker).cpu_milli - worker.fill_cpu; }
+
+// Filling tasks that share too little processor time all end late, so the later ones wait.
+bool MayFill(const WorkerState& worker, const jobs::Step& step) {
+  return worker.serving == 0 && LeftOver(worker) >= step.request.cpu_milli;
+}
+
 bool IsAllowed(const WorkerState& worker, const PlacementRequest& request, TimePoint now) {
   const jobs::Step& step = *request.step;
   if (worker.info.service != request.service || !TakesTasks(worker, now)) return false;
@@ -31,6 +39,7 @@
     return false;
   }
   if (!Fits(Needed(step), RoomOf(worker))) return false;
+  if (step.fills && !MayFill(worker, step)) return false;
   if (step.max_per_worker > 0 &&
       RunsOnWorker(*request.state, worker.info.id) >= step.max_per_worker) {
     return false;
@@ -42,17 +51,20 @@
 }
 
 // Smaller is better.
-using Score = std::tuple<bool, bool, bool, int64_t>;
+using Score = std::tuple<bool, bool, bool, bool, int64_t>;
 
 Score ScoreOf(const WorkerState& worker, const PlacementRequest& request) {
   const jobs::Step& step = *request.step;
   const bool failed_here =
       request.task != nullptr && request.task->failed_on.count(worker.info.id) > 0;
   const bool far = !step.preferred_rack.empty() && worker.info.rack != step.preferred_rack;
-  const bool disturbs =
-      (step.fills && worker.serving > 0) || (step.target_tail_ms > 0 && worker.fill_cpu > 0);
-  const int64_t left_over = RoomOf(worker).cpu_milli - worker.fill_cpu;
-  return {failed_here, far, disturbs, -left_over};
+  const int64_t left_over = LeftOver(worker);
+  if (step.fills) return {failed_here, far, worker.serving > 0, false, -left_over};
+  if (step.target_tail_ms > 0) {
+    return {failed_here, far, worker.fill_cpu > 0, worker.serving == 0, left_over};
+  }
+  // Tasks with a reservation disturb nobody, and leave the other workers to filling tasks.
+  return {failed_here, far, worker.serving == 0, worker.fill_cpu > 0, -left_over};
 }
 
 }  // namespace
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -4,6 +4,7 @@
 
 #include "base/log.h"
 #include "base/result_code.h"
+#include "dispatch/choose_worker.h"
 
 namespace pomelopond::dispatch {
 namespace {
@@ -168,6 +169,28 @@
   return counts;
 }
 
+PoolSummary Dispatcher::Summary(TimePoint now) const {
+  PoolSummary out;
+  for (const auto& [id, entry] : jobs_) {
+    if (jobs::IsFinal(entry.state)) continue;
+    out.jobs += 1;
+    for (const std::vector<StepState>& steps : entry.steps) {
+      for (const StepState& it : steps) out.waiting_tasks += it.waiting;
+    }
+  }
+  for (const auto& [id, it] : workers_) {
+    out.runs += static_cast<int>(it.runs.size());
+    out.silent_workers += it.silent > 0 ? 1 : 0;
+    out.serving_workers += it.serving > 0 ? 1 : 0;
+    out.reserved_cpu += it.used.cpu_milli;
+    out.fill_cpu += it.fill_cpu;
+    if (!TakesTasks(it, now)) continue;
+    out.workers += 1;
+    out.free_cpu += std::max<int64_t>(0, RoomOf(it).cpu_milli - it.fill_cpu);
+  }
+  return out;
+}
+
 std::optional<Commit> Dispatcher::NextCommit(TimePoint now, int64_t wall_ms) {
   if (commit_open_) return std::nullopt;
   Commit commit;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -63,6 +63,20 @@
 std::string EncodeWaiting(const std::map<std::string, int>& counts);
 Result<std::map<std::string, int>> DecodeWaiting(const std::string& bytes);
 
+// The pool at one moment, for logs and metrics.
+struct PoolSummary {
+  int jobs = 0;           // not finished
+  int waiting_tasks = 0;  // ready or not, without a run
+  int runs = 0;
+  int workers = 0;           // that take tasks
+  int silent_workers = 0;    // that did not answer the last call
+  int serving_workers = 0;   // with tasks that serve users
+  int64_t reserved_cpu = 0;  // thousandths of a core
+  int64_t fill_cpu = 0;
+  int64_t free_cpu =
+      0;  // neither reserved nor asked for by filling tasks, on workers that take tasks
+};
+
 class Dispatcher {
  public:
   // `epoch` rises with each owner. Runs of earlier owners are adopted as workers report them.
@@ -100,6 +114,7 @@
   const std::map<std::string, WorkerState>& workers() const { return workers_; }
   const JobEntry* FindJob(const std::string& id) const;
   std::map<std::string, int> WaitingCounts(int64_t wall_ms) const;
+  PoolSummary Summary(TimePoint now) const;
 
  private:
   // Jobs in the order in which their tasks are placed: priority, then age.
@@ -116,11 +131,10 @@
   void StopAllRuns(JobEntry* entry);
   void StopOtherRuns(const jobs::TaskId& id, int64_t run);
   void Adopt(WorkerState* worker, const ActiveRun& active, TimePoint now);
-  void TakeActive(WorkerState* worker, const HoldOrder& order, const Report& report, TimePoint sent,
-                  TimePoint now);
-  void TakeEnd(WorkerState* worker, const EndedRun& end, TimePoint now, int64_t wall_ms);
-  void TakeCheckpoint(JobEntry* entry, TaskState* task, const RunId& id,
-                      const std::string& checkpoint);
+  void TakeActive(WorkerState* worker, const Report& report, TimePoint sent, TimePoint now);
+  // True when it changed what must become durable.
+  bool TakeEnd(WorkerState* worker, const EndedRun& end, TimePoint now, int64_t wall_ms);
+  void TakeFailure(JobEntry* entry, const RunId& id, int64_t wall_ms);
   void FinishTask(JobEntry* entry, const jobs::TaskId& id, int64_t wall_ms);
   void FinishJob(JobEntry* entry, jobs::JobState state, int64_t wall_ms);
   bool TakeAnswer(WorkerState* worker, const Answer& answer, TimePoint now);
--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -32,6 +32,12 @@
   worker->avoid_until = std::max(worker->avoid_until, now + std::min(pause, kMaxFailurePause));
 }
 
+void TakeCheckpoint(TaskState* task, const RunId& id, const std::string& checkpoint) {
+  if (checkpoint.empty() || task->progress.done || id.run < task->progress.checkpoint_run) return;
+  task->progress.checkpoint = checkpoint;
+  task->progress.checkpoint_run = id.run;
+}
+
 }  // namespace
 
 int64_t Dispatcher::NextRun(const TaskState& task) const {
@@ -126,48 +132,40 @@
   }
 }
 
-void Dispatcher::TakeCheckpoint(JobEntry* entry, TaskState* task, const RunId& id,
-                                const std::string& checkpoint) {
-  if (checkpoint.empty() || task->progress.done || id.run < task->progress.checkpoint_run) return;
-  if (task->progress.checkpoint == checkpoint) return;
-  task->progress.checkpoint = checkpoint;
-  task->progress.checkpoint_run = id.run;
-  (void)entry;
-}
-
-void Dispatcher::TakeEnd(WorkerState* worker, const EndedRun& end, TimePoint now, int64_t wall_ms) {
-  if (end.sequence <= worker->processed) return;
+bool Dispatcher::TakeEnd(WorkerState* worker, const EndedRun& end, TimePoint now, int64_t wall_ms) {
+  if (end.sequence <= worker->processed) return false;
   worker->processed = end.sequence;
   EndRun(worker, end.id);
   JobEntry* entry = FindEntry(end.id.task.job);
   TaskState* task = entry == nullptr ? nullptr : FindTask(entry, end.id.task);
   if (end.kind == EndKind::kDone) worker->failures = 0;
   if (end.kind == EndKind::kFailed) CountFailure(worker, now);
-  if (task == nullptr || jobs::IsFinal(entry->state)) return;
+  if (task == nullptr || jobs::IsFinal(entry->state)) return false;
   task->last_run = std::max(task->last_run, end.id.run);
   const jobs::Step& step = StepOf(*entry, end.id.task);
-  TakeCheckpoint(entry, task, end.id, end.checkpoint);
+  TakeCheckpoint(task, end.id, end.checkpoint);
   MarkDirty(entry->job.id);
-  worker->generation = generation_;
   if (end.kind == EndKind::kFailed) task->failed_on.insert(worker->info.id);
-  if (step.perpetual || task->progress.done) return;
-  if (end.kind == EndKind::kDone) {
-    FinishTask(entry, end.id.task, wall_ms);
-    if (!step.gang) return;
-    // One end of a gang's run stands for all its members.
-    jobs::TaskId member = end.id.task;
-    for (member.index = 0; member.index < step.replicas; ++member.index) {
-      FinishTask(entry, member, wall_ms);
-    }
-    return;
+  if (step.perpetual || task->progress.done) return true;
+  if (end.kind == EndKind::kFailed) TakeFailure(entry, end.id, wall_ms);
+  if (end.kind != EndKind::kDone) return true;
+  FinishTask(entry, end.id.task, wall_ms);
+  if (!step.gang) return true;
+  // One end of a gang's run stands for all its members.
+  jobs::TaskId member = end.id.task;
+  for (member.index = 0; member.index < step.replicas; ++member.index) {
+    FinishTask(entry, member, wall_ms);
   }
-  if (end.kind != EndKind::kFailed) return;
+  return true;
+}
+
+void Dispatcher::TakeFailure(JobEntry* entry, const RunId& id, int64_t wall_ms) {
   // The failures of a gang are counted at its first member.
-  jobs::TaskId counted = end.id.task;
-  if (step.gang) counted.index = 0;
+  jobs::TaskId counted = id.task;
+  if (StepOf(*entry, id.task).gang) counted.index = 0;
   std::vector<int64_t>& failed = FindTask(entry, counted)->progress.failed_runs;
-  if (std::find(failed.begin(), failed.end(), end.id.run) != failed.end()) return;
-  failed.push_back(end.id.run);
+  if (std::find(failed.begin(), failed.end(), id.run) != failed.end()) return;
+  failed.push_back(id.run);
   if (static_cast<int>(failed.size()) >= entry->job.rules.max_attempts) {
     FinishJob(entry, jobs::JobState::kFailed, wall_ms);
   }
@@ -199,9 +197,8 @@
   if (!wanted) AskToStop(worker, active.id);
 }
 
-void Dispatcher::TakeActive(WorkerState* worker, const HoldOrder& order, const Report& report,
-                            TimePoint sent, TimePoint now) {
-  (void)order;
+void Dispatcher::TakeActive(WorkerState* worker, const Report& report, TimePoint sent,
+                            TimePoint now) {
   std::set<RunId> seen;
   for (const ActiveRun& it : report.active) {
     seen.insert(it.id);
@@ -216,7 +213,7 @@
     run.load = it.load;
     JobEntry* entry = FindEntry(it.id.task.job);
     TaskState* task = entry == nullptr ? nullptr : FindTask(entry, it.id.task);
-    if (task != nullptr) TakeCheckpoint(entry, task, it.id, it.checkpoint);
+    if (task != nullptr) TakeCheckpoint(task, it.id, it.checkpoint);
   }
   if (report.ended.size() >= kMaxReportedEnds) return;
   // A run that was there before the report was asked for, and is in neither list, is over.
@@ -287,14 +284,13 @@
   }
   worker->contacted = true;
   unsettled_.erase(worker->info.id);
-  const int64_t before = worker->processed;
-  worker->generation = 0;
-  for (const EndedRun& it : report.ended) TakeEnd(worker, it, now, wall_ms);
-  TakeActive(worker, order, report, worker->hold_sent, now);
+  const bool all_durable = worker->processed == worker->acknowledged;
+  bool changed = false;
+  for (const EndedRun& it : report.ended) changed = TakeEnd(worker, it, now, wall_ms) || changed;
+  TakeActive(worker, report, worker->hold_sent, now);
+  if (changed) worker->generation = generation_;
   // Ends that concern no job are forgotten at once.
-  if (worker->generation == 0 && before == worker->acknowledged) {
-    worker->acknowledged = worker->processed;
-  }
+  if (!changed && all_durable) worker->acknowledged = worker->processed;
   worker->next_hold = worker->processed == worker->acknowledged ? now : now + kUncommittedRetry;
 }
 
--- a/src/entry/pool_owner.cc
+++ b/src/entry/pool_owner.cc
@@ -24,6 +24,8 @@
 constexpr int kMinCompeteMs = 60;
 constexpr int kMaxCompeteMs = 300;
 constexpr int kRenewalsPerLease = 4;
+constexpr Duration kProofInterval = std::chrono::seconds(1);
+constexpr Duration kSummaryInterval = std::chrono::seconds(2);
 
 Duration CompeteDelay() {
   static thread_local std::mt19937 random{std::random_device{}()};
@@ -173,6 +175,7 @@
   Log(LogLevel::kInfo, "owner", "took_over", {{"epoch", mine.epoch}});
   dispatcher_.emplace(options_.limits, mine.epoch, owner_since_);
   dispatcher_->OnOwnershipProof(began);
+  proof_ = began;
   jobs_loaded_ = false;
   progress_.clear();
   After(options_.lease / kRenewalsPerLease, [this] { Renew(); });
@@ -368,6 +371,23 @@
   Send(dispatcher_->Decide(now, WallClockMs()));
   if (dispatcher_->replaced()) return StepDown("a worker follows a later owner");
   WriteCommit();
+  if (now >= next_summary_) LogSummary(now);
+}
+
+void PoolOwner::LogSummary(TimePoint now) {
+  next_summary_ = now + kSummaryInterval;
+  const dispatch::PoolSummary it = dispatcher_->Summary(now);
+  Log(LogLevel::kInfo, "owner", "pool",
+      {{"epoch", term_.epoch},
+       {"jobs", it.jobs},
+       {"waiting_tasks", it.waiting_tasks},
+       {"runs", it.runs},
+       {"workers", it.workers},
+       {"silent", it.silent_workers},
+       {"serving", it.serving_workers},
+       {"reserved_cpu", it.reserved_cpu},
+       {"fill_cpu", it.fill_cpu},
+       {"free_cpu", it.free_cpu}});
 }
 
 void PoolOwner::Send(dispatch::Orders orders) {
@@ -415,6 +435,8 @@
   if (now < next_commit_) return;
   const bool again = commit_.has_value();
   if (!again) commit_ = dispatcher_->NextCommit(now, WallClockMs());
+  // Without a change, an empty commit proves that no other process has taken over.
+  if (!commit_ && now - proof_ >= kProofInterval) commit_.emplace();
   if (!commit_) return;
   if (!again) term_.last_commit += 1;
   // Until the answer arrives no other commit begins.
@@ -455,6 +477,7 @@
   next_commit_ = Now() + kCommitPause;
   metrics_->Count("commits_total");
   metrics_->Observe("commit_time", Now() - began);
+  proof_ = began;
   dispatcher_->OnOwnershipProof(began);
   dispatcher_->OnCommitted(*commit_);
   commit_.reset();
--- a/src/entry/pool_owner.h
+++ b/src/entry/pool_owner.h
@@ -66,6 +66,7 @@
   void Renew();
   void RestoreOwnerKey();
   void Tick();
+  void LogSummary(TimePoint now);
   void Send(dispatch::Orders orders);
   void WriteCommit();
   void OnCommitAnswer(const Result<store::CommitResult>& result, TimePoint began);
@@ -99,6 +100,8 @@
   std::shared_ptr<PrefixFeed> worker_feed_;
   bool jobs_loaded_ = false;
   TimePoint next_commit_;
+  TimePoint proof_;  // the last time at which this process was the owner for certain
+  TimePoint next_summary_;
   std::unique_ptr<EventLoop> loop_;
 };
 
--- /dev/null
+++ b/tests/dispatch/dispatcher_test.cc
@@ -0,0 +1,67 @@
+#include "dispatch/dispatcher.h"
+
+#include <gtest/gtest.h>
+
+#include "tests/dispatch/scenario.h"
+
+namespace pomelopond::dispatch {
+namespace {
+
+constexpr const char* kJob = "00000000000000aa";
+
+RunId RunOf(int step, int index, int64_t run) { return {{kJob, 0, step, index}, run}; }
+
+// Guards against tasks that are started twice, or not at all, when there is room for all.
+TEST(DispatcherTest, StartsEachTaskOnce) {
+  Scenario it;
+  it.AddWorkers({MakeWorker("w1"), MakeWorker("w2")});
+  it.dispatcher.AddJob(MakeJob(kJob, {MakeStep(3)}), {}, false, it.now);
+  it.Decide();
+  EXPECT_EQ(it.Started(), (std::vector<RunId>{RunOf(0, 0, 1), RunOf(0, 1, 1), RunOf(0, 2, 1)}));
+  it.ConfirmStarts();
+  it.Decide();
+  EXPECT_TRUE(it.orders.starts.empty());
+}
+
+// Guards against a step that starts before the steps that it waits for are done.
+TEST(DispatcherTest, LaterStepWaitsForAllTasksOfTheEarlierOne) {
+  Scenario it;
+  it.AddWorkers({MakeWorker("w1")});
+  jobs::Step second = MakeStep(1);
+  second.after = {0};
+  it.dispatcher.AddJob(MakeJob(kJob, {MakeStep(2), second}), {}, false, it.now);
+  it.Decide();
+  it.ConfirmStarts();
+  it.Report("w1", {{RunOf(0, 1, 1), "", 50, 0}}, {End(1, RunOf(0, 0, 1), EndKind::kDone)});
+  it.Decide();
+  EXPECT_TRUE(it.orders.starts.empty());
+  it.CommitAll();
+  it.Report("w1", {}, {End(2, RunOf(0, 1, 1), EndKind::kDone)});
+  it.Decide();
+  EXPECT_EQ(it.Started(), std::vector<RunId>{RunOf(1, 0, 1)});
+}
+
+// Guards against an end that is acknowledged before it is durable: the worker forgets it, and the
+// next owner starts the task again. A report that lists the end once more must not change that.
+TEST(DispatcherTest, EndIsAcknowledgedOnlyWhenDurable) {
+  Scenario it;
+  it.AddWorkers({MakeWorker("w1")});
+  it.dispatcher.AddJob(MakeJob(kJob, {MakeStep(2)}), {}, false, it.now);
+  it.Decide();
+  it.ConfirmStarts();
+  // The commit of the job's start is open when the end arrives.
+  const std::optional<Commit> open = it.dispatcher.NextCommit(it.now, it.WallMs());
+  ASSERT_TRUE(open.has_value());
+  const std::vector<ActiveRun> active = {{RunOf(0, 1, 1), "", 50, 0}};
+  const std::vector<EndedRun> ended = {End(1, RunOf(0, 0, 1), EndKind::kDone)};
+  it.Report("w1", active, ended);
+  it.Advance(std::chrono::milliseconds(600));
+  it.Report("w1", active, ended);
+  it.dispatcher.OnCommitted(*open);
+  EXPECT_EQ(it.dispatcher.workers().at("w1").acknowledged, 0);
+  it.CommitAll();
+  EXPECT_EQ(it.dispatcher.workers().at("w1").acknowledged, 1);
+}
+
+}  // namespace
+}  // namespace pomelopond::dispatch
--- /dev/null
+++ b/tests/dispatch/scenario.h
@@ -0,0 +1,112 @@
+// A dispatcher with a clock and workers that a test plays by hand.
+#ifndef POMELOPOND_TESTS_DISPATCH_SCENARIO_H_
+#define POMELOPOND_TESTS_DISPATCH_SCENARIO_H_
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "dispatch/dispatcher.h"
+
+namespace pomelopond::dispatch {
+
+inline constexpr int64_t kWallStart = 1000000;
+
+inline jobs::Job MakeJob(const std::string& id, std::vector<jobs::Step> steps) {
+  jobs::Job job;
+  job.id = id;
+  job.rules.queue = "queue";
+  job.rules.service = "pool";
+  job.rules.max_attempts = 3;
+  job.steps = std::move(steps);
+  return job;
+}
+
+inline jobs::Step MakeStep(int replicas, int64_t cpu_milli = 1000) {
+  jobs::Step step;
+  step.replicas = replicas;
+  step.request.cpu_milli = cpu_milli;
+  step.request.memory_mb = 100;
+  return step;
+}
+
+inline WorkerInfo MakeWorker(const std::string& id, int64_t cpu_milli = 16000) {
+  WorkerInfo worker;
+  worker.id = id;
+  worker.service = "pool";
+  worker.endpoint = {"10.0.0.1", static_cast<uint16_t>(1000 + std::stoi(id.substr(1)))};
+  worker.capacity = {cpu_milli, 64000, 0};
+  worker.rack = "rack-0";
+  worker.incarnation = 1;
+  return worker;
+}
+
+class Scenario {
+ public:
+  explicit Scenario(int64_t epoch = 1, DispatchLimits limits = {})
+      : now(std::chrono::hours(1)), dispatcher(limits, epoch, now) {
+    dispatcher.OnOwnershipProof(now);
+  }
+
+  void Advance(Duration by) {
+    now += by;
+    dispatcher.OnOwnershipProof(now);
+  }
+  int64_t WallMs() const { return kWallStart; }
+
+  // Decides and keeps the orders for Last...().
+  void Decide() { orders = dispatcher.Decide(now, WallMs()); }
+
+  // Writes all commits that are due.
+  void CommitAll() {
+    while (const std::optional<Commit> commit = dispatcher.NextCommit(now, WallMs())) {
+      dispatcher.OnCommitted(*commit);
+    }
+  }
+
+  // The worker's clock runs with ours.
+  int64_t ClockMs() const {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
+  }
+  Answer Accepted() const { return {OrderStatus::kAccepted, ClockMs(), 1}; }
+
+  // Answers the open report call of a worker.
+  void Report(const std::string& worker, std::vector<ActiveRun> active,
+              std::vector<EndedRun> ended) {
+    HoldOrder order;
+    order.to = {worker, dispatcher.workers().at(worker).info.endpoint};
+    dispatcher.OnReport(order, {Accepted(), std::move(active), std::move(ended)}, now, WallMs());
+  }
+
+  // Registers workers, records them and lets them answer, so that they take tasks.
+  void AddWorkers(const std::vector<WorkerInfo>& workers) {
+    for (const WorkerInfo& it : workers) dispatcher.UpdateWorker(it, now);
+    CommitAll();
+    Decide();
+    for (const WorkerInfo& it : workers) Report(it.id, {}, {});
+  }
+
+  // Confirms all starts of the last decision.
+  void ConfirmStarts() {
+    for (const StartOrder& it : orders.starts) dispatcher.OnStarted(it, Accepted(), now);
+  }
+
+  std::vector<RunId> Started() const {
+    std::vector<RunId> runs;
+    for (const StartOrder& it : orders.starts) runs.push_back(it.run);
+    return runs;
+  }
+
+  TimePoint now;
+  Dispatcher dispatcher;
+  Orders orders;
+};
+
+inline EndedRun End(int64_t sequence, const RunId& id, EndKind kind,
+                    const std::string& checkpoint = {}) {
+  return {sequence, id, kind, checkpoint};
+}
+
+}  // namespace pomelopond::dispatch
+
+#endif  // POMELOPOND_TESTS_DISPATCH_SCENARIO_H_
