--- a/src/dispatch/decide.cc
+++ b/src/dispatch/decide.cc
@@ -24,8 +24,8 @@
   ExpireWorkers(now);
   LeaveDrainingWorkers();
   PlaceTasks(now, wall_ms, &orders);
-  RetryRuns(now, &orders);
   DecidePace(now, &orders);
+  RetryRuns(now, &orders);
   DecideHolds(now, &orders);
   return orders;
 }
--- /dev/null
+++ b/tests/dispatch/sharing_test.cc
@@ -0,0 +1,105 @@
+#include "dispatch/sharing.h"
+
+#include <gtest/gtest.h>
+
+#include "tests/dispatch/scenario.h"
+
+namespace pomelopond::dispatch {
+namespace {
+
+constexpr const char* kWatch = "00000000000000b1";
+constexpr const char* kBatch = "00000000000000b2";
+constexpr int64_t kTargetMs = 150;
+
+jobs::Step ServingStep(int replicas) {
+  jobs::Step step = MakeStep(replicas, 4000);
+  step.perpetual = true;
+  step.image = "service";
+  step.target_tail_ms = kTargetMs;
+  return step;
+}
+
+jobs::Step FillingStep(int replicas, const std::string& image) {
+  jobs::Step step = MakeStep(replicas, 2000);
+  step.fills = true;
+  step.checkpoint = true;
+  step.image = image;
+  return step;
+}
+
+RunId Serving(int index) { return {{kWatch, 0, 0, index}, 1}; }
+RunId Filling(int index) { return {{kBatch, 0, 0, index}, 1}; }
+
+// One worker with a serving task and one filling task of the image "heavy".
+class SharingTest : public ::testing::Test {
+ protected:
+  SharingTest() {
+    it.AddWorkers({MakeWorker("w1")});
+    it.dispatcher.AddJob(MakeJob(kWatch, {ServingStep(1)}), {}, false, it.now);
+    it.dispatcher.AddJob(MakeJob(kBatch, {FillingStep(1, "heavy")}), {}, false, it.now);
+    it.Decide();
+    it.ConfirmStarts();
+  }
+
+  void ReportTail(int64_t tail_ms) {
+    it.Advance(std::chrono::milliseconds(500));
+    it.Report("w1", {{Serving(0), "", 100, tail_ms}, {Filling(0), "c1", 10, 2000}}, {});
+    it.Decide();
+  }
+
+  Scenario it;
+};
+
+// Guards against filling tasks that work on while they hold a serving task over its target.
+TEST_F(SharingTest, FillingTaskGivesWayWhenATailIsOverItsTarget) {
+  ReportTail(kTargetMs / 3);
+  EXPECT_TRUE(it.orders.stops.empty());
+  ReportTail(kTargetMs * 2);
+  ASSERT_EQ(it.orders.stops.size(), 1U);
+  EXPECT_EQ(it.orders.stops[0].run, Filling(0));
+}
+
+// Guards against filling tasks that are slowed down although nobody is disturbed.
+TEST_F(SharingTest, FillingTaskKeepsItsPaceWhileTailsAreLow) {
+  for (int n = 0; n < 5; ++n) {
+    ReportTail(kTargetMs / 3);
+    EXPECT_TRUE(it.orders.paces.empty());
+  }
+}
+
+// Guards against an image that is placed beside a serving task again and again although its tail
+// rose each time before.
+TEST_F(SharingTest, DisturbingImageIsNotPlacedBesideTheServiceAgain) {
+  for (int n = 0; n < 3; ++n) ReportTail(kTargetMs * 3);
+  it.Report("w1", {{Serving(0), "", 100, kTargetMs / 3}},
+            {End(1, Filling(0), EndKind::kStopped, "c1")});
+  it.CommitAll();
+  it.Decide();
+  EXPECT_TRUE(it.orders.starts.empty());
+  it.AddWorkers({MakeWorker("w2")});
+  it.Decide();
+  ASSERT_EQ(it.orders.starts.size(), 1U);
+  EXPECT_EQ(it.orders.starts[0].to.worker, "w2");
+  EXPECT_EQ(it.orders.starts[0].checkpoint, "c1");
+}
+
+TEST(SharingModelTest, LearnsTheQuietTailAndTheSlowdownOfAnImage) {
+  SharingModel model;
+  WorkerState worker;
+  AddRun(&worker, Serving(0), ServingStep(1), TimePoint{});
+  RunState& run = worker.runs[Serving(0)];
+  run.phase = RunPhase::kRunning;
+  run.percent = 100;
+  run.load = 50;
+  for (int n = 0; n < 100; ++n) LearnSharing(&model, worker, {});
+  EXPECT_NEAR(model.quiet_tail["service"], 50, 1);
+  run.load = 150;
+  worker.fill_load = {{"heavy", 2.0}};
+  for (int n = 0; n < 100; ++n) LearnSharing(&model, worker, worker.fill_load);
+  // Two cores make the tail three times as long: a slowdown of 1 a core.
+  EXPECT_NEAR(planning::SlowdownPerCore(model.slowdown, "service", "heavy"), 1.0, 0.1);
+  EXPECT_GT(ExpectedTail(model, worker, "heavy", 2.0), kTailLimit);
+}
+
+}  // namespace
+}  // namespace pomelopond::dispatch
