Give room first to jobs that can still be on time

Cause: with more work than room, the oldest jobs came first, so nearly all jobs ended late. Change: src/dispatch/order ranks jobs by priority, by whether they can still meet their objective, begun ones first; durations are learned by image, since estimates are far off. A step that is no object is refused now (DecodeTest.RefusesBadSubmissionsWithTheirFault).

--- a/src/dispatch/decide.cc
+++ b/src/dispatch/decide.cc
@@ -113,10 +113,16 @@
 bool Dispatcher::MayStart(const JobEntry& entry) const { return !entry.inherited || IsSettled(); }
 
 void Dispatcher::PlaceTasks(TimePoint now, int64_t wall_ms, Orders* orders) {
-  const std::vector<JobRank> ranks(placeable_.begin(), placeable_.end());
-  for (const JobRank& rank : ranks) {
-    JobEntry* entry = FindEntry(std::get<2>(rank));
+  // Without proof of ownership no order would be sent.
+  if (now >= proof_ + limits_.order_horizon) return;
+  std::vector<std::pair<JobRank, JobEntry*>> ranked;
+  for (const std::string& it : placeable_) {
+    JobEntry* entry = FindEntry(it);
     if (entry == nullptr || !MayStart(*entry)) continue;
+    ranked.emplace_back(RankOf(durations_, *entry, wall_ms), entry);
+  }
+  std::sort(ranked.begin(), ranked.end());
+  for (const auto& [rank, entry] : ranked) {
     for (int k = 0; k < static_cast<int>(entry->steps.size()); ++k) {
       if (wall_ms < DueMs(entry->job, k)) continue;
       for (int s = 0; s < static_cast<int>(entry->job.steps.size()); ++s) {
@@ -164,6 +170,7 @@
   AddRun(worker, id, StepOf(*entry, id.task), now);
   if (task->runs.empty()) StepStateOf(entry, id.task)->waiting -= 1;
   task->runs.push_back({id.run, worker->info.id});
+  if (task->first_run == 0) task->first_run = id.run;
   task->last_run = id.run;
   if (entry->state == jobs::JobState::kPending) {
     entry->state = jobs::JobState::kRunning;
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -76,10 +76,6 @@
   return it == jobs_.end() ? nullptr : &it->second;
 }
 
-Dispatcher::JobRank Dispatcher::RankOf(const JobEntry& entry) const {
-  return {entry.job.rules.priority, entry.known_since, entry.job.id};
-}
-
 void Dispatcher::MarkDirty(const std::string& job) {
   if (!dirty_jobs_.insert(job).second) return;
   generation_ += 1;
@@ -94,9 +90,9 @@
     }
   }
   if (waiting) {
-    placeable_.insert(RankOf(entry));
+    placeable_.insert(entry.job.id);
   } else {
-    placeable_.erase(RankOf(entry));
+    placeable_.erase(entry.job.id);
   }
 }
 
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -9,12 +9,12 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <tuple>
 #include <utility>
 #include <vector>
 
 #include "base/time.h"
 #include "dispatch/job_table.h"
+#include "dispatch/order.h"
 #include "dispatch/sharing.h"
 #include "dispatch/worker_calls.h"
 #include "dispatch/worker_table.h"
@@ -118,10 +118,6 @@
   PoolSummary Summary(TimePoint now) const;
 
  private:
-  // Jobs in the order in which their tasks are placed: priority, then age.
-  using JobRank = std::tuple<int, TimePoint, std::string>;
-
-  JobRank RankOf(const JobEntry& entry) const;
   void MarkDirty(const std::string& job);
   void UpdateQueues(const JobEntry& entry);
 
@@ -171,7 +167,8 @@
   std::map<std::string, JobEntry> jobs_;
   std::map<std::string, WorkerState> workers_;
   SharingModel sharing_;
-  std::set<JobRank> placeable_;      // jobs with tasks that have no active run
+  DurationModel durations_;
+  std::set<std::string> placeable_;  // jobs with tasks that have no active run
   std::set<std::string> unsettled_;  // inherited workers that have not answered yet
   bool workers_changed_ = false;     // the durable list of workers in use is out of date
 
--- a/src/dispatch/job_table.h
+++ b/src/dispatch/job_table.h
@@ -24,6 +24,7 @@
   jobs::TaskProgress progress;
   std::vector<RunPlace> runs;       // active, at most one unless the step is speculative
   std::set<std::string> failed_on;  // workers where a run failed
+  int64_t first_run = 0;            // the first run number that this owner used
   int64_t last_run = 0;             // the highest run number used
 };
 
--- /dev/null
+++ b/src/dispatch/order.cc
@@ -0,0 +1,80 @@
+#include "dispatch/order.h"
+
+#include <algorithm>
+
+namespace pomelopond::dispatch {
+namespace {
+
+// Weight of one task in the mean of its image.
+constexpr double kDurationRate = 0.1;
+constexpr double kMinRatio = 0.1;
+constexpr double kMaxRatio = 10;
+// A late job is worth something up to this many times its objective.
+constexpr double kLateFactor = 3;
+
+// The longest chain over steps for which `counts` holds.
+template <class F>
+double ChainMs(const DurationModel& model, const jobs::Job& job, F counts) {
+  std::vector<double> ends;
+  double longest = 0;
+  for (size_t n = 0; n < job.steps.size(); ++n) {
+    double start = 0;
+    for (const int it : job.steps[n].after) start = std::max(start, ends[static_cast<size_t>(it)]);
+    ends.push_back(start + (counts(n) ? ExpectedMs(model, job.steps[n]) : 0));
+    longest = std::max(longest, ends.back());
+  }
+  return longest;
+}
+
+bool IsPerpetual(const jobs::Job& job) {
+  return std::any_of(job.steps.begin(), job.steps.end(),
+                     [](const jobs::Step& it) { return it.perpetual; });
+}
+
+}  // namespace
+
+void LearnDuration(DurationModel* model, const jobs::Step& step, int64_t took_ms) {
+  if (step.estimate_ms <= 0 || step.image.empty()) return;
+  const double ratio = std::clamp(
+      static_cast<double>(took_ms) / static_cast<double>(step.estimate_ms), kMinRatio, kMaxRatio);
+  const auto [it, added] = model->try_emplace(step.image, ratio);
+  if (!added) it->second += kDurationRate * (ratio - it->second);
+}
+
+double ExpectedMs(const DurationModel& model, const jobs::Step& step) {
+  const auto it = model.find(step.image);
+  return static_cast<double>(step.estimate_ms) * (it == model.end() ? 1.0 : it->second);
+}
+
+double RemainingChainMs(const DurationModel& model, const JobEntry& entry) {
+  double longest = 0;
+  for (const std::vector<StepState>& steps : entry.steps) {
+    longest = std::max(longest, ChainMs(model, entry.job, [&steps](size_t n) {
+                         return steps[n].done < static_cast<int>(steps[n].tasks.size());
+                       }));
+  }
+  return longest;
+}
+
+double ObjectiveMs(const DurationModel& model, const JobEntry& entry) {
+  return entry.job.rules.stretch * ChainMs(model, entry.job, [](size_t) { return true; }) +
+         static_cast<double>(entry.job.rules.target_duration_ms);
+}
+
+Prospect ProspectOf(const DurationModel& model, const JobEntry& entry, int64_t wall_ms) {
+  // Perpetual jobs have no end to be late for, and recurring ones are due again and again.
+  if (entry.job.occurrences > 0 || IsPerpetual(entry.job)) return Prospect::kOnTime;
+  const double end =
+      static_cast<double>(wall_ms - entry.job.accepted_ms) + RemainingChainMs(model, entry);
+  const double objective = ObjectiveMs(model, entry);
+  if (end <= objective) return Prospect::kOnTime;
+  return end <= kLateFactor * objective ? Prospect::kLate : Prospect::kTooLate;
+}
+
+JobRank RankOf(const DurationModel& model, const JobEntry& entry, int64_t wall_ms) {
+  const bool fresh = entry.state == jobs::JobState::kPending;
+  return {entry.job.rules.priority, ProspectOf(model, entry, wall_ms), fresh, entry.job.accepted_ms,
+          entry.job.id};
+}
+
+}  // namespace pomelopond::dispatch
--- /dev/null
+++ b/src/dispatch/order.h
@@ -0,0 +1,44 @@
+// The order in which jobs get room when there is too little of it for all.
+#ifndef POMELOPOND_DISPATCH_ORDER_H_
+#define POMELOPOND_DISPATCH_ORDER_H_
+
+#include <map>
+#include <string>
+#include <tuple>
+
+#include "dispatch/job_table.h"
+
+namespace pomelopond::dispatch {
+
+// How long tasks take in relation to their callers' estimates, by image.
+using DurationModel = std::map<std::string, double>;
+
+// Learns from a task that is done after `took_ms`.
+void LearnDuration(DurationModel* model, const jobs::Step& step, int64_t took_ms);
+
+// The expected duration of one task of the step.
+double ExpectedMs(const DurationModel& model, const jobs::Step& step);
+
+// The longest chain of tasks that are not done yet, in the occurrence with most left.
+double RemainingChainMs(const DurationModel& model, const JobEntry& entry);
+
+// What an occurrence should take at most: the queue's stretch of its longest chain, and more.
+double ObjectiveMs(const DurationModel& model, const JobEntry& entry);
+
+// What a job that gets room now can still achieve.
+enum class Prospect {
+  kOnTime,
+  kLate,     // past its objective, but of some use
+  kTooLate,  // past three times its objective
+};
+Prospect ProspectOf(const DurationModel& model, const JobEntry& entry, int64_t wall_ms);
+
+// Jobs with the smaller rank come first: priority, then those that can still be on time, so that
+// room is not spent on jobs that are late anyway while others become late; among them those that
+// have begun, then the oldest.
+using JobRank = std::tuple<int, Prospect, bool, int64_t, std::string>;
+JobRank RankOf(const DurationModel& model, const JobEntry& entry, int64_t wall_ms);
+
+}  // namespace pomelopond::dispatch
+
+#endif  // POMELOPOND_DISPATCH_ORDER_H_
--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -32,6 +32,10 @@
   worker->avoid_until = std::max(worker->avoid_until, now + std::min(pause, kMaxFailurePause));
 }
 
+int64_t Milliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 void TakeCheckpoint(TaskState* task, const RunId& id, const std::string& checkpoint) {
   if (checkpoint.empty() || task->progress.done || id.run < task->progress.checkpoint_run) return;
   task->progress.checkpoint = checkpoint;
@@ -135,6 +139,8 @@
 bool Dispatcher::TakeEnd(WorkerState* worker, const EndedRun& end, TimePoint now, int64_t wall_ms) {
   if (end.sequence <= worker->processed) return false;
   worker->processed = end.sequence;
+  const auto run = worker->runs.find(end.id);
+  const Duration took = run == worker->runs.end() ? Duration::zero() : now - run->second.since;
   EndRun(worker, end.id);
   JobEntry* entry = FindEntry(end.id.task.job);
   TaskState* task = entry == nullptr ? nullptr : FindTask(entry, end.id.task);
@@ -149,6 +155,9 @@
   if (step.perpetual || task->progress.done) return true;
   if (end.kind == EndKind::kFailed) TakeFailure(entry, end.id, wall_ms);
   if (end.kind != EndKind::kDone) return true;
+  if (took > Duration::zero() && end.id.run == task->first_run) {
+    LearnDuration(&durations_, step, Milliseconds(took));
+  }
   FinishTask(entry, end.id.task, wall_ms);
   if (!step.gang) return true;
   // One end of a gang's run stands for all its members.
--- a/src/entry/pool_owner.cc
+++ b/src/entry/pool_owner.cc
@@ -390,7 +390,7 @@
        {"free_cpu", it.free_cpu}});
 }
 
-void PoolOwner::Send(dispatch::Orders orders) {
+void PoolOwner::Send(const dispatch::Orders& orders) {
   for (const dispatch::StartOrder& it : orders.starts) {
     metrics_->Count("starts_total");
     Log(LogLevel::kDebug, "owner", "start",
--- a/src/entry/pool_owner.h
+++ b/src/entry/pool_owner.h
@@ -67,7 +67,7 @@
   void RestoreOwnerKey();
   void Tick();
   void LogSummary(TimePoint now);
-  void Send(dispatch::Orders orders);
+  void Send(const dispatch::Orders& orders);
   void WriteCommit();
   void OnCommitAnswer(const Result<store::CommitResult>& result, TimePoint began);
   void CommitDone(int64_t revision, TimePoint began);
--- /dev/null
+++ b/tests/platform/decode_test.cc
@@ -0,0 +1,154 @@
+#include "platform/decode.h"
+
+#include <gtest/gtest.h>
+
+#include "base/result_code.h"
+#include "platform/base64.h"
+#include "platform/worker_api.h"
+
+namespace pomelopond::platform {
+namespace {
+
+store::Item ItemOf(const std::string& key, const std::string& value) {
+  store::Item item;
+  item.key = key;
+  item.value = value;
+  item.revision = 1;
+  return item;
+}
+
+http::HttpResult Answered(int status, const std::string& body) {
+  http::HttpResult result;
+  result.response.status = status;
+  result.response.body = body;
+  return result;
+}
+
+constexpr const char* kExecutor =
+    R"({"service":"s","address":"10.128.0.9:8080","zone":"z","version":"v1","slots":8,)"
+    R"("state":"ready","cold_ms":0,"capacity":{"cpu":16000,"mem_mb":32768,"gpu":2},)"
+    R"("labels":["a","r1-3"],"born":1234,"seq":4})";
+
+TEST(DecodeTest, ReadsAnExecutor) {
+  const Result<dispatch::WorkerInfo> worker = ReadExecutor(ItemOf("servers/i-1", kExecutor));
+  ASSERT_TRUE(worker.ok());
+  EXPECT_EQ(worker.value.id, "i-1");
+  EXPECT_EQ(worker.value.service, "s");
+  EXPECT_EQ(worker.value.capacity, (Resources{16000, 32768, 2}));
+  EXPECT_EQ(worker.value.rack, "r1-3");
+  EXPECT_EQ(worker.value.labels.count("a"), 1U);
+  EXPECT_EQ(worker.value.incarnation, 1234);
+  EXPECT_FALSE(worker.value.draining);
+}
+
+// Guards against entries of other writers that are taken for executors, or end the program.
+TEST(DecodeTest, ForeignEntriesNameNoExecutor) {
+  for (const char* it :
+       {"", "null", "[]", "7", "\xff\xfe", R"({"service":"s"})",
+        R"({"service":7,"address":"10.0.0.1:1","state":"ready","capacity":{}})",
+        R"({"service":"s","address":"host:1","state":"ready","capacity":{}})",
+        R"({"service":"s","address":"10.0.0.1:1","state":"odd","capacity":{}})",
+        R"({"service":"s","address":"10.0.0.1:1","state":"ready","capacity":{"cpu":"many"}})",
+        R"({"service":"s","address":"10.0.0.1:1","state":"ready","capacity":{},"labels":3})"}) {
+    EXPECT_FALSE(ReadExecutor(ItemOf("servers/i-1", it)).ok()) << it;
+  }
+}
+
+TEST(DecodeTest, ReadsAConfig) {
+  const Result<jobs::Catalog> catalog = ReadConfig(ItemOf(
+      kConfigKey,
+      R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/","timeout_ms":3000,)"
+      R"("target_duration_ms":250,"priority":2,"service":"s","max_attempts":3,"stretch":1.5}],)"
+      R"("services":[],"limits":{}})"));
+  ASSERT_TRUE(catalog.ok());
+  EXPECT_EQ(catalog.value.version, 7);
+  ASSERT_EQ(catalog.value.queues.size(), 1U);
+  EXPECT_EQ(catalog.value.queues[0].rules, (jobs::QueueRules{"r", "s", 2, 3, 1.5, 250}));
+  EXPECT_FALSE(ReadConfig(ItemOf(kConfigKey, "{}")).ok());
+}
+
+TEST(DecodeTest, ReadsASubmission) {
+  std::string fault;
+  const Result<jobs::Job> job = ReadSubmission(
+      R"({"spec":"text","steps":[{"replicas":4,"cpu":500,"mem_mb":256,"estimate_ms":900,)"
+      R"("affinity":"r1-3"},{"replicas":20,"after":[0],"checkpoint":true,"max_per_server":2}],)"
+      R"("times":3,"first_ms":5,"interval_ms":10})",
+      &fault);
+  ASSERT_TRUE(job.ok()) << fault;
+  ASSERT_EQ(job.value.steps.size(), 2U);
+  EXPECT_EQ(job.value.steps[0].preferred_rack, "r1-3");
+  EXPECT_EQ(job.value.steps[1].after, std::vector<int>{0});
+  EXPECT_EQ(job.value.steps[1].max_per_worker, 2);
+  EXPECT_EQ(job.value.occurrences, 3);
+}
+
+TEST(DecodeTest, RefusesBadSubmissionsWithTheirFault) {
+  for (const char* it :
+       {"", "{", "[]", "{}", R"({"steps":[]})", R"({"steps":[{"replicas":0}]})",
+        R"({"steps":[{"cpu":"x"}]})", R"({"steps":[{"after":[0]}]})", R"({"steps":[7]})"}) {
+    std::string fault;
+    EXPECT_FALSE(ReadSubmission(it, &fault).ok()) << it;
+    EXPECT_NE(fault, "") << it;
+  }
+}
+
+TEST(WorkerApiTest, TaskNamesRoundTrip) {
+  const jobs::TaskId id{"5c0e7a21d94b36f8", 2, 1, 17};
+  EXPECT_EQ(TaskName(id), "5c0e7a21d94b36f8.2.1.17");
+  EXPECT_EQ(ParseTaskName(TaskName(id)).value, id);
+  EXPECT_FALSE(ParseTaskName("1.2").ok());
+}
+
+TEST(WorkerApiTest, ReadsAReport) {
+  const dispatch::Report report = ReadReport(Answered(
+      200, R"({"clock_ms":482113,"born":9,"running":[["5c0e7a21d94b36f8.0.1.17",2,"c",41,250]],)"
+           R"("ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"failed",""]]})"));
+  EXPECT_EQ(report.answer.status, dispatch::OrderStatus::kAccepted);
+  EXPECT_EQ(report.answer.clock_ms, 482113);
+  EXPECT_EQ(report.answer.incarnation, 9);
+  ASSERT_EQ(report.active.size(), 1U);
+  EXPECT_EQ(report.active[0].percent, 41);
+  EXPECT_EQ(report.active[0].load, 250);
+  ASSERT_EQ(report.ended.size(), 1U);
+  EXPECT_EQ(report.ended[0].sequence, 58);
+  EXPECT_EQ(report.ended[0].kind, dispatch::EndKind::kFailed);
+}
+
+// Guards against a malformed report that is taken for an empty one: its runs would be started
+// again.
+TEST(WorkerApiTest, MalformedReportIsNoAnswer) {
+  for (const char* it :
+       {"", "{}", R"({"running":7,"ended":[]})", R"({"running":[[1]],"ended":[]})"}) {
+    EXPECT_EQ(ReadReport(Answered(200, it)).answer.status, dispatch::OrderStatus::kNoAnswer) << it;
+  }
+}
+
+TEST(WorkerApiTest, ReasonsOfRefusals) {
+  const auto status = [](int code, const char* body) {
+    return ReadAnswer(Answered(code, body)).status;
+  };
+  EXPECT_EQ(status(409, R"({"reason":"fence"})"), dispatch::OrderStatus::kStaleEpoch);
+  EXPECT_EQ(status(409, R"({"reason":"old"})"), dispatch::OrderStatus::kStaleRun);
+  EXPECT_EQ(status(409, R"({"reason":"late"})"), dispatch::OrderStatus::kLeaseTooOld);
+  EXPECT_EQ(status(409, R"({"reason":"room"})"), dispatch::OrderStatus::kNoRoom);
+  EXPECT_EQ(status(409, "[]"), dispatch::OrderStatus::kInvalid);
+  EXPECT_EQ(status(421, ""), dispatch::OrderStatus::kReplaced);
+  EXPECT_EQ(status(429, ""), dispatch::OrderStatus::kUnhealthy);
+  EXPECT_EQ(status(503, ""), dispatch::OrderStatus::kUnhealthy);
+}
+
+TEST(Base64Test, RoundTripsAllLengths) {
+  std::string bytes;
+  for (int n = 0; n < 50; ++n) {
+    const Result<std::string> back = FromBase64(ToBase64(bytes));
+    ASSERT_TRUE(back.ok());
+    EXPECT_EQ(back.value, bytes);
+    bytes.push_back(static_cast<char>(n * 7));
+  }
+  EXPECT_EQ(ToBase64("node-1"), "bm9kZS0x");
+  EXPECT_FALSE(FromBase64("abc").ok());
+  EXPECT_FALSE(FromBase64("a*==").ok());
+}
+
+}  // namespace
+}  // namespace pomelopond::platform
