--- a/src/dispatch/choose_worker.cc
+++ b/src/dispatch/choose_worker.cc
@@ -20,12 +20,6 @@
   return n;
 }
 
-Resources Needed(const jobs::Step& step) {
-  Resources need = step.request;
-  if (step.fills) need.cpu_milli = 0;
-  return need;
-}
-
 // Processor time that neither reservations nor filling tasks ask for, and that tasks which serve
 // users leave of their reservations.
 int64_t LeftOver(const WorkerState& worker) {
@@ -47,23 +41,9 @@
   return WorstTail(worker) <= kTailLimit && ExpectedTail(worker, request) <= kTailLimit;
 }
 
-bool IsAllowed(const WorkerState& worker, const PlacementRequest& request, TimePoint now) {
-  const jobs::Step& step = *request.step;
-  if (worker.info.service != request.service || !TakesTasks(worker, now)) return false;
-  if (!request.rack.empty() && worker.info.rack != request.rack) return false;
-  if (!step.required_label.empty() && worker.info.labels.count(step.required_label) == 0) {
-    return false;
-  }
-  if (!Fits(Needed(step), RoomOf(worker))) return false;
-  if (step.fills && !MayFill(worker, request)) return false;
-  if (step.max_per_worker > 0 &&
-      RunsOnWorker(*request.state, worker.info.id) >= step.max_per_worker) {
-    return false;
-  }
-  // A second run of the same task on the same worker could not be told from the first.
-  if (request.task == nullptr) return true;
-  return std::none_of(request.task->runs.begin(), request.task->runs.end(),
-                      [&worker](const RunPlace& it) { return it.worker == worker.info.id; });
+bool HasRoom(const WorkerState& worker, const PlacementRequest& request) {
+  if (!Fits(NeedOf(*request.step), RoomOf(worker))) return false;
+  return !request.step->fills || MayFill(worker, request);
 }
 
 // Smaller is better.
@@ -92,12 +72,35 @@
          worker.silent == 0 && now >= worker.avoid_until;
 }
 
+bool IsEligible(const WorkerState& worker, const PlacementRequest& request, TimePoint now) {
+  const jobs::Step& step = *request.step;
+  if (worker.info.service != request.service || !TakesTasks(worker, now)) return false;
+  if (!request.rack.empty() && worker.info.rack != request.rack) return false;
+  if (!step.required_label.empty() && worker.info.labels.count(step.required_label) == 0) {
+    return false;
+  }
+  if (step.max_per_worker > 0 &&
+      RunsOnWorker(*request.state, worker.info.id) >= step.max_per_worker) {
+    return false;
+  }
+  // A second run of the same task on the same worker could not be told from the first.
+  if (request.task == nullptr) return true;
+  return std::none_of(request.task->runs.begin(), request.task->runs.end(),
+                      [&worker](const RunPlace& it) { return it.worker == worker.info.id; });
+}
+
+Resources NeedOf(const jobs::Step& step) {
+  Resources need = step.request;
+  if (step.fills) need.cpu_milli = 0;
+  return need;
+}
+
 WorkerState* ChooseWorker(std::map<std::string, WorkerState>* workers,
                           const PlacementRequest& request, TimePoint now) {
   WorkerState* best = nullptr;
   Score best_score;
   for (auto& [id, it] : *workers) {
-    if (!IsAllowed(it, request, now)) continue;
+    if (!IsEligible(it, request, now) || !HasRoom(it, request)) continue;
     const Score score = ScoreOf(it, request);
     if (best != nullptr && best_score <= score) continue;
     best = &it;
--- a/src/dispatch/choose_worker.h
+++ b/src/dispatch/choose_worker.h
@@ -25,6 +25,12 @@
 // True when the worker takes new tasks at all.
 bool TakesTasks(const WorkerState& worker, TimePoint now);
 
+// True when the worker may run the task, whether it has room or not.
+bool IsEligible(const WorkerState& worker, const PlacementRequest& request, TimePoint now);
+
+// What one task of the step counts against a worker's capacity.
+Resources NeedOf(const jobs::Step& step);
+
 // The best worker with room for one task, or null. Tasks that count against the capacity spread
 // over the emptiest workers; filling tasks go where the most processor time is left over and no
 // task that serves users is expected to miss its target.
--- a/src/dispatch/decide.cc
+++ b/src/dispatch/decide.cc
@@ -115,6 +115,7 @@
 void Dispatcher::PlaceTasks(TimePoint now, int64_t wall_ms, Orders* orders) {
   // Without proof of ownership no order would be sent.
   if (now >= proof_ + limits_.order_horizon) return;
+  claimed_.clear();
   std::vector<std::pair<JobRank, JobEntry*>> ranked;
   for (const std::string& it : placeable_) {
     JobEntry* entry = FindEntry(it);
@@ -159,15 +160,29 @@
   request.task = task;
   request.sharing = &sharing_;
   WorkerState* worker = ChooseWorker(&workers_, request, now);
-  if (worker == nullptr) return false;
+  if (worker == nullptr) return PreemptFor(*entry, request, now);
   StartRun(worker, entry, {id, NextRun(*task)}, now, orders);
   return true;
 }
 
+// True when room is being made, so that the next task of the step may ask for room as well.
+bool Dispatcher::PreemptFor(const JobEntry& entry, const PlacementRequest& request, TimePoint now) {
+  if (request.step->fills) return false;
+  const std::optional<Preemption> choice =
+      ChoosePreemption(workers_, request, entry.job.rules.priority, &claimed_, now);
+  if (!choice) return false;
+  for (const RunId& it : choice->victims) {
+    Log(LogLevel::kInfo, "dispatch", "run_preempted",
+        {{"job", it.task.job}, {"run", it.run}, {"worker", choice->worker}, {"for", entry.job.id}});
+    AskToStop(&workers_[choice->worker], it);
+  }
+  return true;
+}
+
 void Dispatcher::StartRun(WorkerState* worker, JobEntry* entry, const RunId& id, TimePoint now,
                           Orders* orders) {
   TaskState* task = FindTask(entry, id.task);
-  AddRun(worker, id, StepOf(*entry, id.task), now);
+  AddRun(worker, id, StepOf(*entry, id.task), entry->job.rules.priority, now);
   if (task->runs.empty()) StepStateOf(entry, id.task)->waiting -= 1;
   task->runs.push_back({id.run, worker->info.id});
   if (task->first_run == 0) task->first_run = id.run;
@@ -205,7 +220,7 @@
     if (request.step->same_rack && !chosen.empty()) request.rack = chosen.front()->info.rack;
     WorkerState* worker = ChooseWorker(&workers_, request, now);
     if (worker == nullptr) break;
-    AddRun(worker, {id, run}, *request.step, now);
+    AddRun(worker, {id, run}, *request.step, entry->job.rules.priority, now);
     state->tasks[static_cast<size_t>(id.index)].runs.push_back({run, worker->info.id});
     chosen.push_back(worker);
   }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -15,6 +15,7 @@
 #include "base/time.h"
 #include "dispatch/job_table.h"
 #include "dispatch/order.h"
+#include "dispatch/preemption.h"
 #include "dispatch/sharing.h"
 #include "dispatch/worker_calls.h"
 #include "dispatch/worker_table.h"
@@ -145,6 +146,7 @@
   void PlaceTasks(TimePoint now, int64_t wall_ms, Orders* orders);
   bool PlaceStep(JobEntry* entry, int occurrence, int step, TimePoint now, Orders* orders);
   bool PlaceTask(JobEntry* entry, const jobs::TaskId& id, TimePoint now, Orders* orders);
+  bool PreemptFor(const JobEntry& entry, const PlacementRequest& request, TimePoint now);
   void PlaceGang(JobEntry* entry, int occurrence, int step, TimePoint now, Orders* orders);
   void StartRun(WorkerState* worker, JobEntry* entry, const RunId& id, TimePoint now,
                 Orders* orders);
@@ -168,6 +170,7 @@
   std::map<std::string, WorkerState> workers_;
   SharingModel sharing_;
   DurationModel durations_;
+  ClaimedRoom claimed_;              // by the present decision
   std::set<std::string> placeable_;  // jobs with tasks that have no active run
   std::set<std::string> unsettled_;  // inherited workers that have not answered yet
   bool workers_changed_ = false;     // the durable list of workers in use is out of date
--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -185,7 +185,7 @@
   TaskState* task = entry == nullptr ? nullptr : FindTask(entry, active.id.task);
   const jobs::Step unknown;
   const jobs::Step& step = task == nullptr ? unknown : StepOf(*entry, active.id.task);
-  AddRun(worker, active.id, step, now);
+  AddRun(worker, active.id, step, task == nullptr ? 0 : entry->job.rules.priority, now);
   RunState& run = worker->runs[active.id];
   run.confirmed = now;
   run.phase = RunPhase::kRunning;
--- a/src/dispatch/worker_table.cc
+++ b/src/dispatch/worker_table.cc
@@ -6,12 +6,6 @@
 // Timers of a worker fire a little late.
 constexpr Duration kTimerSlack = std::chrono::milliseconds(50);
 
-Resources Counted(const RunState& run) {
-  Resources amount = run.request;
-  if (run.fills) amount.cpu_milli = 0;
-  return amount;
-}
-
 }  // namespace
 
 int64_t EstimatedClockMs(const WorkerState& worker, TimePoint now) {
@@ -26,17 +20,26 @@
 
 Resources RoomOf(const WorkerState& worker) { return worker.info.capacity - worker.used; }
 
-void AddRun(WorkerState* worker, const RunId& id, const jobs::Step& step, TimePoint now) {
+Resources CountedOf(const RunState& run) {
+  Resources amount = run.request;
+  if (run.fills) amount.cpu_milli = 0;
+  return amount;
+}
+
+void AddRun(WorkerState* worker, const RunId& id, const jobs::Step& step, int priority,
+            TimePoint now) {
   RunState run;
   run.request = step.request;
   run.fills = step.fills;
   run.perpetual = step.perpetual;
+  run.checkpoint = step.checkpoint;
+  run.priority = priority;
   run.target_tail_ms = step.target_tail_ms;
   run.image = step.image;
   run.since = now;
   run.progressed = now;
   if (!worker->runs.emplace(id, run).second) return;
-  worker->used = worker->used + Counted(run);
+  worker->used = worker->used + CountedOf(run);
   if (run.fills) worker->fill_cpu += run.request.cpu_milli;
   if (run.target_tail_ms <= 0) return;
   worker->serving += 1;
@@ -46,7 +49,7 @@
 void RemoveRun(WorkerState* worker, const RunId& id) {
   const auto it = worker->runs.find(id);
   if (it == worker->runs.end()) return;
-  worker->used = worker->used - Counted(it->second);
+  worker->used = worker->used - CountedOf(it->second);
   if (it->second.fills) worker->fill_cpu -= it->second.request.cpu_milli;
   if (it->second.target_tail_ms > 0) {
     worker->serving -= 1;
--- a/src/dispatch/worker_table.h
+++ b/src/dispatch/worker_table.h
@@ -23,6 +23,8 @@
   Resources request;
   bool fills = false;
   bool perpetual = false;
+  bool checkpoint = false;
+  int priority = 0;
   int64_t target_tail_ms = 0;
   std::string image;
   TimePoint since;      // when it was ordered
@@ -82,7 +84,11 @@
 // Room for tasks that count against the capacity.
 Resources RoomOf(const WorkerState& worker);
 
-void AddRun(WorkerState* worker, const RunId& id, const jobs::Step& step, TimePoint now);
+// What the run counts against the capacity.
+Resources CountedOf(const RunState& run);
+
+void AddRun(WorkerState* worker, const RunId& id, const jobs::Step& step, int priority,
+            TimePoint now);
 void RemoveRun(WorkerState* worker, const RunId& id);
 
 }  // namespace pomelopond::dispatch
--- a/tests/dispatch/sharing_test.cc
+++ b/tests/dispatch/sharing_test.cc
@@ -86,7 +86,7 @@
 TEST(SharingModelTest, LearnsTheQuietTailAndTheSlowdownOfAnImage) {
   SharingModel model;
   WorkerState worker;
-  AddRun(&worker, Serving(0), ServingStep(1), TimePoint{});
+  AddRun(&worker, Serving(0), ServingStep(1), 0, TimePoint{});
   RunState& run = worker.runs[Serving(0)];
   run.phase = RunPhase::kRunning;
   run.percent = 100;
