Give filling tasks their pace back sooner; refuse at once while the store is away

Cause 1: the worst of about ten tails on a worker is above 0.5 of its target nearly always, so filling tasks that were slowed down once stayed slow, and no more joined.

--- a/src/dispatch/choose_worker.cc
+++ b/src/dispatch/choose_worker.cc
@@ -12,6 +12,14 @@
 // The part of its reservation that a task which serves users leaves unused on average.
 constexpr double kServingUnused = 0.4;
 
+// True when another image serves its users on the worker. Images differ in the filling tasks that
+// disturb them, so a worker with one of them can take more filling tasks.
+bool ServesOthers(const WorkerState& worker, const std::string& image) {
+  return std::any_of(worker.runs.begin(), worker.runs.end(), [&image](const auto& it) {
+    return it.second.target_tail_ms > 0 && it.second.image != image;
+  });
+}
+
 int RunsOnWorker(const StepState& state, const std::string& worker) {
   int n = 0;
   for (const TaskState& task : state.tasks) {
@@ -38,7 +46,7 @@
 bool MayFill(const WorkerState& worker, const PlacementRequest& request) {
   if (LeftOver(worker) < request.step->request.cpu_milli) return false;
   if (worker.serving == 0) return true;
-  return WorstTail(worker) <= kTailLimit && ExpectedTail(worker, request) <= kTailLimit;
+  return WorstTail(worker) <= kHighTail && ExpectedTail(worker, request) <= kTailLimit;
 }
 
 bool HasRoom(const WorkerState& worker, const PlacementRequest& request) {
@@ -57,7 +65,7 @@
   const int64_t left_over = LeftOver(worker);
   if (step.fills) return {failed_here, far, false, false, -left_over};
   if (step.target_tail_ms > 0) {
-    return {failed_here, far, worker.fill_cpu > 0, worker.serving == 0, left_over};
+    return {failed_here, far, ServesOthers(worker, step.image), worker.serving == 0, left_over};
   }
   // Tasks with a reservation disturb nobody, and leave the other workers to filling tasks.
   return {failed_here, far, worker.serving == 0, worker.fill_cpu > 0, -left_over};
--- a/src/dispatch/sharing.cc
+++ b/src/dispatch/sharing.cc
@@ -6,12 +6,17 @@
 namespace {
 
 constexpr double kMilli = 1000;
+// Measurements after which a pair's slowdown counts fully. Few, since filling tasks last seconds:
+// an image that disturbs would be placed many times before it is known for it.
+constexpr double kPairConfidence = 3;
 // Weight of one tail in the mean without filling tasks.
 constexpr double kQuietRate = 0.1;
 // Assumed tail of an image that was never seen alone, as a share of its target.
 constexpr double kQuietPrior = 0.35;
-// Tails at most this share of their target give filling tasks their processor time back.
-constexpr double kLowTail = 0.5;
+// Filling tasks get their processor time back when the worst tail is below this share of its
+// target. The worst of ten tails is often twice the median, so a lower bound would hardly ever be
+// met.
+constexpr double kLowTail = 0.75;
 constexpr int kHalfPace = 50;
 constexpr int kFullPace = 100;
 constexpr int kFullPercent = 100;
@@ -78,7 +83,8 @@
   for (const auto& [id, it] : worker.runs) {
     if (it.target_tail_ms <= 0) continue;
     const double tail =
-        QuietTail(model, it) * (1 + planning::ExpectedSlowdown(model.slowdown, it.image, load));
+        QuietTail(model, it) *
+        (1 + planning::ExpectedSlowdown(model.slowdown, it.image, load, kPairConfidence));
     worst = std::max(worst, tail / static_cast<double>(it.target_tail_ms));
   }
   return worst;
@@ -95,8 +101,9 @@
   double most = 0;
   for (const auto& [id, it] : worker.runs) {
     if (!it.fills || it.phase == RunPhase::kStopping) continue;
-    const double slowdown = planning::SlowdownPerCore(model.slowdown, served->image, it.image) *
-                            static_cast<double>(it.request.cpu_milli) / kMilli;
+    const double slowdown =
+        planning::SlowdownPerCore(model.slowdown, served->image, it.image, kPairConfidence) *
+        static_cast<double>(it.request.cpu_milli) / kMilli;
     if (slowdown <= most) continue;
     most = slowdown;
     worst = id;
@@ -107,7 +114,7 @@
 int PaceFor(int pace, double tail) {
   if (tail > 1) return 0;
   if (pace < 0) return kFullPace;
-  if (tail > kTailLimit) return std::min(pace, kHalfPace);
+  if (tail > kHighTail) return std::min(pace, kHalfPace);
   if (tail < kLowTail) return std::min(kFullPace, pace + kHalfPace);
   return pace;
 }
--- a/src/dispatch/sharing.h
+++ b/src/dispatch/sharing.h
@@ -18,8 +18,10 @@
   std::map<std::string, double> quiet_tail;  // by serving image, without filling tasks, in ms
 };
 
-// Tails are kept below this share of their target.
-inline constexpr double kTailLimit = 0.7;
+// Filling tasks join a worker when its tails are expected to stay below this share of their target.
+inline constexpr double kTailLimit = 0.8;
+// Filling tasks work at half pace, and no more of them join, while a tail is above this share.
+inline constexpr double kHighTail = 0.9;
 
 // The worst tail of a worker's serving tasks, as a share of its target.
 double WorstTail(const WorkerState& worker);
--- a/src/entry/catalog_feed.cc
+++ b/src/entry/catalog_feed.cc
@@ -9,11 +9,11 @@
 
 // Short, so that a change is known within its bound of 2 s even when a waiting watch misses it.
 constexpr Duration kWatchWait = std::chrono::milliseconds(700);
-constexpr int kErrorsUntilAway = 3;
 
 }  // namespace
 
-CatalogFeed::CatalogFeed(store::KeyStore* store, Timer timer, const std::string& key, Reader reader)
+CatalogFeed::CatalogFeed(store::KeyStore* store, Timer timer, const std::string& key, Reader reader,
+                         StoreHealth* health)
     : reader_(std::move(reader)) {
   FeedHandlers handlers;
   handlers.on_list = [this](const std::vector<store::Item>& items) {
@@ -24,18 +24,8 @@
       if (!it.deleted) Take(it.item);
     }
   };
-  handlers.on_contact = [this](TimePoint) {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    if (errors_ >= kErrorsUntilAway) Log(LogLevel::kInfo, "store", "store_regained");
-    errors_ = 0;
-  };
-  handlers.on_error = [this](std::error_code ec) {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    errors_ += 1;
-    if (errors_ == kErrorsUntilAway) {
-      Log(LogLevel::kWarn, "store", "store_lost", {{"error", ec.message()}});
-    }
-  };
+  handlers.on_contact = [health](TimePoint) { health->OnAnswer(); };
+  handlers.on_error = [health](std::error_code) { health->OnFailure(); };
   feed_ =
       std::make_shared<PrefixFeed>(store, std::move(timer), key, kWatchWait, std::move(handlers));
 }
@@ -59,9 +49,4 @@
   return current_;
 }
 
-bool CatalogFeed::StoreAnswers() const {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  return errors_ < kErrorsUntilAway;
-}
-
 }  // namespace pomelopond::entry
--- a/src/entry/catalog_feed.h
+++ b/src/entry/catalog_feed.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "entry/prefix_feed.h"
+#include "entry/store_health.h"
 #include "jobs/catalog.h"
 
 namespace pomelopond::entry {
@@ -16,7 +17,8 @@
  public:
   using Reader = std::function<Result<jobs::Catalog>(const store::Item&)>;
 
-  CatalogFeed(store::KeyStore* store, Timer timer, const std::string& key, Reader reader);
+  CatalogFeed(store::KeyStore* store, Timer timer, const std::string& key, Reader reader,
+              StoreHealth* health);
 
   void Start();
   void Stop();
@@ -24,16 +26,12 @@
   // Null before there is one. A catalog is never replaced by an older version.
   jobs::CatalogPtr Current() const;
 
-  // True while the store answers this host.
-  bool StoreAnswers() const;
-
  private:
   void Take(const store::Item& item);
 
   const Reader reader_;
   mutable std::mutex mutex_;  // guards the members below; a leaf in every lock order
   jobs::CatalogPtr current_;
-  int errors_ = 0;  // failed calls in a row
   std::shared_ptr<PrefixFeed> feed_;
 };
 
--- a/src/entry/job_service.cc
+++ b/src/entry/job_service.cc
@@ -38,11 +38,18 @@
   std::function<void(std::error_code)> done;
 };
 
-JobService::JobService(store::KeyStore* store, Timer timer, metrics::Registry* metrics)
-    : store_(store), timer_(std::move(timer)), metrics_(metrics) {}
+JobService::JobService(store::KeyStore* store, Timer timer, metrics::Registry* metrics,
+                       StoreHealth* health)
+    : store_(store), timer_(std::move(timer)), metrics_(metrics), health_(health) {}
+
+void JobService::Note(std::error_code ec) {
+  if (ec) return health_->OnFailure();
+  health_->OnAnswer();
+}
 
 void JobService::Submit(const jobs::Job& job, TimePoint deadline,
                         std::function<void(std::error_code)> done) {
+  if (!health_->MayCall(Now())) return done(ResultCode::kStoreUnavailable);
   const auto change = std::make_shared<Change>();
   change->name = "submit";
   change->job = job.id;
@@ -73,6 +80,7 @@
       std::clamp<Duration>(change->unknown_limit - Now(), kRetryPause, kMaxCommitTime);
   store_->Commit(change->transaction, timeout,
                  [this, change, limit](const Result<store::CommitResult>& result) {
+                   Note(result.ec);
                    // A failed condition means that the key exists already.
                    if (result.ok()) {
                      if (result.value.committed) return FinishChange(change, {});
@@ -103,6 +111,7 @@
 
 void JobService::GetState(const std::string& id, TimePoint deadline,
                           std::function<void(Result<jobs::JobState>)> done) {
+  if (!health_->MayCall(Now())) return done({ResultCode::kStoreUnavailable, {}});
   TryGetState(id, GiveUpAt(Now(), kUnknownLimit, deadline), std::move(done));
 }
 
@@ -110,6 +119,7 @@
                              std::function<void(Result<jobs::JobState>)> done) {
   store_->Get(ProgressKey(id), [this, id, give_up,
                                 done = std::move(done)](const Result<store::Item>& item) {
+    Note(item.ec);
     if (!item.ok()) {
       return RetryRead<jobs::JobState>(
           give_up, item.ec, [this, id, give_up, done] { TryGetState(id, give_up, done); }, done);
@@ -146,6 +156,7 @@
 
 void JobService::Cancel(const std::string& id, TimePoint deadline,
                         std::function<void(std::error_code)> done) {
+  if (!health_->MayCall(Now())) return done(ResultCode::kStoreUnavailable);
   TryCancel(id, GiveUpAt(Now(), kUnknownLimit, deadline), deadline, std::move(done));
 }
 
@@ -175,6 +186,7 @@
 
 void JobService::CountWaiting(const std::string& queue, TimePoint deadline,
                               std::function<void(Result<int>)> done) {
+  if (!health_->MayCall(Now())) return done({ResultCode::kStoreUnavailable, {}});
   TryCountWaiting(queue, GiveUpAt(Now(), kUnknownLimit, deadline), std::move(done));
 }
 
--- a/src/entry/job_service.h
+++ b/src/entry/job_service.h
@@ -11,6 +11,7 @@
 #include "base/result.h"
 #include "base/time.h"
 #include "entry/prefix_feed.h"
+#include "entry/store_health.h"
 #include "jobs/progress.h"
 #include "metrics/registry.h"
 #include "store/key_store.h"
@@ -19,7 +20,7 @@
 
 class JobService {
  public:
-  JobService(store::KeyStore* store, Timer timer, metrics::Registry* metrics);
+  JobService(store::KeyStore* store, Timer timer, metrics::Registry* metrics, StoreHealth* health);
 
   // Clear: the job is durable, by this call or an earlier one. kStoreUnavailable: it is not, and
   // this call will not make it so. kOutcomeUnknown: it may be or become durable.
@@ -38,6 +39,8 @@
 
  private:
   struct Change;
+  // Notes whether the store answered.
+  void Note(std::error_code ec);
   void TryCommit(const std::shared_ptr<Change>& change);
   void FinishChange(const std::shared_ptr<Change>& change, std::error_code ec);
   template <class T>
@@ -55,6 +58,7 @@
   store::KeyStore* const store_;
   const Timer timer_;
   metrics::Registry* const metrics_;
+  StoreHealth* const health_;
 };
 
 }  // namespace pomelopond::entry
--- a/src/planning/interference.cc
+++ b/src/planning/interference.cc
@@ -11,18 +11,18 @@
 }  // namespace
 
 double SlowdownPerCore(const InterferenceTable& table, const std::string& service_class,
-                       const std::string& batch_class) {
+                       const std::string& batch_class, double full_confidence) {
   const auto it = table.find({service_class, batch_class});
   if (it == table.end()) return kPriorSlowdown;
-  const double confidence = std::min(1.0, it->second.count / kFullConfidence);
+  const double confidence = std::min(1.0, it->second.count / full_confidence);
   return confidence * it->second.mean + (1 - confidence) * kPriorSlowdown;
 }
 
 double ExpectedSlowdown(const InterferenceTable& table, const std::string& service_class,
-                        const BatchLoad& load) {
+                        const BatchLoad& load, double full_confidence) {
   double slowdown = 0;
   for (const auto& [batch_class, cores] : load) {
-    slowdown += cores * SlowdownPerCore(table, service_class, batch_class);
+    slowdown += cores * SlowdownPerCore(table, service_class, batch_class, full_confidence);
   }
   return slowdown;
 }
--- a/src/planning/interference.h
+++ b/src/planning/interference.h
@@ -15,7 +15,8 @@
 // Weight of one measurement in the mean once there are enough of them. Measurements lag and are
 // noisy, so a single one may not decide anything.
 inline constexpr double kLearningRate = 0.05;
-// Measurements after which an estimate counts fully; below that it is drawn towards the prior.
+// Measurements after which an estimate counts fully by default; below that it is drawn towards the
+// prior.
 inline constexpr double kFullConfidence = 20;
 // Assumed slowdown of a service by a core of a batch class that was never measured with it.
 inline constexpr double kPriorSlowdown = 0.02;
@@ -48,11 +49,11 @@
 
 // The slowdown per core that the table expects of a pair.
 double SlowdownPerCore(const InterferenceTable& table, const std::string& service_class,
-                       const std::string& batch_class);
+                       const std::string& batch_class, double full_confidence = kFullConfidence);
 
 // The slowdown that the table expects of a load.
 double ExpectedSlowdown(const InterferenceTable& table, const std::string& service_class,
-                        const BatchLoad& load);
+                        const BatchLoad& load, double full_confidence = kFullConfidence);
 
 // Learns from a measurement: the error of the expected slowdown is shared out over the classes by
 // their part of the load. Measurements without batch work, or on a load that has been unchanged for
--- /dev/null
+++ b/tests/dispatch/recovery_test.cc
@@ -0,0 +1,229 @@
+// What the dispatcher does after lost answers, lost workers and a change of the owner.
+#include <gtest/gtest.h>
+
+#include "tests/dispatch/scenario.h"
+
+namespace pomelopond::dispatch {
+namespace {
+
+constexpr const char* kJob = "00000000000000aa";
+// Runs of the second epoch are above this.
+constexpr int64_t kSecondEpoch = 100000;
+
+RunId RunOf(int step, int index, int64_t run) { return {{kJob, 0, step, index}, run}; }
+
+// An owner of epoch 2 that inherits a worker from the first.
+class TakeoverTest : public ::testing::Test {
+ protected:
+  TakeoverTest() : it(2) {
+    it.dispatcher.InheritWorker({"w1", "pool", MakeWorker("w1").endpoint}, it.now);
+    it.dispatcher.AddJob(MakeJob(kJob, {MakeStep(1)}), {}, true, it.now);
+    it.dispatcher.UpdateWorker(MakeWorker("w1"), it.now);
+    it.dispatcher.UpdateWorker(MakeWorker("w2"), it.now);
+    it.CommitAll();
+    it.Decide();
+    it.Report("w2", {}, {});
+  }
+
+  Scenario it;
+};
+
+// Guards against a task that is started again while an earlier owner's run of it goes on at a
+// worker that has not answered yet.
+TEST_F(TakeoverTest, InheritedTasksWaitForAllInheritedWorkers) {
+  it.Decide();
+  EXPECT_TRUE(it.orders.starts.empty());
+  it.Report("w1", {{RunOf(0, 0, 1), "", 30, 0}}, {});
+  it.Decide();
+  EXPECT_TRUE(it.orders.starts.empty());
+  EXPECT_TRUE(it.orders.stops.empty());
+  EXPECT_EQ(it.dispatcher.workers().at("w1").runs.count(RunOf(0, 0, 1)), 1U);
+}
+
+TEST_F(TakeoverTest, NewJobsDoNotWaitForInheritedWorkers) {
+  it.dispatcher.AddJob(MakeJob("00000000000000bb", {MakeStep(1)}), {}, false, it.now);
+  it.Decide();
+  ASSERT_EQ(it.orders.starts.size(), 1U);
+  EXPECT_EQ(it.orders.starts[0].to.worker, "w2");
+}
+
+// Guards against waiting for a dead worker for ever, and for less than its last lease may last on a
+// clock that runs 2% slow.
+TEST_F(TakeoverTest, UnreachableWorkerCountsAsEmptyAfterTheLastPossibleLease) {
+  const auto horizon = DispatchLimits{}.order_horizon;
+  it.Advance(std::chrono::duration_cast<Duration>(horizon * 1.02));
+  it.Report("w2", {}, {});
+  it.Decide();
+  EXPECT_TRUE(it.orders.starts.empty());
+  it.Advance(std::chrono::seconds(1));
+  it.Report("w2", {}, {});
+  it.Decide();
+  ASSERT_EQ(it.orders.starts.size(), 1U);
+  EXPECT_EQ(it.orders.starts[0].run, RunOf(0, 0, kSecondEpoch + 1));
+}
+
+// Guards against a failure that is counted twice: the earlier owner wrote it down, but the worker
+// lists the end again since it was not acknowledged.
+TEST(RecoveryTest, FailureListedAgainCountsOnce) {
+  Scenario it(2);
+  jobs::JobProgress progress;
+  progress.state = jobs::JobState::kRunning;
+  progress.tasks[{0, 0, 0}].failed_runs = {1, 2};
+  it.AddWorkers({MakeWorker("w1")});
+  it.dispatcher.AddJob(MakeJob(kJob, {MakeStep(1)}), progress, true, it.now);
+  it.Report("w1", {}, {End(1, RunOf(0, 0, 2), EndKind::kFailed)});
+  EXPECT_EQ(it.dispatcher.FindJob(kJob)->state, jobs::JobState::kRunning);
+  it.Report("w1", {}, {End(2, RunOf(0, 0, 3), EndKind::kFailed)});
+  EXPECT_EQ(it.dispatcher.FindJob(kJob)->state, jobs::JobState::kFailed);
+}
+
+class LostCallTest : public ::testing::Test {
+ protected:
+  LostCallTest() {
+    it.AddWorkers({MakeWorker("w1"), MakeWorker("w2")});
+    it.dispatcher.AddJob(MakeJob(kJob, {MakeStep(1)}), {}, false, it.now);
+    it.Decide();
+    start = it.orders.starts.at(0);
+  }
+
+  Scenario it;
+  StartOrder start;
+};
+
+// Guards against a second run elsewhere while the order may still be carried out late.
+TEST_F(LostCallTest, StartWithoutAnswerIsSentAgainToTheSameWorker) {
+  it.dispatcher.OnStarted(start, {OrderStatus::kNoAnswer, 0, 0}, it.now);
+  it.Advance(std::chrono::milliseconds(300));
+  it.Decide();
+  ASSERT_EQ(it.orders.starts.size(), 1U);
+  EXPECT_EQ(it.orders.starts[0].to.worker, start.to.worker);
+  EXPECT_EQ(it.orders.starts[0].run, start.run);
+}
+
+// Guards against the late copy of a start that was refused when it was sent again.
+TEST_F(LostCallTest, RefusalAfterALostAnswerIsFollowedByAStop) {
+  it.dispatcher.OnStarted(start, {OrderStatus::kNoAnswer, 0, 0}, it.now);
+  it.Advance(std::chrono::milliseconds(300));
+  it.Decide();
+  it.dispatcher.OnStarted(start, {OrderStatus::kNoRoom, it.ClockMs(), 1}, it.now);
+  it.Decide();
+  EXPECT_TRUE(it.orders.starts.empty());
+  ASSERT_EQ(it.orders.stops.size(), 1U);
+  it.dispatcher.OnStopped(it.orders.stops[0], it.Accepted(), it.now);
+  it.Advance(std::chrono::milliseconds(10));
+  it.Decide();
+  EXPECT_TRUE(it.orders.starts.empty());
+}
+
+TEST_F(LostCallTest, RefusedTaskGoesToAnotherWorkerAtOnce) {
+  it.dispatcher.OnStarted(start, {OrderStatus::kNoRoom, it.ClockMs(), 1}, it.now);
+  it.Decide();
+  ASSERT_EQ(it.orders.starts.size(), 1U);
+  EXPECT_NE(it.orders.starts[0].to.worker, start.to.worker);
+  EXPECT_EQ(it.orders.starts[0].run, RunOf(0, 0, 2));
+}
+
+// Guards against a task in two places: a silent worker may run it until its lease has ended there.
+TEST_F(LostCallTest, TaskOfASilentWorkerMovesOnlyAfterItsLease) {
+  it.ConfirmStarts();
+  it.dispatcher.OnReport({start.to, 1, 0, 0, {}}, {{OrderStatus::kNoAnswer, 0, 0}, {}, {}}, it.now,
+                         it.WallMs());
+  it.Advance(std::chrono::milliseconds(4900));
+  const std::string other = start.to.worker == "w1" ? "w2" : "w1";
+  it.Report(other, {}, {});
+  it.Decide();
+  EXPECT_TRUE(it.orders.starts.empty());
+  it.Advance(std::chrono::milliseconds(400));
+  it.Report(other, {}, {});
+  it.Decide();
+  ASSERT_EQ(it.orders.starts.size(), 1U);
+  EXPECT_EQ(it.orders.starts[0].to.worker, other);
+}
+
+// Guards against waiting for the lease of a worker that is known to have restarted.
+TEST_F(LostCallTest, RestartedWorkerRunsNothing) {
+  it.ConfirmStarts();
+  WorkerInfo restarted = it.dispatcher.workers().at(start.to.worker).info;
+  restarted.incarnation += 1;
+  it.dispatcher.UpdateWorker(restarted, it.now);
+  it.Decide();
+  EXPECT_EQ(it.orders.starts.size(), 1U);
+}
+
+// Guards against an owner that goes on ordering when another one may have taken over.
+TEST_F(LostCallTest, NothingIsStartedWithoutProofOfOwnership) {
+  it.dispatcher.AddJob(MakeJob("00000000000000bb", {MakeStep(1)}), {}, false, it.now);
+  it.now += DispatchLimits{}.order_horizon;
+  it.Decide();
+  EXPECT_TRUE(it.orders.starts.empty());
+}
+
+TEST_F(LostCallTest, CancelledJobIsStoppedAndNotStartedAgain) {
+  it.ConfirmStarts();
+  it.dispatcher.CancelJob(kJob, it.WallMs());
+  it.Decide();
+  ASSERT_EQ(it.orders.stops.size(), 1U);
+  it.dispatcher.OnStopped(it.orders.stops[0], it.Accepted(), it.now);
+  it.Report(start.to.worker, {}, {End(1, start.run, EndKind::kStopped)});
+  it.Decide();
+  EXPECT_TRUE(it.orders.starts.empty());
+  EXPECT_EQ(it.dispatcher.FindJob(kJob)->state, jobs::JobState::kCancelled);
+}
+
+TEST_F(LostCallTest, WorkerThatFollowsALaterOwnerEndsTheOwnership) {
+  it.dispatcher.OnStarted(start, {OrderStatus::kStaleEpoch, it.ClockMs(), 1}, it.now);
+  EXPECT_TRUE(it.dispatcher.replaced());
+}
+
+// Guards against tasks that leave a draining worker only when it is gone.
+TEST(DrainingTest, PerpetualTasksMoveAndNothingNewStarts) {
+  Scenario it;
+  it.AddWorkers({MakeWorker("w1")});
+  jobs::Step step = MakeStep(1);
+  step.perpetual = true;
+  it.dispatcher.AddJob(MakeJob(kJob, {step}), {}, false, it.now);
+  it.Decide();
+  it.ConfirmStarts();
+  WorkerInfo draining = MakeWorker("w1");
+  draining.draining = true;
+  it.dispatcher.UpdateWorker(draining, it.now);
+  it.Decide();
+  ASSERT_EQ(it.orders.stops.size(), 1U);
+  it.dispatcher.OnStopped(it.orders.stops[0], it.Accepted(), it.now);
+  it.AddWorkers({MakeWorker("w2")});
+  it.Report("w1", {}, {End(1, RunOf(0, 0, 1), EndKind::kStopped)});
+  it.Decide();
+  ASSERT_EQ(it.orders.starts.size(), 1U);
+  EXPECT_EQ(it.orders.starts[0].to.worker, "w2");
+}
+
+// Guards against members of a gang that wait for others which find no room.
+TEST(GangTest, StartsWholeOrNotAtAllWithOneRunNumber) {
+  Scenario it;
+  it.AddWorkers({MakeWorker("w1")});
+  jobs::Step step = MakeStep(5, 4000);
+  step.gang = true;
+  it.dispatcher.AddJob(MakeJob(kJob, {step}), {}, false, it.now);
+  it.Decide();
+  EXPECT_TRUE(it.orders.starts.empty());
+  it.AddWorkers({MakeWorker("w2")});
+  it.Decide();
+  ASSERT_EQ(it.orders.starts.size(), 5U);
+  for (const RunId& run : it.Started()) EXPECT_EQ(run.run, 1);
+}
+
+// Guards against a gang whose run is counted as done for one member only.
+TEST(GangTest, OneEndStandsForAllMembers) {
+  Scenario it;
+  it.AddWorkers({MakeWorker("w1")});
+  jobs::Step step = MakeStep(2);
+  step.gang = true;
+  it.dispatcher.AddJob(MakeJob(kJob, {step}), {}, false, it.now);
+  it.Decide();
+  it.ConfirmStarts();
+  it.Report("w1", {}, {End(1, RunOf(0, 0, 1), EndKind::kDone)});
+  EXPECT_EQ(it.dispatcher.FindJob(kJob)->state, jobs::JobState::kCompleted);
+}
+
+}  // namespace
+}  // namespace pomelopond::dispatch
--- /dev/null
+++ b/tests/entry/job_service_test.cc
@@ -0,0 +1,165 @@
+#include "entry/job_service.h"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <optional>
+#include <thread>
+
+#include "dispatch/dispatcher.h"
+#include "entry/keys.h"
+#include "tests/entry/memory_store.h"
+
+namespace pomelopond::entry {
+namespace {
+
+constexpr const char* kId = "00000000000000aa";
+
+jobs::Job MakeJob() {
+  jobs::Job job;
+  job.id = kId;
+  job.steps.resize(1);
+  return job;
+}
+
+class JobServiceTest : public ::testing::Test {
+ protected:
+  JobServiceTest()
+      : service(
+            &store,
+            [this](Duration delay, const std::function<void()>& work) {
+              timers.emplace_back(delay, work);
+            },
+            &metrics, &health) {}
+
+  // Runs what the service has left for later.
+  void RunTimers() {
+    while (!timers.empty()) {
+      const auto [delay, work] = timers.front();
+      timers.pop_front();
+      std::this_thread::sleep_for(delay);
+      work();
+    }
+  }
+
+  std::optional<std::error_code> Submit() {
+    std::optional<std::error_code> result;
+    service.Submit(MakeJob(), Now() + std::chrono::seconds(3),
+                   [&result](std::error_code ec) { result = ec; });
+    RunTimers();
+    return result;
+  }
+
+  std::optional<std::error_code> Cancel() {
+    std::optional<std::error_code> result;
+    service.Cancel(kId, Now() + std::chrono::seconds(3),
+                   [&result](std::error_code ec) { result = ec; });
+    RunTimers();
+    return result;
+  }
+
+  Result<jobs::JobState> State() {
+    Result<jobs::JobState> result{ResultCode::kInternal, {}};
+    service.GetState(kId, Now() + std::chrono::seconds(3),
+                     [&result](const Result<jobs::JobState>& it) { result = it; });
+    RunTimers();
+    return result;
+  }
+
+  MemoryStore store;
+  std::deque<std::pair<Duration, std::function<void()>>> timers;
+  metrics::Registry metrics;
+  StoreHealth health;
+  JobService service;
+};
+
+TEST_F(JobServiceTest, AcceptedJobIsDurable) {
+  EXPECT_EQ(Submit(), std::error_code());
+  EXPECT_EQ(store.items.count(JobKey(kId)), 1U);
+  EXPECT_EQ(State().value, jobs::JobState::kPending);
+}
+
+// Guards against a job that is accepted a second time by another host, or with other content.
+TEST_F(JobServiceTest, RepeatedAcceptanceKeepsTheFirst) {
+  EXPECT_EQ(Submit(), std::error_code());
+  const store::Item first = store.items[JobKey(kId)];
+  EXPECT_EQ(Submit(), std::error_code());
+  EXPECT_EQ(store.items[JobKey(kId)], first);
+}
+
+// Guards against a refusal although the write took effect: the job would run all the same.
+TEST_F(JobServiceTest, LostAnswerIsResolvedByAskingAgain) {
+  store.fates = {Fate::kLost};
+  EXPECT_EQ(Submit(), std::error_code());
+}
+
+// Guards against "not accepted" while an earlier try may still be carried out.
+TEST_F(JobServiceTest, RefusalAfterALostAnswerIsUnknown) {
+  store.fates = {Fate::kLostLate};
+  store.fates.resize(100000, Fate::kRefused);
+  EXPECT_EQ(Submit(), std::error_code(ResultCode::kOutcomeUnknown));
+  store.RunLate();
+  EXPECT_EQ(store.items.count(JobKey(kId)), 1U);
+}
+
+TEST_F(JobServiceTest, RefusedByTheStoreIsNotAccepted) {
+  store.down = true;
+  EXPECT_EQ(Submit(), std::error_code(ResultCode::kStoreUnavailable));
+  store.down = false;
+  EXPECT_TRUE(store.items.empty());
+}
+
+// Guards against callers that are held until their time runs out while the store is known to be
+// away.
+TEST_F(JobServiceTest, RequestsAreRefusedAtOnceWhileTheStoreIsAway) {
+  store.down = true;
+  EXPECT_EQ(Submit(), std::error_code(ResultCode::kStoreUnavailable));
+  EXPECT_FALSE(health.Answers());
+  const TimePoint now = Now();
+  health.MayCall(now);
+  EXPECT_FALSE(health.MayCall(now));
+  const int calls = store.calls;
+  EXPECT_EQ(State().ec, ResultCode::kStoreUnavailable);
+  EXPECT_EQ(store.calls, calls);
+  health.OnAnswer();
+  EXPECT_TRUE(health.MayCall(now));
+}
+
+TEST_F(JobServiceTest, CancelledJobIsShownAsCancelled) {
+  EXPECT_EQ(Cancel(), std::error_code(ResultCode::kNotFound));
+  Submit();
+  EXPECT_EQ(Cancel(), std::error_code());
+  EXPECT_EQ(Cancel(), std::error_code());
+  EXPECT_EQ(State().value, jobs::JobState::kCancelled);
+}
+
+// Guards against a job that is shown as unknown because the store cannot be read.
+TEST_F(JobServiceTest, UnreadableStoreIsNotAnUnknownJob) {
+  Submit();
+  store.down = true;
+  EXPECT_EQ(State().ec, ResultCode::kStoreUnavailable);
+  store.down = false;
+  health.OnAnswer();
+  EXPECT_EQ(State().value, jobs::JobState::kPending);
+}
+
+TEST_F(JobServiceTest, ProgressOfTheOwnerIsShown) {
+  Submit();
+  jobs::JobProgress progress;
+  progress.state = jobs::JobState::kCompleted;
+  store.Apply({{}, {{ProgressKey(kId), jobs::Encode(progress), 0}}, {}});
+  EXPECT_EQ(State().value, jobs::JobState::kCompleted);
+}
+
+TEST_F(JobServiceTest, WaitingCountsAreTheOwners) {
+  store.Apply({{}, {{kWaitingKey, dispatch::EncodeWaiting({{"queue", 3}}), 0}}, {}});
+  int count = -1;
+  const auto read = [&count](const Result<int>& it) { count = it.value; };
+  service.CountWaiting("queue", Now() + std::chrono::seconds(3), read);
+  EXPECT_EQ(count, 3);
+  service.CountWaiting("other", Now() + std::chrono::seconds(3), read);
+  EXPECT_EQ(count, 0);
+}
+
+}  // namespace
+}  // namespace pomelopond::entry
--- /dev/null
+++ b/tests/entry/memory_store.h
@@ -0,0 +1,110 @@
+// A KeyStore in memory that answers at once and can lose answers, for tests.
+#ifndef POMELOPOND_TESTS_ENTRY_MEMORY_STORE_H_
+#define POMELOPOND_TESTS_ENTRY_MEMORY_STORE_H_
+
+#include <deque>
+#include <map>
+#include <string>
+
+#include "base/result_code.h"
+#include "store/key_store.h"
+
+namespace pomelopond::entry {
+
+// What happens to a commit.
+enum class Fate {
+  kAnswered,
+  kRefused,   // nothing is done
+  kLost,      // done, but not answered
+  kLostLate,  // not answered, and carried out by the next RunLate()
+};
+
+class MemoryStore : public store::KeyStore {
+ public:
+  void Get(const std::string& key, store::Done<store::Item> done) override {
+    calls += 1;
+    if (down) return done({ResultCode::kStoreUnavailable, {}});
+    const auto it = items.find(key);
+    store::Item absent;
+    absent.key = key;
+    done({{}, it == items.end() ? absent : it->second});
+  }
+
+  void List(const std::string& prefix, const std::string& after,
+            store::Done<store::Page> done) override {
+    calls += 1;
+    if (down) return done({ResultCode::kStoreUnavailable, {}});
+    store::Page page;
+    page.revision = revision;
+    for (const auto& [key, it] : items) {
+      if (key.compare(0, prefix.size(), prefix) != 0 || key <= after) continue;
+      page.items.push_back(it);
+    }
+    done({{}, page});
+  }
+
+  void Watch(const std::string&, int64_t, Duration, store::Done<store::Changes> done) override {
+    done({ResultCode::kStoreUnavailable, {}});
+  }
+
+  void Commit(const store::Transaction& transaction, Duration,
+              store::Done<store::CommitResult> done) override {
+    calls += 1;
+    const Fate fate = fates.empty() ? Fate::kAnswered : fates.front();
+    if (!fates.empty()) fates.pop_front();
+    if (down || fate == Fate::kRefused) return done({ResultCode::kStoreUnavailable, {}});
+    if (fate == Fate::kLostLate) late.push_back(transaction);
+    if (fate == Fate::kLostLate) return done({ResultCode::kStoreAnswerLost, {}});
+    const store::CommitResult result = Apply(transaction);
+    if (fate == Fate::kLost) return done({ResultCode::kStoreAnswerLost, {}});
+    done({{}, result});
+  }
+
+  void GrantLease(Duration ttl, store::Done<store::Lease> done) override { done({{}, {1, ttl}}); }
+  void RenewLease(int64_t lease, store::Done<store::Lease> done) override {
+    done({{}, {lease, {}}});
+  }
+  void EndLease(int64_t lease, store::Done<store::Lease> done) override { done({{}, {lease, {}}}); }
+
+  store::CommitResult Apply(const store::Transaction& transaction) {
+    store::CommitResult result;
+    result.committed = true;
+    for (const store::Condition& it : transaction.conditions) {
+      const auto found = items.find(it.key);
+      store::Item item;
+      item.key = it.key;
+      if (found != items.end()) item = found->second;
+      result.existing.push_back(item);
+      if (item.revision != it.revision) result.committed = false;
+    }
+    if (!result.committed) return result;
+    result.existing.clear();
+    result.revision = ++revision;
+    for (const store::Write& it : transaction.writes) {
+      store::Item& item = items[it.key];
+      item.created = item.revision == 0 ? revision : item.created;
+      item.key = it.key;
+      item.value = it.value;
+      item.revision = revision;
+    }
+    for (const std::string& it : transaction.removals) items.erase(it);
+    return result;
+  }
+
+  // Carries out the commits whose answers were lost early.
+  void RunLate() {
+    for (const store::Transaction& it : late) Apply(it);
+    late.clear();
+  }
+
+  std::map<std::string, store::Item> items;
+  std::deque<Fate> fates;  // of the next commits; then kAnswered
+  std::deque<store::Transaction> late;
+  int64_t revision = 10;
+  int calls = 0;
+  bool down = false;
+};
+
+}  // namespace pomelopond::entry
+
+#endif  // POMELOPOND_TESTS_ENTRY_MEMORY_STORE_H_
