--- a/src/dispatch/decide.cc
+++ b/src/dispatch/decide.cc
@@ -105,6 +105,7 @@
       const std::optional<StartOrder> order = MakeStart(&worker, id, now);
       if (!order) continue;
       run.call_open = true;
+      open_starts_ += 1;
       orders->starts.push_back(*order);
     }
   }
@@ -115,6 +116,7 @@
 void Dispatcher::PlaceTasks(TimePoint now, int64_t wall_ms, Orders* orders) {
   // Without proof of ownership no order would be sent.
   if (now >= proof_ + limits_.order_horizon) return;
+  if (open_starts_ >= limits_.max_open_starts) return;
   claimed_.clear();
   std::vector<std::pair<JobRank, JobEntry*>> ranked;
   for (const std::string& it : placeable_) {
@@ -146,6 +148,7 @@
   for (id.index = 0; id.index < static_cast<int>(state->tasks.size()); ++id.index) {
     const TaskState& task = state->tasks[static_cast<size_t>(id.index)];
     if (task.progress.done || !task.runs.empty()) continue;
+    if (open_starts_ >= limits_.max_open_starts) return false;
     if (!PlaceTask(entry, id, now, orders)) return false;
   }
   return true;
@@ -194,6 +197,7 @@
   const std::optional<StartOrder> order = MakeStart(worker, id, now);
   if (!order) return EndRun(worker, id);
   worker->runs[id].call_open = true;
+  open_starts_ += 1;
   orders->starts.push_back(*order);
 }
 
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -28,6 +28,9 @@
   // No order's lease ends later than this after the last proof of ownership, so that the next owner
   // knows how long a worker that it cannot reach may still run tasks.
   Duration order_horizon = std::chrono::seconds(8);
+  // Starts that wait for an answer at one time. More of them, after a takeover or a burst, would
+  // answer each other late on an entry host with a tenth of a core.
+  int max_open_starts = 64;
   // How long a report may wait at the worker for an end.
   Duration report_wait = std::chrono::seconds(1);
   // Finished jobs are kept this long for callers who ask for their state.
@@ -170,6 +173,7 @@
   std::map<std::string, WorkerState> workers_;
   SharingModel sharing_;
   DurationModel durations_;
+  int open_starts_ = 0;
   ClaimedRoom claimed_;              // by the present decision
   std::set<std::string> placeable_;  // jobs with tasks that have no active run
   std::set<std::string> unsettled_;  // inherited workers that have not answered yet
--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -316,6 +316,7 @@
 }
 
 void Dispatcher::OnStarted(const StartOrder& order, const Answer& answer, TimePoint now) {
+  open_starts_ -= 1;
   WorkerState* worker = FindWorker(order.to.worker);
   if (worker == nullptr) return;
   const auto found = worker->runs.find(order.run);
--- a/tests/dispatch/recovery_test.cc
+++ b/tests/dispatch/recovery_test.cc
@@ -175,6 +175,23 @@
   EXPECT_TRUE(it.dispatcher.replaced());
 }
 
+// Guards against more open calls than a small host can answer in time: they all time out and are
+// sent again.
+TEST(BurstTest, StartsWaitForTheAnswersOfEarlierOnes) {
+  DispatchLimits limits;
+  limits.max_open_starts = 10;
+  Scenario it(1, limits);
+  it.AddWorkers({MakeWorker("w1")});
+  it.dispatcher.AddJob(MakeJob(kJob, {MakeStep(25, 10)}), {}, false, it.now);
+  std::vector<size_t> rounds;
+  for (int n = 0; n < 4; ++n) {
+    it.Decide();
+    rounds.push_back(it.orders.starts.size());
+    it.ConfirmStarts();
+  }
+  EXPECT_EQ(rounds, (std::vector<size_t>{10, 10, 5, 0}));
+}
+
 // Guards against tasks that leave a draining worker only when it is gone.
 TEST(DrainingTest, PerpetualTasksMoveAndNothingNewStarts) {
   Scenario it;
