--- a/src/entry/job_service.cc
+++ b/src/entry/job_service.cc
@@ -42,6 +42,14 @@
                        StoreHealth* health)
     : store_(store), timer_(std::move(timer)), metrics_(metrics), health_(health) {}
 
+bool JobService::Admit(const char* request, const std::string& id) {
+  if (health_->MayCall(Now())) return true;
+  metrics_->Count(metrics::Labelled("refused_total", "reason", "store_away"));
+  Log(LogLevel::kInfo, "jobs", "refused",
+      {{"request", request}, {"id", id}, {"reason", "store_away"}});
+  return false;
+}
+
 void JobService::Note(std::error_code ec) {
   if (ec) return health_->OnFailure();
   health_->OnAnswer();
@@ -49,7 +57,7 @@
 
 void JobService::Submit(const jobs::Job& job, TimePoint deadline,
                         std::function<void(std::error_code)> done) {
-  if (!health_->MayCall(Now())) return done(ResultCode::kStoreUnavailable);
+  if (!Admit("submit", job.id)) return done(ResultCode::kStoreUnavailable);
   const auto change = std::make_shared<Change>();
   change->name = "submit";
   change->job = job.id;
@@ -111,7 +119,7 @@
 
 void JobService::GetState(const std::string& id, TimePoint deadline,
                           std::function<void(Result<jobs::JobState>)> done) {
-  if (!health_->MayCall(Now())) return done({ResultCode::kStoreUnavailable, {}});
+  if (!Admit("state", id)) return done({ResultCode::kStoreUnavailable, {}});
   TryGetState(id, GiveUpAt(Now(), kUnknownLimit, deadline), std::move(done));
 }
 
@@ -156,7 +164,7 @@
 
 void JobService::Cancel(const std::string& id, TimePoint deadline,
                         std::function<void(std::error_code)> done) {
-  if (!health_->MayCall(Now())) return done(ResultCode::kStoreUnavailable);
+  if (!Admit("cancel", id)) return done(ResultCode::kStoreUnavailable);
   TryCancel(id, GiveUpAt(Now(), kUnknownLimit, deadline), deadline, std::move(done));
 }
 
@@ -186,7 +194,7 @@
 
 void JobService::CountWaiting(const std::string& queue, TimePoint deadline,
                               std::function<void(Result<int>)> done) {
-  if (!health_->MayCall(Now())) return done({ResultCode::kStoreUnavailable, {}});
+  if (!Admit("count", queue)) return done({ResultCode::kStoreUnavailable, {}});
   TryCountWaiting(queue, GiveUpAt(Now(), kUnknownLimit, deadline), std::move(done));
 }
 
--- a/src/entry/job_service.h
+++ b/src/entry/job_service.h
@@ -39,6 +39,8 @@
 
  private:
   struct Change;
+  // True when the request may call the store; otherwise notes that it is refused.
+  bool Admit(const char* request, const std::string& id);
   // Notes whether the store answered.
   void Note(std::error_code ec);
   void TryCommit(const std::shared_ptr<Change>& change);
--- a/src/entry/pool_owner.cc
+++ b/src/entry/pool_owner.cc
@@ -75,12 +75,7 @@
 void PoolOwner::Stop() {
   if (loop_ == nullptr || stopping_.exchange(true)) return;
   owner_feed_->Stop();
-  loop_->Post([this] {
-    if (!is_owner_.load()) return;
-    const int64_t lease = lease_;
-    StepDown("stopping");
-    store_->EndLease(lease, [](const Result<store::Lease>&) {});
-  });
+  loop_->Post([this] { StepDown("stopping"); });
   loop_->Stop();
 }
 
@@ -188,6 +183,8 @@
   is_owner_.store(false);
   round_ += 1;
   competing_ = false;
+  // Otherwise the key would stand until the lease runs out, and nobody could take over.
+  store_->EndLease(lease_, [](const Result<store::Lease>&) {});
   if (job_feed_) job_feed_->Stop();
   if (worker_feed_) worker_feed_->Stop();
   dispatcher_.reset();
@@ -366,8 +363,12 @@
 }
 
 void PoolOwner::Tick() {
-  if (!is_owner_.load() || !dispatcher_ || !jobs_loaded_) return;
+  if (!is_owner_.load()) return;
   const TimePoint now = Now();
+  if (!jobs_loaded_) {
+    if (now > owner_since_ + options_.load_limit) StepDown("the state cannot be loaded");
+    return;
+  }
   Send(dispatcher_->Decide(now, WallClockMs()));
   if (dispatcher_->replaced()) return StepDown("a worker follows a later owner");
   WriteCommit();
--- a/src/entry/pool_owner.h
+++ b/src/entry/pool_owner.h
@@ -28,6 +28,8 @@
   std::function<Result<dispatch::WorkerInfo>(const store::Item&)> read_worker;
   dispatch::DispatchLimits limits;
   Duration lease = std::chrono::seconds(2);  // of the ownership, without renewal
+  // An owner that has not loaded its state by then gives up, so that another host may try.
+  Duration load_limit = std::chrono::seconds(10);
 };
 
 // All members but the atomics belong to the loop's thread.
--- a/tests/entry/memory_store.h
+++ b/tests/entry/memory_store.h
@@ -2,8 +2,10 @@
 #ifndef POMELOPOND_TESTS_ENTRY_MEMORY_STORE_H_
 #define POMELOPOND_TESTS_ENTRY_MEMORY_STORE_H_
 
+#include <atomic>
 #include <deque>
 #include <map>
+#include <mutex>
 #include <string>
 
 #include "base/result_code.h"
@@ -22,6 +24,7 @@
 class MemoryStore : public store::KeyStore {
  public:
   void Get(const std::string& key, store::Done<store::Item> done) override {
+    const std::lock_guard<std::recursive_mutex> lock(mutex);
     calls += 1;
     if (down) return done({ResultCode::kStoreUnavailable, {}});
     const auto it = items.find(key);
@@ -32,8 +35,9 @@
 
   void List(const std::string& prefix, const std::string& after,
             store::Done<store::Page> done) override {
+    const std::lock_guard<std::recursive_mutex> lock(mutex);
     calls += 1;
-    if (down) return done({ResultCode::kStoreUnavailable, {}});
+    if (down || prefix == failing_prefix) return done({ResultCode::kStoreUnavailable, {}});
     store::Page page;
     page.revision = revision;
     for (const auto& [key, it] : items) {
@@ -49,6 +53,7 @@
 
   void Commit(const store::Transaction& transaction, Duration,
               store::Done<store::CommitResult> done) override {
+    const std::lock_guard<std::recursive_mutex> lock(mutex);
     calls += 1;
     const Fate fate = fates.empty() ? Fate::kAnswered : fates.front();
     if (!fates.empty()) fates.pop_front();
@@ -64,7 +69,10 @@
   void RenewLease(int64_t lease, store::Done<store::Lease> done) override {
     done({{}, {lease, {}}});
   }
-  void EndLease(int64_t lease, store::Done<store::Lease> done) override { done({{}, {lease, {}}}); }
+  void EndLease(int64_t lease, store::Done<store::Lease> done) override {
+    ended_leases += 1;
+    done({{}, {lease, {}}});
+  }
 
   store::CommitResult Apply(const store::Transaction& transaction) {
     store::CommitResult result;
@@ -103,6 +111,9 @@
   int64_t revision = 10;
   int calls = 0;
   bool down = false;
+  std::string failing_prefix;  // lists of it are not answered
+  std::atomic<int> ended_leases{0};
+  std::recursive_mutex mutex;  // guards all that is not atomic
 };
 
 }  // namespace pomelopond::entry
--- /dev/null
+++ b/tests/entry/pool_owner_test.cc
@@ -0,0 +1,72 @@
+#include "entry/pool_owner.h"
+
+#include <gtest/gtest.h>
+
+#include <thread>
+
+#include "entry/keys.h"
+#include "http/http_client.h"
+#include "tests/entry/memory_store.h"
+
+namespace pomelopond::entry {
+namespace {
+
+constexpr int kPolls = 1000;
+constexpr Duration kPoll = std::chrono::milliseconds(10);
+
+class NoWorkers : public dispatch::WorkerCalls {
+ public:
+  void Hold(const dispatch::HoldOrder&, std::function<void(dispatch::Report)>) override {}
+  void Start(const dispatch::StartOrder&, std::function<void(dispatch::Answer)>) override {}
+  void Stop(const dispatch::StopOrder&, std::function<void(dispatch::Answer)>) override {}
+  void Pace(const dispatch::PaceOrder&, std::function<void(dispatch::Answer)>) override {}
+};
+
+bool WaitFor(const std::function<bool()>& condition) {
+  for (int n = 0; n < kPolls; ++n) {
+    if (condition()) return true;
+    std::this_thread::sleep_for(kPoll);
+  }
+  return false;
+}
+
+class PoolOwnerTest : public ::testing::Test {
+ protected:
+  OwnerOptions Options() {
+    OwnerOptions options;
+    options.process = "host-1";
+    options.worker_prefix = "workers/";
+    options.read_worker = [](const store::Item&) {
+      return Result<dispatch::WorkerInfo>{ResultCode::kStoreBadAnswer, {}};
+    };
+    options.load_limit = std::chrono::milliseconds(300);
+    return options;
+  }
+
+  MemoryStore store;
+  NoWorkers workers;
+  metrics::Registry metrics;
+};
+
+// Guards against an owner that holds the ownership but never loads its state: no task of the pool
+// would run until the process ends.
+TEST_F(PoolOwnerTest, OwnerThatCannotLoadGivesUp) {
+  store.failing_prefix = kProgressPrefix;
+  PoolOwner owner(Options(), &store, &workers, http::RunAfter, &metrics);
+  owner.Start();
+  ASSERT_TRUE(WaitFor([&owner] { return owner.IsOwner(); }));
+  EXPECT_TRUE(WaitFor([this] { return store.ended_leases.load() > 0; }));
+  owner.Stop();
+}
+
+TEST_F(PoolOwnerTest, StoppedOwnerEndsItsLease) {
+  PoolOwner owner(Options(), &store, &workers, http::RunAfter, &metrics);
+  owner.Start();
+  ASSERT_TRUE(WaitFor([&owner] { return owner.IsOwner(); }));
+  owner.Stop();
+  EXPECT_FALSE(owner.IsOwner());
+  EXPECT_EQ(store.ended_leases.load(), 1);
+}
+
+}  // namespace
+}  // namespace pomelopond::entry
