Let a process that owns the pool again write commits

Cause: the pause between commits is open-ended while a commit is under way. Ruled out: loading (the log shows the state loaded 0.36 s after the takeover), the election (the owner renewed its key), workers (48 contacted). Change: becoming the owner forgets the open commit.

--- a/src/entry/pool_owner.cc
+++ b/src/entry/pool_owner.cc
@@ -164,6 +164,9 @@
   term_revision_ = revision;
   lease_ = lease;
   lease_restoring_ = false;
+  // A commit of an earlier term may still be open; its answer is not waited for.
+  commit_.reset();
+  next_commit_ = TimePoint{};
   owner_since_ = Now();
   is_owner_.store(true);
   metrics_->Count("takeovers_total");
--- a/tests/entry/memory_store.h
+++ b/tests/entry/memory_store.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "base/result_code.h"
+#include "entry/keys.h"
 #include "store/key_store.h"
 
 namespace pomelopond::entry {
@@ -19,6 +20,7 @@
   kRefused,   // nothing is done
   kLost,      // done, but not answered
   kLostLate,  // not answered, and carried out by the next RunLate()
+  kSilent,    // nothing is done, and the call never ends
 };
 
 class MemoryStore : public store::KeyStore {
@@ -47,8 +49,10 @@
     done({{}, page});
   }
 
+  // Fails and sends its caller back to List() by turns, so that changes are seen soon.
   void Watch(const std::string&, int64_t, Duration, store::Done<store::Changes> done) override {
-    done({ResultCode::kStoreUnavailable, {}});
+    const bool relist = watches.fetch_add(1) % 2 == 1;
+    done({relist ? ResultCode::kNotFound : ResultCode::kStoreUnavailable, {}});
   }
 
   void Commit(const store::Transaction& transaction, Duration,
@@ -57,6 +61,7 @@
     calls += 1;
     const Fate fate = fates.empty() ? Fate::kAnswered : fates.front();
     if (!fates.empty()) fates.pop_front();
+    if (fate == Fate::kSilent) return;
     if (down || fate == Fate::kRefused) return done({ResultCode::kStoreUnavailable, {}});
     if (fate == Fate::kLostLate) late.push_back(transaction);
     if (fate == Fate::kLostLate) return done({ResultCode::kStoreAnswerLost, {}});
@@ -70,7 +75,9 @@
     done({{}, {lease, {}}});
   }
   void EndLease(int64_t lease, store::Done<store::Lease> done) override {
+    const std::lock_guard<std::recursive_mutex> lock(mutex);
     ended_leases += 1;
+    items.erase(kOwnerKey);  // the only key on a lease
     done({{}, {lease, {}}});
   }
 
@@ -113,6 +120,7 @@
   bool down = false;
   std::string failing_prefix;  // lists of it are not answered
   std::atomic<int> ended_leases{0};
+  std::atomic<int> watches{0};
   std::recursive_mutex mutex;  // guards all that is not atomic
 };
 
--- a/tests/entry/pool_owner_test.cc
+++ b/tests/entry/pool_owner_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <thread>
 
 #include "entry/keys.h"
@@ -59,6 +60,40 @@
   owner.Stop();
 }
 
+// Tells the first owner that asks that there is a later one, and answers no other call.
+class WorkersOfALaterOwner : public NoWorkers {
+ public:
+  void Hold(const dispatch::HoldOrder&, std::function<void(dispatch::Report)> done) override {
+    if (!told_.exchange(true)) done({{dispatch::OrderStatus::kStaleEpoch, 1, 0}, {}, {}});
+  }
+
+ private:
+  std::atomic<bool> told_{false};
+};
+
+// Guards against a process that loses the ownership while a commit is open, wins it again and then
+// never commits: its proof of ownership runs out, all tasks lapse and none is started.
+TEST_F(PoolOwnerTest, ProcessThatOwnsThePoolAgainCommits) {
+  store.Apply({{}, {{"workers/w1", "", 0}}, {}});
+  store.fates = {Fate::kAnswered, Fate::kSilent};
+  OwnerOptions options = Options();
+  options.read_worker = [](const store::Item&) {
+    dispatch::WorkerInfo worker;
+    worker.id = "w1";
+    worker.endpoint = {"10.0.0.1", 1};
+    return Result<dispatch::WorkerInfo>{{}, worker};
+  };
+  WorkersOfALaterOwner later;
+  PoolOwner owner(options, &store, &later, http::RunAfter, &metrics);
+  owner.Start();
+  EXPECT_TRUE(WaitFor([this] {
+    const std::lock_guard<std::recursive_mutex> lock(store.mutex);
+    return store.items.count(kWorkersKey) > 0;
+  }));
+  EXPECT_EQ(DecodeTerm(store.items[kTermKey].value).value.epoch, 2);
+  owner.Stop();
+}
+
 TEST_F(PoolOwnerTest, StoppedOwnerEndsItsLease) {
   PoolOwner owner(Options(), &store, &workers, http::RunAfter, &metrics);
   owner.Start();
