Let perpetual tasks run on a doubtful worker when no other has room

Four workers had failed runs from 23.5 to 30 s, and a worker whose runs fail is left alone for up to 16 s, for all tasks. Change: the pause is at most 8 s, and holds for tasks with attempts only; perpetual ones are tried there once a second when nothing else has room. Test: DoubtfulWorkerTest.PerpetualTaskIsTriedThereForWantOfAnother; failing runs still pause others.

--- a/src/dispatch/choose_worker.cc
+++ b/src/dispatch/choose_worker.cc
@@ -57,18 +57,19 @@
 // Smaller is better.
 using Score = std::tuple<bool, bool, bool, bool, int64_t>;
 
-Score ScoreOf(const WorkerState& worker, const PlacementRequest& request) {
+Score ScoreOf(const WorkerState& worker, const PlacementRequest& request, TimePoint now) {
   const jobs::Step& step = *request.step;
-  const bool failed_here =
-      request.task != nullptr && request.task->failed_on.count(worker.info.id) > 0;
+  const bool doubtful =
+      now < worker.distrust_until ||
+      (request.task != nullptr && request.task->failed_on.count(worker.info.id) > 0);
   const bool far = !step.preferred_rack.empty() && worker.info.rack != step.preferred_rack;
   const int64_t left_over = LeftOver(worker);
-  if (step.fills) return {failed_here, far, false, false, -left_over};
+  if (step.fills) return {doubtful, far, false, false, -left_over};
   if (step.target_tail_ms > 0) {
-    return {failed_here, far, ServesOthers(worker, step.image), worker.serving == 0, left_over};
+    return {doubtful, far, ServesOthers(worker, step.image), worker.serving == 0, left_over};
   }
   // Tasks with a reservation disturb nobody, and leave the other workers to filling tasks.
-  return {failed_here, far, worker.serving == 0, worker.fill_cpu > 0, -left_over};
+  return {doubtful, far, worker.serving == 0, worker.fill_cpu > 0, -left_over};
 }
 
 }  // namespace
@@ -83,6 +84,8 @@
 bool IsEligible(const WorkerState& worker, const PlacementRequest& request, TimePoint now) {
   const jobs::Step& step = *request.step;
   if (worker.info.service != request.service || !TakesTasks(worker, now)) return false;
+  // Failed runs of a perpetual task cost no attempts, so a doubtful worker is better than none.
+  if (now < worker.distrust_until && !step.perpetual) return false;
   if (!request.rack.empty() && worker.info.rack != request.rack) return false;
   if (!step.required_label.empty() && worker.info.labels.count(step.required_label) == 0) {
     return false;
@@ -109,7 +112,7 @@
   Score best_score;
   for (auto& [id, it] : *workers) {
     if (!IsEligible(it, request, now) || !HasRoom(it, request)) continue;
-    const Score score = ScoreOf(it, request);
+    const Score score = ScoreOf(it, request, now);
     if (best != nullptr && best_score <= score) continue;
     best = &it;
     best_score = score;
--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -20,7 +20,9 @@
 // A worker whose runs fail one after the other is left alone for a time that doubles.
 constexpr int kFailuresBeforePause = 2;
 constexpr Duration kFailurePause = std::chrono::seconds(2);
-constexpr Duration kMaxFailurePause = std::chrono::seconds(16);
+constexpr Duration kMaxFailurePause = std::chrono::seconds(8);
+// Between two perpetual tasks that are tried on such a worker for want of another.
+constexpr Duration kTrialPause = std::chrono::seconds(1);
 
 void CountFailure(WorkerState* worker, TimePoint now) {
   worker->failures += 1;
@@ -29,7 +31,9 @@
   for (int n = kFailuresBeforePause; n < worker->failures && pause < kMaxFailurePause; ++n) {
     pause *= 2;
   }
-  worker->avoid_until = std::max(worker->avoid_until, now + std::min(pause, kMaxFailurePause));
+  worker->avoid_until = std::max(worker->avoid_until, now + kTrialPause);
+  worker->distrust_until =
+      std::max(worker->distrust_until, now + std::min(pause, kMaxFailurePause));
 }
 
 int64_t Milliseconds(Duration duration) {
--- a/src/dispatch/worker_table.h
+++ b/src/dispatch/worker_table.h
@@ -61,7 +61,8 @@
   uint64_t generation = 0;   // the commit that makes `processed` durable
   int silent = 0;            // calls in a row without an answer
   int failures = 0;          // failed runs in a row
-  TimePoint avoid_until;
+  TimePoint avoid_until;     // takes no task before
+  TimePoint distrust_until;  // takes only perpetual tasks that fit nowhere else before
 
   Resources used;                 // by runs that count against the capacity
   int64_t fill_cpu = 0;           // requested by filling runs
--- a/tests/dispatch/recovery_test.cc
+++ b/tests/dispatch/recovery_test.cc
@@ -175,6 +175,42 @@
   EXPECT_TRUE(it.dispatcher.replaced());
 }
 
+// Three runs in a row have failed on the only worker with room.
+class DoubtfulWorkerTest : public ::testing::Test {
+ protected:
+  void Fail(bool perpetual) {
+    it.AddWorkers({MakeWorker("w1")});
+    jobs::Step step = MakeStep(1);
+    step.perpetual = perpetual;
+    jobs::Job job = MakeJob(kJob, {step});
+    job.rules.max_attempts = 10;
+    it.dispatcher.AddJob(job, {}, false, it.now);
+    for (int64_t n = 1; n <= 3; ++n) {
+      it.Advance(std::chrono::milliseconds(1500));
+      it.Decide();
+      it.ConfirmStarts();
+      it.Report("w1", {}, {End(n, RunOf(0, 0, n), EndKind::kFailed)});
+      it.CommitAll();
+    }
+    it.Advance(std::chrono::milliseconds(1500));
+    it.Decide();
+  }
+
+  Scenario it;
+};
+
+// Guards against a perpetual task that stays away although a worker has room for it.
+TEST_F(DoubtfulWorkerTest, PerpetualTaskIsTriedThereForWantOfAnother) {
+  Fail(true);
+  EXPECT_EQ(it.orders.starts.size(), 1U);
+}
+
+// Guards against attempts that are used up on a worker which fails whatever it runs.
+TEST_F(DoubtfulWorkerTest, OtherTasksWait) {
+  Fail(false);
+  EXPECT_TRUE(it.orders.starts.empty());
+}
+
 // Guards against more open calls than a small host can answer in time: they all time out and are
 // sent again.
 TEST(BurstTest, StartsWaitForTheAnswersOfEarlierOnes) {
