--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -5,6 +5,7 @@
 #include "base/log.h"
 #include "base/result_code.h"
 #include "dispatch/choose_worker.h"
+#include "store/key_store.h"
 
 namespace pomelopond::dispatch {
 namespace {
@@ -12,6 +13,8 @@
 // Most records of jobs in one commit, with room for the other entries of a transaction.
 constexpr size_t kMaxJobsInCommit = 20;
 constexpr size_t kMaxForgottenInCommit = 2;
+// A forgotten job has three keys. The others are the condition, the term, workers and counts.
+static_assert(kMaxJobsInCommit + 3 * kMaxForgottenInCommit + 4 <= store::kMaxTransactionEntries);
 constexpr Duration kCountsInterval = std::chrono::milliseconds(500);
 
 }  // namespace
--- a/src/entry/pool_owner.cc
+++ b/src/entry/pool_owner.cc
@@ -327,11 +327,9 @@
 }
 
 void PoolOwner::Renew() {
-  const TimePoint began = Now();
-  store_->RenewLease(lease_, [this, began, round = round_](const Result<store::Lease>& result) {
-    loop_->Post([this, began, round, result] {
+  store_->RenewLease(lease_, [this, round = round_](const Result<store::Lease>& result) {
+    loop_->Post([this, round, result] {
       if (round != round_) return;
-      (void)began;
       After(options_.lease / kRenewalsPerLease, [this] { Renew(); });
       if (result.ec == ResultCode::kNotFound) RestoreOwnerKey();
     });
