Remove an unused count and a parameter that was always zero

ActiveRuns had no caller; StopOtherRuns was always called for all runs of a task. Behaviour is unchanged.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -130,7 +130,7 @@
   void LoseRuns(WorkerState* worker, TimePoint now);
   void AskToStop(WorkerState* worker, const RunId& id);
   void StopAllRuns(JobEntry* entry);
-  void StopOtherRuns(const jobs::TaskId& id, int64_t run);
+  void StopRuns(const jobs::TaskId& id);
   void Adopt(WorkerState* worker, const ActiveRun& active, TimePoint now);
   void TakeLoads(WorkerState* worker);
   void TakeActive(WorkerState* worker, const Report& report, TimePoint sent, TimePoint now);
--- a/src/dispatch/job_table.cc
+++ b/src/dispatch/job_table.cc
@@ -105,14 +105,4 @@
   return true;
 }
 
-int ActiveRuns(const JobEntry& entry) {
-  int n = 0;
-  for (const std::vector<StepState>& steps : entry.steps) {
-    for (const StepState& it : steps) {
-      for (const TaskState& task : it.tasks) n += static_cast<int>(task.runs.size());
-    }
-  }
-  return n;
-}
-
 }  // namespace pomelopond::dispatch
--- a/src/dispatch/job_table.h
+++ b/src/dispatch/job_table.h
@@ -62,9 +62,6 @@
 // True when all tasks of all occurrences are done.
 bool IsComplete(const JobEntry& entry);
 
-// Number of runs of a job that are active.
-int ActiveRuns(const JobEntry& entry);
-
 }  // namespace pomelopond::dispatch
 
 #endif  // POMELOPOND_DISPATCH_JOB_TABLE_H_
--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -91,11 +91,10 @@
   it->second.next_call = TimePoint{};
 }
 
-void Dispatcher::StopOtherRuns(const jobs::TaskId& id, int64_t run) {
+void Dispatcher::StopRuns(const jobs::TaskId& id) {
   JobEntry* entry = FindEntry(id.job);
   const TaskState* task = FindTask(entry, id);
   for (const RunPlace& it : task->runs) {
-    if (it.run == run) continue;
     WorkerState* worker = FindWorker(it.worker);
     if (worker != nullptr) AskToStop(worker, {id, it.run});
   }
@@ -106,8 +105,7 @@
     for (size_t s = 0; s < entry->steps[k].size(); ++s) {
       const std::vector<TaskState>& tasks = entry->steps[k][s].tasks;
       for (size_t n = 0; n < tasks.size(); ++n) {
-        StopOtherRuns(
-            {entry->job.id, static_cast<int>(k), static_cast<int>(s), static_cast<int>(n)}, 0);
+        StopRuns({entry->job.id, static_cast<int>(k), static_cast<int>(s), static_cast<int>(n)});
       }
     }
   }
@@ -132,7 +130,7 @@
   task->progress.checkpoint.clear();
   step->done += 1;
   if (task->runs.empty()) step->waiting -= 1;
-  StopOtherRuns(id, 0);
+  StopRuns(id);
   MarkDirty(entry->job.id);
   UpdateQueues(*entry);
   if (!jobs::IsFinal(entry->state) && IsComplete(*entry)) {
