Keep the home shard of a job in the store

Cause: the home of a job was computed from the racks of the host list, so after a rack was added a repeated acceptance reached another shard, which accepted the job again, and its tasks ran twice at once. Change: the home is one key in the store, created once by the first process that needs it (src/store/job_home, apps/scheduler/job_homes). Later racks change the proposal for new jobs only. Jobs of releases use the same keys. Ruled out: homes in numbered generations, which need an answer of every former home before an acceptance.

--- a/apps/scheduler/scheduler.cc
+++ b/apps/scheduler/scheduler.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <optional>
 #include <vector>
 
 #include "base/log.h"
@@ -51,12 +52,15 @@
   return stopped || incarnation != std::to_string(owner.incarnation);
 }
 
+ResultCode CodeOf(std::error_code ec) {
+  if (ec.category() != ResultCategory()) return ResultCode::kInternal;
+  return static_cast<ResultCode>(ec.value());
+}
+
 void ReplyDecided(const http::Reply& reply, std::error_code ec, const std::string& job,
                   const std::string& shard) {
   if (ec) {
-    const auto code = ec.category() == ResultCategory() ? static_cast<ResultCode>(ec.value())
-                                                        : ResultCode::kInternal;
-    return reply(http::ErrorResponse(code, "job " + job + ": " + ec.message()));
+    return reply(http::ErrorResponse(CodeOf(ec), "job " + job + ": " + ec.message()));
   }
   http::HttpResponse response =
       http::JsonResponse(200, {{"job", job}, {"shard", shard}, {"accepted", true}});
@@ -71,6 +75,7 @@
       own_(OwnHost(settings)),
       incarnation_(incarnation),
       store_(settings.store, settings.store_timeout),
+      homes_(settings.store, settings.store_timeout, &gate_),
       random_(static_cast<std::minstd_rand::result_type>(incarnation)) {
   for (const EntryHost& it : settings.entry_hosts) {
     peers_[it.id] = std::make_shared<http::HttpClient>(it.scheduler);
@@ -197,10 +202,14 @@
   // Without a release yet, nothing is known to be withdrawn.
   if (version == 0) return;
   std::map<std::string, std::vector<planning::JobSpec>> wanted;
+  bool all_known = true;
   for (planning::JobSpec& it : jobs) {
-    const std::string shard = HomeShard(it.id);
-    wanted[shard].push_back(std::move(it));
+    const std::optional<std::string> home = homes_.KnownOrClaim(it.id, ProposedHome(it.id));
+    all_known = all_known && home;
+    if (home) wanted[*home].push_back(std::move(it));
   }
+  // A job without a known home would be taken as withdrawn.
+  if (!all_known) return;
   for (const auto& [shard, runner] : runners) {
     runner->SetQuotas(quotas);
     runner->FollowRelease(wanted[shard], version);
@@ -430,7 +439,8 @@
   if (lease_ != 0) store_.Revoke(lease_);
 }
 
-std::string Scheduler::HomeShard(const std::string& job) {
+// Spreads new jobs over the racks at present. Where an accepted job lives is kept in the store.
+std::string Scheduler::ProposedHome(const std::string& job) {
   const std::lock_guard<std::mutex> lock(mutex_);
   std::string best;
   uint64_t best_weight = 0;
@@ -517,27 +527,52 @@
     return reply(http::ErrorResponse(ResultCode::kTooLarge, "job is described by more than 1 KiB"));
   }
   const std::string job = spec.id;
-  const std::string shard = HomeShard(job);
+  homes_.Claim(job, ProposedHome(job), [this, spec, request, reply](Result<std::string> home) {
+    if (!home.ok()) return reply(http::ErrorResponse(CodeOf(home.ec), "job was not accepted"));
+    AcceptAt(home.value, spec, request, reply);
+  });
+}
+
+void Scheduler::AcceptAt(const std::string& shard, planning::JobSpec spec,
+                         const http::HttpRequest& request, const http::Reply& reply) {
   const std::shared_ptr<ShardRunner> runner = RunnerOf(shard);
   if (!runner) return Forward(request, shard, reply);
+  const std::string job = spec.id;
   runner->Accept(std::move(spec),
                  [reply, job, shard](std::error_code ec) { ReplyDecided(reply, ec, job, shard); });
 }
 
 void Scheduler::CancelJob(const http::HttpRequest& request, const std::string& job,
                           const http::Reply& reply) {
-  const std::string shard = HomeShard(job);
-  const std::shared_ptr<ShardRunner> runner = RunnerOf(shard);
-  if (!runner) return Forward(request, shard, reply);
-  runner->Cancel(job,
-                 [reply, job, shard](std::error_code ec) { ReplyDecided(reply, ec, job, shard); });
+  homes_.Find(job, [this, request, job, reply](const Result<std::string>& home) {
+    CancelAt(home, request, job, reply);
+  });
+}
+
+void Scheduler::CancelAt(const Result<std::string>& home, const http::HttpRequest& request,
+                         const std::string& job, const http::Reply& reply) {
+  if (!home.ok()) return ReplyDecided(reply, home.ec, job, {});
+  const std::shared_ptr<ShardRunner> runner = RunnerOf(home.value);
+  if (!runner) return Forward(request, home.value, reply);
+  runner->Cancel(job, [reply, job, shard = home.value](std::error_code ec) {
+    ReplyDecided(reply, ec, job, shard);
+  });
 }
 
 void Scheduler::DescribeJob(const http::HttpRequest& request, const std::string& job,
                             const http::Reply& reply) {
-  const std::string shard = HomeShard(job);
-  const std::shared_ptr<ShardRunner> runner = RunnerOf(shard);
-  if (!runner) return Forward(request, shard, reply);
+  homes_.Find(job, [this, request, job, reply](const Result<std::string>& home) {
+    DescribeAt(home, request, job, reply);
+  });
+}
+
+void Scheduler::DescribeAt(const Result<std::string>& home, const http::HttpRequest& request,
+                           const std::string& job, const http::Reply& reply) {
+  if (!home.ok()) {
+    return reply(http::ErrorResponse(CodeOf(home.ec), "job " + job + ": " + home.ec.message()));
+  }
+  const std::shared_ptr<ShardRunner> runner = RunnerOf(home.value);
+  if (!runner) return Forward(request, home.value, reply);
   const Json found = runner->Describe(job);
   if (found.is_null()) {
     return reply(http::ErrorResponse(ResultCode::kNotFound, "no such job: " + job));
--- a/apps/scheduler/scheduler.h
+++ b/apps/scheduler/scheduler.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <thread>
 
+#include "apps/scheduler/job_homes.h"
 #include "apps/scheduler/shard_runner.h"
 #include "apps/scheduler/store_gate.h"
 #include "base/entry_settings.h"
@@ -63,14 +64,20 @@
   void SendFence(const std::shared_ptr<ShardRunner>& runner, const std::string& shard,
                  const store::OwnerId& owner);
   void HandleFence(const http::HttpRequest& request, const http::Reply& reply);
-  std::string HomeShard(const std::string& job);
+  std::string ProposedHome(const std::string& job);
   std::shared_ptr<ShardRunner> RunnerOf(const std::string& shard);
   void HandleJobs(const http::HttpRequest& request, const http::Reply& reply);
   void SubmitJob(const http::HttpRequest& request, const http::Reply& reply);
+  void AcceptAt(const std::string& shard, planning::JobSpec spec, const http::HttpRequest& request,
+                const http::Reply& reply);
   void CancelJob(const http::HttpRequest& request, const std::string& job,
                  const http::Reply& reply);
+  void CancelAt(const Result<std::string>& home, const http::HttpRequest& request,
+                const std::string& job, const http::Reply& reply);
   void DescribeJob(const http::HttpRequest& request, const std::string& job,
                    const http::Reply& reply);
+  void DescribeAt(const Result<std::string>& home, const http::HttpRequest& request,
+                  const std::string& job, const http::Reply& reply);
   void Forward(const http::HttpRequest& request, const std::string& shard,
                const http::Reply& reply);
   http::HttpResponse Ready();
@@ -81,6 +88,7 @@
   const uint64_t incarnation_;
   store::StoreClient store_;  // used by Tick and Stop only
   StoreGate gate_;
+  JobHomes homes_;
   // Renews the membership on its own: a takeover in Tick may take longer than the membership.
   std::thread renewal_thread_;
   metrics::Registry metrics_;
--- /dev/null
+++ b/tests/store/job_home_test.cc
@@ -0,0 +1,42 @@
+#include "store/job_home.h"
+
+#include <gtest/gtest.h>
+
+#include "fakes/store/key_space.h"
+
+namespace pomelopond::store {
+namespace {
+
+constexpr TimePoint kStart{std::chrono::seconds(100)};
+
+bool Commit(fakes::KeySpace* keys, const Txn& txn) {
+  const Result<Json> answer = keys->Txn(ToJson(txn), kStart);
+  return answer.ok() && ParseTxnResult(answer.value).value.succeeded;
+}
+
+std::string HomeOf(fakes::KeySpace* keys, const std::string& job) {
+  const Json request = {{"key", EncodeBase64(JobHomeKey(job))}};
+  const auto values = ParseRangeResult(keys->Range(request, kStart).value).value;
+  return values.empty() ? std::string() : values.front().value;
+}
+
+// Guards against a job that gets a second home from a process that sees other racks, or from a
+// claim that is carried out late.
+TEST(JobHomeTest, FirstClaimStands) {
+  fakes::KeySpace keys;
+  EXPECT_TRUE(Commit(&keys, MakeHomeClaim("job-1", "domain-0.rack-0")));
+  EXPECT_FALSE(Commit(&keys, MakeHomeClaim("job-1", "domain-0.rack-2")));
+  EXPECT_FALSE(Commit(&keys, MakeHomeClaim("job-1", "domain-0.rack-0")));
+  EXPECT_EQ(HomeOf(&keys, "job-1"), "domain-0.rack-0");
+}
+
+// Guards against a claim that stands in the way of another job's.
+TEST(JobHomeTest, JobsHaveHomesOfTheirOwn) {
+  fakes::KeySpace keys;
+  EXPECT_TRUE(Commit(&keys, MakeHomeClaim("job-1", "domain-0.rack-0")));
+  EXPECT_TRUE(Commit(&keys, MakeHomeClaim("job-10", "domain-0.rack-1")));
+  EXPECT_EQ(HomeOf(&keys, "job-10"), "domain-0.rack-1");
+}
+
+}  // namespace
+}  // namespace pomelopond::store
