Try tasks that can find no room once in a decision

Cause: under overload each decision tried every waiting job against all workers. Change: an amount that found no room is not tried again in the same decision (refused_needs); the estimates for the order of jobs are kept; tasks are placed after an event that frees room, and every 50 ms.

--- /dev/null
+++ b/bench/dispatch_load.cc
@@ -0,0 +1,176 @@
+// Cost of the pool owner's decisions under overload: time for an end and the start that follows it.
+//
+// Every worker runs tasks that serve users and as many filling tasks as fit beside them; further
+// jobs of filling tasks wait. Then tasks end one by one at random workers, and each end is followed
+// by a decision, which gives the room to a waiting task.
+#include <malloc.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <cxxopts.hpp>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "bench/support/bench_result.h"
+#include "tests/dispatch/scenario.h"
+
+namespace pomelopond::bench {
+namespace {
+
+using dispatch::ActiveRun;
+using dispatch::EndKind;
+using dispatch::RunId;
+using dispatch::Scenario;
+
+// An owner on a tenth of a core spends at most half of it on 100 ends a second.
+constexpr double kMaxDecisionUs = 500;
+constexpr int kEnds = 2000;
+constexpr int kServingPerWorker = 5;
+constexpr int64_t kServingCpu = 6400;
+constexpr int64_t kServingTailMs = 25;
+constexpr int64_t kFillingCpu = 3500;
+constexpr int kTasksPerStep = 8;
+constexpr int kImages = 9;
+constexpr Duration kBetweenEnds = std::chrono::milliseconds(10);
+
+struct Case {
+  int workers = 0;
+  int waiting_jobs = 0;
+};
+
+struct Row {
+  double mean_us = 0;
+  double max_us = 0;
+  double job_bytes = 0;  // a waiting job of two steps
+  int starts = 0;
+};
+
+std::string JobId(int n) {
+  char id[17];
+  std::snprintf(id, sizeof(id), "%016x", n);
+  return id;
+}
+
+jobs::Step ServingStep(int workers) {
+  jobs::Step step = dispatch::MakeStep(workers * kServingPerWorker, kServingCpu);
+  step.perpetual = true;
+  step.target_tail_ms = kServingTailMs;
+  step.image = "serving";
+  return step;
+}
+
+jobs::Job FillingJob(int n) {
+  jobs::Step step = dispatch::MakeStep(kTasksPerStep, kFillingCpu);
+  step.fills = true;
+  step.checkpoint = true;
+  step.estimate_ms = 1700;
+  step.image = "filling-" + std::to_string(n % kImages);
+  jobs::Step second = step;
+  second.after = {0};
+  jobs::Job job = dispatch::MakeJob(JobId(n), {step, second});
+  job.rules.priority = 2;
+  job.rules.stretch = 2;
+  job.rules.target_duration_ms = 1000;
+  job.accepted_ms = dispatch::kWallStart;
+  return job;
+}
+
+// Starts what fits, until nothing more is started.
+void Settle(Scenario* it) {
+  do {
+    it->Decide();
+    it->ConfirmStarts();
+    it->CommitAll();
+  } while (!it->orders.starts.empty());
+}
+
+std::vector<ActiveRun> ActiveOn(const Scenario& it, const std::string& worker,
+                                const RunId* without) {
+  std::vector<ActiveRun> active;
+  for (const auto& [id, run] : it.dispatcher.workers().at(worker).runs) {
+    if (without != nullptr && id == *without) continue;
+    const bool serves = run.target_tail_ms > 0;
+    active.push_back({id, {}, serves ? 100 : 50, serves ? kServingTailMs / 3 : kFillingCpu / 2});
+  }
+  return active;
+}
+
+// A random filling run of the worker; null when there is none.
+const RunId* AnyFillingRun(const dispatch::WorkerState& worker, std::mt19937* random) {
+  std::vector<const RunId*> filling;
+  for (const auto& [id, it] : worker.runs) {
+    if (it.fills) filling.push_back(&id);
+  }
+  if (filling.empty()) return nullptr;
+  return filling[(*random)() % filling.size()];
+}
+
+Row Measure(const Case& size, unsigned seed) {
+  std::mt19937 random(seed);
+  Row row;
+  Scenario it;
+  std::vector<dispatch::WorkerInfo> workers;
+  for (int n = 0; n < size.workers; ++n) {
+    workers.push_back(
+        dispatch::MakeWorker("w" + std::to_string(n), kServingPerWorker * kServingCpu));
+  }
+  it.AddWorkers(workers);
+  it.dispatcher.AddJob(dispatch::MakeJob(JobId(0), {ServingStep(size.workers)}), {}, false, it.now);
+  Settle(&it);
+  const double before = static_cast<double>(mallinfo2().uordblks);
+  // Each worker takes about three filling tasks; the other jobs wait.
+  const int jobs = size.workers * 3 / kTasksPerStep + size.waiting_jobs;
+  for (int n = 1; n <= jobs; ++n) it.dispatcher.AddJob(FillingJob(n), {}, false, it.now);
+  row.job_bytes = (static_cast<double>(mallinfo2().uordblks) - before) / jobs;
+  Settle(&it);
+  std::vector<int64_t> sequence(static_cast<size_t>(size.workers), 0);
+  double total_us = 0;
+  for (int n = 0; n < kEnds; ++n) {
+    it.Advance(kBetweenEnds);
+    const size_t at = random() % static_cast<size_t>(size.workers);
+    const std::string& id = workers[at].id;
+    const RunId* run = AnyFillingRun(it.dispatcher.workers().at(id), &random);
+    if (run == nullptr) continue;
+    const std::vector<ActiveRun> active = ActiveOn(it, id, run);
+    const dispatch::EndedRun end = dispatch::End(++sequence[at], *run, EndKind::kDone);
+    const auto start = std::chrono::steady_clock::now();
+    it.Report(id, active, {end});
+    it.Decide();
+    const double us =
+        std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - start).count();
+    total_us += us;
+    row.max_us = std::max(row.max_us, us);
+    row.starts += static_cast<int>(it.orders.starts.size());
+    it.ConfirmStarts();
+    it.CommitAll();
+  }
+  row.mean_us = total_us / kEnds;
+  return row;
+}
+
+int Main(int argc, char** argv) {
+  cxxopts::Options options("bench-dispatch-load", "Cost of the owner's decisions under overload");
+  options.add_options()("seed", "random seed", cxxopts::value<unsigned>()->default_value("1"));
+  const unsigned seed = options.parse(argc, argv)["seed"].as<unsigned>();
+  const std::vector<Case> cases = {{48, 0}, {48, 60}, {48, 250}, {350, 250}, {350, 1000}};
+  double worst = 0;
+  std::printf("%8s %8s %10s %10s %10s %8s\n", "workers", "waiting", "mean_us", "max_us",
+              "job_bytes", "starts");
+  for (const Case& it : cases) {
+    const Row row = Measure(it, seed);
+    worst = std::max(worst, row.mean_us);
+    std::printf("%8d %8d %10.1f %10.1f %10.0f %8d\n", it.workers, it.waiting_jobs, row.mean_us,
+                row.max_us, row.job_bytes, row.starts);
+  }
+  const bool held = worst <= kMaxDecisionUs;
+  std::printf("dispatch-load worst_mean_us=%.1f target_us=%.0f held=%s\n", worst, kMaxDecisionUs,
+              held ? "yes" : "no");
+  return held ? 0 : 1;
+}
+
+}  // namespace
+}  // namespace pomelopond::bench
+
+int main(int argc, char** argv) { return pomelopond::bench::Main(argc, argv); }
--- a/src/dispatch/decide.cc
+++ b/src/dispatch/decide.cc
@@ -12,6 +12,12 @@
 constexpr Duration kDrainingLease = std::chrono::milliseconds(1500);
 // A tail is reported for half a second, so that a decision shows in the report after this time.
 constexpr Duration kSharingWait = std::chrono::milliseconds(500);
+// Expected durations drift slowly, so the estimates of a job are made anew at this interval, and
+// when one of its tasks is done.
+constexpr Duration kEstimateTime = std::chrono::milliseconds(500);
+// Waiting tasks are tried again after this time even if no run has ended, since pauses of workers
+// end and expected tails fall.
+constexpr Duration kPlaceInterval = std::chrono::milliseconds(50);
 constexpr Duration kPaceInterval = std::chrono::milliseconds(800);
 
 Address AddressOf(const WorkerState& worker) { return {worker.info.id, worker.info.endpoint}; }
@@ -117,23 +123,42 @@
   // Without proof of ownership no order would be sent.
   if (now >= proof_ + limits_.order_horizon) return;
   if (open_starts_ >= limits_.max_open_starts) return;
+  // Most decisions follow an answer that frees no room.
+  if (!room_changed_ && now < placed_at_ + kPlaceInterval) return;
+  placed_at_ = now;
   claimed_.clear();
+  refused_.clear();
+  for (JobEntry* it : JobsInOrder(now, wall_ms)) PlaceJob(it, now, wall_ms, orders);
+  // Otherwise tasks may still find room once some of the open starts are answered.
+  room_changed_ = open_starts_ >= limits_.max_open_starts;
+}
+
+std::vector<JobEntry*> Dispatcher::JobsInOrder(TimePoint now, int64_t wall_ms) {
   std::vector<std::pair<JobRank, JobEntry*>> ranked;
-  for (const std::string& it : placeable_) {
-    JobEntry* entry = FindEntry(it);
-    if (entry == nullptr || !MayStart(*entry)) continue;
-    ranked.emplace_back(RankOf(durations_, *entry, wall_ms), entry);
+  ranked.reserve(placeable_.size());
+  for (const auto& [id, entry] : placeable_) {
+    if (!MayStart(*entry)) continue;
+    if (now >= entry->estimates_until) {
+      entry->estimates = EstimatesOf(durations_, *entry);
+      entry->estimates_until = now + kEstimateTime;
+    }
+    ranked.emplace_back(RankOf(entry->estimates, *entry, wall_ms), entry);
   }
-  std::sort(ranked.begin(), ranked.end());
-  for (const auto& [rank, entry] : ranked) {
-    for (int k = 0; k < static_cast<int>(entry->steps.size()); ++k) {
-      if (wall_ms < DueMs(entry->job, k)) continue;
-      for (int s = 0; s < static_cast<int>(entry->job.steps.size()); ++s) {
-        if (entry->steps[static_cast<size_t>(k)][static_cast<size_t>(s)].waiting == 0) continue;
-        if (IsReady(*entry, k, s)) PlaceStep(entry, k, s, now, orders);
-      }
+  std::stable_sort(ranked.begin(), ranked.end(),
+                   [](const auto& a, const auto& b) { return a.first < b.first; });
+  std::vector<JobEntry*> jobs;
+  jobs.reserve(ranked.size());
+  for (const auto& [rank, entry] : ranked) jobs.push_back(entry);
+  return jobs;
+}
+
+void Dispatcher::PlaceJob(JobEntry* entry, TimePoint now, int64_t wall_ms, Orders* orders) {
+  for (int k = 0; k < static_cast<int>(entry->steps.size()); ++k) {
+    if (wall_ms < DueMs(entry->job, k)) continue;
+    for (int s = 0; s < static_cast<int>(entry->job.steps.size()); ++s) {
+      if (entry->steps[static_cast<size_t>(k)][static_cast<size_t>(s)].waiting == 0) continue;
+      if (IsReady(*entry, k, s)) PlaceStep(entry, k, s, now, orders);
     }
-    UpdateQueues(*entry);
   }
 }
 
@@ -143,13 +168,17 @@
     PlaceGang(entry, occurrence, step, now, orders);
     return true;
   }
+  const jobs::Step& what = entry->job.steps[static_cast<size_t>(step)];
+  if (IsRefused(refused_, *entry, what)) return false;
   jobs::TaskId id{entry->job.id, occurrence, step, 0};
   const StepState* state = StepStateOf(entry, id);
   for (id.index = 0; id.index < static_cast<int>(state->tasks.size()); ++id.index) {
     const TaskState& task = state->tasks[static_cast<size_t>(id.index)];
     if (task.progress.done || !task.runs.empty()) continue;
     if (open_starts_ >= limits_.max_open_starts) return false;
-    if (!PlaceTask(entry, id, now, orders)) return false;
+    if (PlaceTask(entry, id, now, orders)) continue;
+    NoteRefused(&refused_, *entry, what);
+    return false;
   }
   return true;
 }
@@ -190,6 +219,7 @@
   task->runs.push_back({id.run, worker->info.id});
   if (task->first_run == 0) task->first_run = id.run;
   task->last_run = id.run;
+  UpdateQueues(entry);
   if (entry->state == jobs::JobState::kPending) {
     entry->state = jobs::JobState::kRunning;
     MarkDirty(entry->job.id);
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -85,17 +85,18 @@
   dirty_.emplace_back(generation_, job);
 }
 
-void Dispatcher::UpdateQueues(const JobEntry& entry) {
+void Dispatcher::UpdateQueues(JobEntry* entry) {
   bool waiting = false;
-  if (!jobs::IsFinal(entry.state)) {
-    for (const std::vector<StepState>& steps : entry.steps) {
+  if (!jobs::IsFinal(entry->state)) {
+    for (const std::vector<StepState>& steps : entry->steps) {
       for (const StepState& it : steps) waiting = waiting || it.waiting > 0;
     }
   }
   if (waiting) {
-    placeable_.insert(entry.job.id);
+    placeable_.emplace(entry->job.id, entry);
+    room_changed_ = true;
   } else {
-    placeable_.erase(entry.job.id);
+    placeable_.erase(entry->job.id);
   }
 }
 
@@ -108,7 +109,7 @@
   } else if (IsComplete(entry)) {
     FinishJob(&entry, jobs::JobState::kCompleted, job.accepted_ms);
   }
-  UpdateQueues(entry);
+  UpdateQueues(&entry);
 }
 
 void Dispatcher::CancelJob(const std::string& id, int64_t wall_ms) {
@@ -240,6 +241,7 @@
       WorkerState* worker = FindWorker(it.id);
       if (worker != nullptr && worker->info.endpoint == it.endpoint) worker->recorded = true;
     }
+    room_changed_ = true;
   }
   for (auto& [id, it] : workers_) {
     if (it.processed == it.acknowledged || it.generation > commit.generation) continue;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -16,6 +16,7 @@
 #include "dispatch/job_table.h"
 #include "dispatch/order.h"
 #include "dispatch/preemption.h"
+#include "dispatch/refused_needs.h"
 #include "dispatch/sharing.h"
 #include "dispatch/worker_calls.h"
 #include "dispatch/worker_table.h"
@@ -123,7 +124,7 @@
 
  private:
   void MarkDirty(const std::string& job);
-  void UpdateQueues(const JobEntry& entry);
+  void UpdateQueues(JobEntry* entry);
 
   // Runs.
   void EndRun(WorkerState* worker, const RunId& id);
@@ -147,6 +148,8 @@
   void DecideHolds(TimePoint now, Orders* orders);
   void RetryRuns(TimePoint now, Orders* orders);
   void PlaceTasks(TimePoint now, int64_t wall_ms, Orders* orders);
+  std::vector<JobEntry*> JobsInOrder(TimePoint now, int64_t wall_ms);
+  void PlaceJob(JobEntry* entry, TimePoint now, int64_t wall_ms, Orders* orders);
   bool PlaceStep(JobEntry* entry, int occurrence, int step, TimePoint now, Orders* orders);
   bool PlaceTask(JobEntry* entry, const jobs::TaskId& id, TimePoint now, Orders* orders);
   bool PreemptFor(const JobEntry& entry, const PlacementRequest& request, TimePoint now);
@@ -174,10 +177,13 @@
   SharingModel sharing_;
   DurationModel durations_;
   int open_starts_ = 0;
-  ClaimedRoom claimed_;              // by the present decision
-  std::set<std::string> placeable_;  // jobs with tasks that have no active run
-  std::set<std::string> unsettled_;  // inherited workers that have not answered yet
-  bool workers_changed_ = false;     // the durable list of workers in use is out of date
+  bool room_changed_ = true;                    // since tasks were last placed
+  TimePoint placed_at_;                         // when tasks were last placed
+  ClaimedRoom claimed_;                         // by the present decision
+  RefusedNeeds refused_;                        // in the present decision
+  std::map<std::string, JobEntry*> placeable_;  // jobs with tasks that have no active run
+  std::set<std::string> unsettled_;             // inherited workers that have not answered yet
+  bool workers_changed_ = false;                // the durable list of workers in use is out of date
 
   // Jobs with changes that are not durable, in the order of their first such change.
   std::deque<std::pair<uint64_t, std::string>> dirty_;
--- a/src/dispatch/job_table.h
+++ b/src/dispatch/job_table.h
@@ -34,12 +34,21 @@
   int waiting = 0;  // tasks that are not done and have no active run
 };
 
+// What the order of jobs needs to know of one (dispatch/order.h).
+struct Estimates {
+  double remaining_ms = 0;  // the longest chain of tasks that are not done
+  double objective_ms = 0;  // from acceptance to the end
+  bool has_end = true;      // false for perpetual and recurring jobs
+};
+
 struct JobEntry {
   jobs::Job job;
   jobs::JobState state = jobs::JobState::kPending;
   int64_t finished_ms = 0;
   bool inherited = false;  // accepted before this owner took over
   TimePoint known_since;
+  Estimates estimates;
+  TimePoint estimates_until;  // they are made again after this time
   // By occurrence, then step.
   std::vector<std::vector<StepState>> steps;
 };
--- a/src/dispatch/order.cc
+++ b/src/dispatch/order.cc
@@ -61,20 +61,26 @@
          static_cast<double>(entry.job.rules.target_duration_ms);
 }
 
-Prospect ProspectOf(const DurationModel& model, const JobEntry& entry, int64_t wall_ms) {
+Estimates EstimatesOf(const DurationModel& model, const JobEntry& entry) {
+  Estimates out;
+  out.remaining_ms = RemainingChainMs(model, entry);
+  out.objective_ms = ObjectiveMs(model, entry);
   // Perpetual jobs have no end to be late for, and recurring ones are due again and again.
-  if (entry.job.occurrences > 0 || IsPerpetual(entry.job)) return Prospect::kOnTime;
-  const double end =
-      static_cast<double>(wall_ms - entry.job.accepted_ms) + RemainingChainMs(model, entry);
-  const double objective = ObjectiveMs(model, entry);
-  if (end <= objective) return Prospect::kOnTime;
-  return end <= kLateFactor * objective ? Prospect::kLate : Prospect::kTooLate;
+  out.has_end = entry.job.occurrences == 0 && !IsPerpetual(entry.job);
+  return out;
 }
 
-JobRank RankOf(const DurationModel& model, const JobEntry& entry, int64_t wall_ms) {
+Prospect ProspectOf(const Estimates& estimates, const JobEntry& entry, int64_t wall_ms) {
+  if (!estimates.has_end) return Prospect::kOnTime;
+  const double end = static_cast<double>(wall_ms - entry.job.accepted_ms) + estimates.remaining_ms;
+  if (end <= estimates.objective_ms) return Prospect::kOnTime;
+  return end <= kLateFactor * estimates.objective_ms ? Prospect::kLate : Prospect::kTooLate;
+}
+
+JobRank RankOf(const Estimates& estimates, const JobEntry& entry, int64_t wall_ms) {
   const bool fresh = entry.state == jobs::JobState::kPending;
-  return {entry.job.rules.priority, ProspectOf(model, entry, wall_ms), fresh, entry.job.accepted_ms,
-          entry.job.id};
+  return {entry.job.rules.priority, ProspectOf(estimates, entry, wall_ms), fresh,
+          entry.job.accepted_ms};
 }
 
 }  // namespace pomelopond::dispatch
--- a/src/dispatch/order.h
+++ b/src/dispatch/order.h
@@ -25,19 +25,21 @@
 // What an occurrence should take at most: the queue's stretch of its longest chain, and more.
 double ObjectiveMs(const DurationModel& model, const JobEntry& entry);
 
+Estimates EstimatesOf(const DurationModel& model, const JobEntry& entry);
+
 // What a job that gets room now can still achieve.
 enum class Prospect {
   kOnTime,
   kLate,     // past its objective, but of some use
   kTooLate,  // past three times its objective
 };
-Prospect ProspectOf(const DurationModel& model, const JobEntry& entry, int64_t wall_ms);
+Prospect ProspectOf(const Estimates& estimates, const JobEntry& entry, int64_t wall_ms);
 
 // Jobs with the smaller rank come first: priority, then those that can still be on time, so that
 // room is not spent on jobs that are late anyway while others become late; among them those that
-// have begun, then the oldest.
-using JobRank = std::tuple<int, Prospect, bool, int64_t, std::string>;
-JobRank RankOf(const DurationModel& model, const JobEntry& entry, int64_t wall_ms);
+// have begun, then the oldest. Jobs of equal rank come in the order of their ids.
+using JobRank = std::tuple<int, Prospect, bool, int64_t>;
+JobRank RankOf(const Estimates& estimates, const JobEntry& entry, int64_t wall_ms);
 
 }  // namespace pomelopond::dispatch
 
--- /dev/null
+++ b/src/dispatch/refused_needs.cc
@@ -0,0 +1,35 @@
+#include "dispatch/refused_needs.h"
+
+#include <algorithm>
+
+namespace pomelopond::dispatch {
+
+TaskClass ClassOf(const JobEntry& entry, const jobs::Step& step) {
+  TaskClass out;
+  out.service = entry.job.rules.service;
+  out.required_label = step.required_label;
+  out.fills = step.fills;
+  if (step.fills) out.filling_image = step.image;
+  out.perpetual = step.perpetual;
+  out.priority = entry.job.rules.priority;
+  return out;
+}
+
+void NoteRefused(RefusedNeeds* refused, const JobEntry& entry, const jobs::Step& step) {
+  if (step.max_per_worker > 0) return;
+  std::vector<Resources>& needs = (*refused)[ClassOf(entry, step)];
+  // Of two amounts that found no room, the smaller one says more.
+  needs.erase(std::remove_if(needs.begin(), needs.end(),
+                             [&step](const Resources& it) { return Fits(step.request, it); }),
+              needs.end());
+  needs.push_back(step.request);
+}
+
+bool IsRefused(const RefusedNeeds& refused, const JobEntry& entry, const jobs::Step& step) {
+  const auto it = refused.find(ClassOf(entry, step));
+  if (it == refused.end()) return false;
+  return std::any_of(it->second.begin(), it->second.end(),
+                     [&step](const Resources& need) { return Fits(need, step.request); });
+}
+
+}  // namespace pomelopond::dispatch
--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -53,6 +53,7 @@
 }
 
 void Dispatcher::EndRun(WorkerState* worker, const RunId& id) {
+  room_changed_ = true;
   RemoveRun(worker, id);
   JobEntry* entry = FindEntry(id.task.job);
   TaskState* task = entry == nullptr ? nullptr : FindTask(entry, id.task);
@@ -64,7 +65,7 @@
   task->runs.erase(place);
   if (!task->runs.empty() || task->progress.done) return;
   StepStateOf(entry, id.task)->waiting += 1;
-  UpdateQueues(*entry);
+  UpdateQueues(entry);
 }
 
 void Dispatcher::LoseRuns(WorkerState* worker, TimePoint now) {
@@ -119,7 +120,7 @@
       {{"job", entry->job.id}, {"state", jobs::JobStateName(state)}});
   StopAllRuns(entry);
   MarkDirty(entry->job.id);
-  UpdateQueues(*entry);
+  UpdateQueues(entry);
 }
 
 void Dispatcher::FinishTask(JobEntry* entry, const jobs::TaskId& id, int64_t wall_ms) {
@@ -129,10 +130,11 @@
   task->progress.done = true;
   task->progress.checkpoint.clear();
   step->done += 1;
+  entry->estimates_until = TimePoint{};
   if (task->runs.empty()) step->waiting -= 1;
   StopRuns(id);
   MarkDirty(entry->job.id);
-  UpdateQueues(*entry);
+  UpdateQueues(entry);
   if (!jobs::IsFinal(entry->state) && IsComplete(*entry)) {
     FinishJob(entry, jobs::JobState::kCompleted, wall_ms);
   }
@@ -203,7 +205,7 @@
     task->runs.push_back({active.id.run, worker->info.id});
     task->last_run = std::max(task->last_run, active.id.run);
     if (entry->state == jobs::JobState::kPending) entry->state = jobs::JobState::kRunning;
-    UpdateQueues(*entry);
+    UpdateQueues(entry);
   }
   if (!wanted) AskToStop(worker, active.id);
 }
@@ -305,8 +307,9 @@
          {"active", report.active.size()},
          {"ended", report.ended.size()}});
   }
+  room_changed_ = room_changed_ || !worker->contacted;
   worker->contacted = true;
-  unsettled_.erase(worker->info.id);
+  room_changed_ = unsettled_.erase(worker->info.id) > 0 || room_changed_;
   const bool all_durable = worker->processed == worker->acknowledged;
   bool changed = false;
   for (const EndedRun& it : report.ended) changed = TakeEnd(worker, it, now, wall_ms) || changed;
--- a/tests/dispatch/order_test.cc
+++ b/tests/dispatch/order_test.cc
@@ -34,9 +34,9 @@
   const JobEntry late = MakeOrdered("a", kAccepted);
   const JobEntry fresh = MakeOrdered("b", kAccepted + 3000);
   const int64_t now = kAccepted + 3000;
-  EXPECT_EQ(ProspectOf({}, late, now), Prospect::kLate);
-  EXPECT_EQ(ProspectOf({}, fresh, now), Prospect::kOnTime);
-  EXPECT_LT(RankOf({}, fresh, now), RankOf({}, late, now));
+  EXPECT_EQ(ProspectOf(EstimatesOf({}, late), late, now), Prospect::kLate);
+  EXPECT_EQ(ProspectOf(EstimatesOf({}, fresh), fresh, now), Prospect::kOnTime);
+  EXPECT_LT(RankOf(EstimatesOf({}, fresh), fresh, now), RankOf(EstimatesOf({}, late), late, now));
 }
 
 // Guards against work that is begun and then left behind newer jobs.
@@ -44,20 +44,22 @@
   const JobEntry older = MakeOrdered("a", kAccepted);
   JobEntry begun = MakeOrdered("b", kAccepted + 10);
   begun.state = jobs::JobState::kRunning;
-  EXPECT_LT(RankOf({}, begun, kAccepted + 20), RankOf({}, older, kAccepted + 20));
+  EXPECT_LT(RankOf(EstimatesOf({}, begun), begun, kAccepted + 20),
+            RankOf(EstimatesOf({}, older), older, kAccepted + 20));
 }
 
 TEST(OrderTest, PriorityComesFirst) {
   const JobEntry urgent = MakeOrdered("a", kAccepted);
   JobEntry other = MakeOrdered("b", kAccepted + 60000);
   other.job.rules.priority = 1;
-  EXPECT_LT(RankOf({}, urgent, kAccepted + 60000), RankOf({}, other, kAccepted + 60000));
+  EXPECT_LT(RankOf(EstimatesOf({}, urgent), urgent, kAccepted + 60000),
+            RankOf(EstimatesOf({}, other), other, kAccepted + 60000));
 }
 
 TEST(OrderTest, PerpetualJobsAreNeverTooLate) {
   JobEntry entry = MakeOrdered("a", kAccepted);
   entry.job.steps[0].perpetual = true;
-  EXPECT_EQ(ProspectOf({}, entry, kAccepted + 3600000), Prospect::kOnTime);
+  EXPECT_EQ(ProspectOf(EstimatesOf({}, entry), entry, kAccepted + 3600000), Prospect::kOnTime);
 }
 
 // Guards against estimates that are far off for all tasks of an image.
--- /dev/null
+++ b/tests/dispatch/refused_needs_test.cc
@@ -0,0 +1,76 @@
+#include "dispatch/refused_needs.h"
+
+#include <gtest/gtest.h>
+
+#include "tests/dispatch/scenario.h"
+
+namespace pomelopond::dispatch {
+namespace {
+
+JobEntry EntryOf(const std::string& id, const jobs::Step& step) {
+  return MakeEntry(MakeJob(id, {step}), {}, false, TimePoint{});
+}
+
+// Guards against tasks that are not tried although they are smaller than the one that found no
+// room.
+TEST(RefusedNeedsTest, OnlyEqualAndLargerTasksAreRefused) {
+  const JobEntry entry = EntryOf("a", MakeStep(1, 4000));
+  RefusedNeeds refused;
+  NoteRefused(&refused, entry, entry.job.steps[0]);
+  EXPECT_TRUE(IsRefused(refused, entry, MakeStep(1, 4000)));
+  EXPECT_TRUE(IsRefused(refused, entry, MakeStep(1, 5000)));
+  EXPECT_FALSE(IsRefused(refused, entry, MakeStep(1, 3000)));
+}
+
+// Guards against a task of another kind that is not tried: it may find other workers, or displace
+// other runs.
+TEST(RefusedNeedsTest, OtherClassesAreNotRefused) {
+  const JobEntry entry = EntryOf("a", MakeStep(1, 4000));
+  RefusedNeeds refused;
+  NoteRefused(&refused, entry, entry.job.steps[0]);
+  jobs::Step other = MakeStep(1, 4000);
+  other.required_label = "label";
+  EXPECT_FALSE(IsRefused(refused, entry, other));
+  other = MakeStep(1, 4000);
+  other.fills = true;
+  EXPECT_FALSE(IsRefused(refused, entry, other));
+  other = MakeStep(1, 4000);
+  other.perpetual = true;
+  EXPECT_FALSE(IsRefused(refused, entry, other));
+  JobEntry urgent = EntryOf("b", MakeStep(1, 4000));
+  urgent.job.rules.priority = -1;
+  EXPECT_FALSE(IsRefused(refused, urgent, urgent.job.steps[0]));
+}
+
+// Guards against a limit of one step that keeps other steps from free room.
+TEST(RefusedNeedsTest, StepWithALimitOfItsOwnSaysNothingAboutOthers) {
+  Scenario it;
+  it.AddWorkers({MakeWorker("w1", 4000)});
+  jobs::Step limited = MakeStep(3);
+  limited.max_per_worker = 1;
+  it.dispatcher.AddJob(MakeJob("00000000000000aa", {limited}), {}, false, it.now);
+  it.dispatcher.AddJob(MakeJob("00000000000000bb", {MakeStep(3)}), {}, false, it.now);
+  it.Decide();
+  EXPECT_EQ(it.orders.starts.size(), 4U);
+}
+
+// Guards against waiting tasks that are forgotten because no run ends: here the only worker takes
+// tasks again after a pause.
+TEST(RefusedNeedsTest, WaitingTasksAreTriedAgainWithoutAnEnd) {
+  Scenario it;
+  it.AddWorkers({MakeWorker("w1", 4000)});
+  it.dispatcher.AddJob(MakeJob("00000000000000aa", {MakeStep(1)}), {}, false, it.now);
+  it.Decide();
+  ASSERT_EQ(it.orders.starts.size(), 1U);
+  Answer refusal = it.Accepted();
+  refusal.status = OrderStatus::kNoRoom;
+  it.dispatcher.OnStarted(it.orders.starts.front(), refusal, it.now);
+  it.Decide();
+  EXPECT_TRUE(it.orders.starts.empty());
+  it.Advance(std::chrono::milliseconds(400));
+  it.Decide();
+  EXPECT_EQ(it.orders.starts.size(), 1U);
+}
+
+}  // namespace
+}  // namespace pomelopond::dispatch
