Ask a policy service for permits, and let gangs choose a rack

Cause: queues with a placement policy were not understood, so workers would refuse every start of their jobs; a gang that prefers one rack took the rack of the emptiest worker and gave up when it did not fit there. Change: src/dispatch/permit holds what a step may use, the owner asks for permits when a task finds no permitted worker, starts carry them, and a start whose permit has ended is stopped instead of repeated. Gangs try all racks, wait for one while they can be on time, and spread when no rack could hold them. Ruled out: permits in the store; they end after seconds and a new owner can ask again. Conclusion: kept; on the platform untested beyond the adapter's tests.

--- a/src/dispatch/choose_worker.cc
+++ b/src/dispatch/choose_worker.cc
@@ -83,6 +83,10 @@
 
 bool IsEligible(const WorkerState& worker, const PlacementRequest& request, TimePoint now) {
   const jobs::Step& step = *request.step;
+  if (request.permits != nullptr &&
+      FindPermit(*request.permits, worker.info.id, worker.info.incarnation, now) == nullptr) {
+    return false;
+  }
   if (worker.info.service != request.service || !TakesTasks(worker, now)) return false;
   // Failed runs of a perpetual task cost no attempts, so a doubtful worker is better than none.
   if (now < worker.distrust_until && !step.perpetual) return false;
@@ -100,6 +104,57 @@
                       [&worker](const RunPlace& it) { return it.worker == worker.info.id; });
 }
 
+std::vector<std::string> RacksByRoom(const std::map<std::string, WorkerState>& workers,
+                                     const PlacementRequest& request, TimePoint now) {
+  std::map<std::string, int64_t> room;
+  for (const auto& [id, it] : workers) {
+    if (!IsEligible(it, request, now)) continue;
+    room[it.info.rack] += std::max<int64_t>(0, RoomOf(it).cpu_milli);
+  }
+  std::vector<std::pair<int64_t, std::string>> ranked;
+  for (const auto& [rack, cpu_milli] : room) ranked.emplace_back(-cpu_milli, rack);
+  std::sort(ranked.begin(), ranked.end());
+  std::vector<std::string> racks;
+  for (const auto& [room_left, rack] : ranked) racks.push_back(rack);
+  return racks;
+}
+
+bool FitsOneRack(const std::map<std::string, WorkerState>& workers,
+                 const PlacementRequest& request) {
+  const Resources need = NeedOf(*request.step);
+  std::map<std::string, int> tasks;
+  for (const auto& [id, it] : workers) {
+    if (it.info.service != request.service) continue;
+    Resources room = it.info.capacity;
+    for (int n = 0; n < request.step->replicas && Fits(need, room); ++n) {
+      tasks[it.info.rack] += 1;
+      room = room - need;
+    }
+  }
+  return std::any_of(tasks.begin(), tasks.end(),
+                     [&request](const auto& it) { return it.second >= request.step->replicas; });
+}
+
+std::vector<std::pair<std::string, int64_t>> WorkersToAsk(
+    const std::map<std::string, WorkerState>& workers, const PlacementRequest& request, size_t most,
+    TimePoint now) {
+  PlacementRequest any = request;
+  any.permits = nullptr;
+  std::vector<std::tuple<bool, Score, const WorkerState*>> candidates;
+  for (const auto& [id, it] : workers) {
+    if (!IsUndecided(*request.permits, id, it.info.incarnation, now)) continue;
+    if (!IsEligible(it, any, now)) continue;
+    candidates.emplace_back(!HasRoom(it, any), ScoreOf(it, any, now), &it);
+  }
+  std::sort(candidates.begin(), candidates.end());
+  std::vector<std::pair<std::string, int64_t>> out;
+  for (const auto& [full, score, worker] : candidates) {
+    if (out.size() == most) break;
+    out.emplace_back(worker->info.id, worker->info.incarnation);
+  }
+  return out;
+}
+
 Resources NeedOf(const jobs::Step& step) {
   Resources need = step.request;
   if (step.fills) need.cpu_milli = 0;
--- a/src/dispatch/choose_worker.h
+++ b/src/dispatch/choose_worker.h
@@ -4,6 +4,8 @@
 
 #include <map>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "base/time.h"
 #include "dispatch/job_table.h"
@@ -19,7 +21,8 @@
   const StepState* state = nullptr;  // for the limit of tasks of the step on one worker
   const TaskState* task = nullptr;   // workers where it failed come last; may be null
   const SharingModel* sharing = nullptr;
-  std::string rack;  // when set, only workers of this rack
+  const StepPermits* permits = nullptr;  // when set, only workers with a permit
+  std::string rack;                      // when set, only workers of this rack
 };
 
 // True when the worker takes new tasks at all.
@@ -37,6 +40,20 @@
 WorkerState* ChooseWorker(std::map<std::string, WorkerState>* workers,
                           const PlacementRequest& request, TimePoint now);
 
+// The racks of the workers that may run the task, those with most room first.
+std::vector<std::string> RacksByRoom(const std::map<std::string, WorkerState>& workers,
+                                     const PlacementRequest& request, TimePoint now);
+
+// True when the workers of some rack could hold all tasks of the step if nothing else ran there.
+bool FitsOneRack(const std::map<std::string, WorkerState>& workers,
+                 const PlacementRequest& request);
+
+// The workers to ask permits for: those without a decision that may run the task otherwise, the
+// best ones with room first, at most `most`.
+std::vector<std::pair<std::string, int64_t>> WorkersToAsk(
+    const std::map<std::string, WorkerState>& workers, const PlacementRequest& request, size_t most,
+    TimePoint now);
+
 }  // namespace pomelopond::dispatch
 
 #endif  // POMELOPOND_DISPATCH_CHOOSE_WORKER_H_
--- a/src/dispatch/decide.cc
+++ b/src/dispatch/decide.cc
@@ -18,6 +18,8 @@
 // Waiting tasks are tried again after this time even if no run has ended, since pauses of workers
 // end and expected tails fall.
 constexpr Duration kPlaceInterval = std::chrono::milliseconds(50);
+// Workers named in an order for permits, unless many tasks wait.
+constexpr size_t kUsualPermitWorkers = 30;
 constexpr Duration kPaceInterval = std::chrono::milliseconds(800);
 
 Address AddressOf(const WorkerState& worker) { return {worker.info.id, worker.info.endpoint}; }
@@ -95,6 +97,11 @@
   order.run = id;
   order.spec = entry->job.spec;
   order.checkpoint = task->progress.checkpoint;
+  if (!entry->job.rules.needs_permits) return order;
+  const Permit* permit = FindPermit(StepStateOf(entry, id.task)->permits, worker->info.id,
+                                    worker->info.incarnation, now);
+  if (permit == nullptr) return std::nullopt;
+  order.permit = permit->text;
   return order;
 }
 
@@ -109,7 +116,11 @@
       }
       if (run.phase != RunPhase::kStarting) continue;
       const std::optional<StartOrder> order = MakeStart(&worker, id, now);
-      if (!order) continue;
+      if (!order) {
+        // An earlier call may still be carried out, but the start cannot be repeated.
+        if (now < proof_ + limits_.order_horizon) AskToStop(&worker, id);
+        continue;
+      }
       run.call_open = true;
       open_starts_ += 1;
       orders->starts.push_back(*order);
@@ -157,15 +168,15 @@
     if (wall_ms < DueMs(entry->job, k)) continue;
     for (int s = 0; s < static_cast<int>(entry->job.steps.size()); ++s) {
       if (entry->steps[static_cast<size_t>(k)][static_cast<size_t>(s)].waiting == 0) continue;
-      if (IsReady(*entry, k, s)) PlaceStep(entry, k, s, now, orders);
+      if (IsReady(*entry, k, s)) PlaceStep(entry, k, s, now, wall_ms, orders);
     }
   }
 }
 
 bool Dispatcher::PlaceStep(JobEntry* entry, int occurrence, int step, TimePoint now,
-                           Orders* orders) {
+                           int64_t wall_ms, Orders* orders) {
   if (entry->job.steps[static_cast<size_t>(step)].gang) {
-    PlaceGang(entry, occurrence, step, now, orders);
+    PlaceGang(entry, occurrence, step, now, wall_ms, orders);
     return true;
   }
   const jobs::Step& what = entry->job.steps[static_cast<size_t>(step)];
@@ -177,7 +188,8 @@
     if (task.progress.done || !task.runs.empty()) continue;
     if (open_starts_ >= limits_.max_open_starts) return false;
     if (PlaceTask(entry, id, now, orders)) continue;
-    NoteRefused(&refused_, *entry, what);
+    // Without a permit a task finds no worker where others may.
+    if (!entry->job.rules.needs_permits) NoteRefused(&refused_, *entry, what);
     return false;
   }
   return true;
@@ -185,16 +197,60 @@
 
 bool Dispatcher::PlaceTask(JobEntry* entry, const jobs::TaskId& id, TimePoint now, Orders* orders) {
   const TaskState* task = FindTask(entry, id);
+  PlacementRequest request = RequestOf(entry, id);
+  request.task = task;
+  WorkerState* worker = ChooseWorker(&workers_, request, now);
+  if (worker == nullptr) {
+    AskPermits(entry, id, now, orders);
+    return PreemptFor(*entry, request, now);
+  }
+  StartRun(worker, entry, {id, NextRun(*task)}, now, orders);
+  return true;
+}
+
+PlacementRequest Dispatcher::RequestOf(JobEntry* entry, const jobs::TaskId& id) const {
   PlacementRequest request;
   request.service = entry->job.rules.service;
   request.step = &StepOf(*entry, id);
   request.state = StepStateOf(entry, id);
-  request.task = task;
   request.sharing = &sharing_;
-  WorkerState* worker = ChooseWorker(&workers_, request, now);
-  if (worker == nullptr) return PreemptFor(*entry, request, now);
-  StartRun(worker, entry, {id, NextRun(*task)}, now, orders);
-  return true;
+  if (entry->job.rules.needs_permits) request.permits = &request.state->permits;
+  return request;
+}
+
+void Dispatcher::AskPermits(JobEntry* entry, const jobs::TaskId& id, TimePoint now,
+                            Orders* orders) {
+  StepState* state = StepStateOf(entry, id);
+  StepPermits& permits = state->permits;
+  if (!entry->job.rules.needs_permits || permits.call_open || now < permits.next_call) return;
+  if (open_permit_orders_ >= limits_.max_open_permit_orders) return;
+  // Some workers will be denied, and some will be full by the time of the answer.
+  const size_t most =
+      std::min(kMaxWorkersInPermitOrder,
+               std::max(kUsualPermitWorkers, 2 * static_cast<size_t>(state->waiting)));
+  PermitOrder order;
+  order.step = {entry->job.id, id.occurrence, id.step};
+  order.workers = WorkersToAsk(workers_, RequestOf(entry, id), most, now);
+  if (order.workers.empty()) return;
+  permits.call_open = true;
+  open_permit_orders_ += 1;
+  orders->permits.push_back(std::move(order));
+}
+
+void Dispatcher::OnPermits(const PermitOrder& order, const PermitAnswer& answer, TimePoint now) {
+  open_permit_orders_ -= 1;
+  room_changed_ = true;
+  Log(LogLevel::kInfo, "dispatch", "permits",
+      {{"job", order.step.job},
+       {"step", order.step.step},
+       {"asked", order.workers.size()},
+       {"granted", answer.granted.size()},
+       {"ok", answer.ok}});
+  JobEntry* entry = FindEntry(order.step.job);
+  if (entry == nullptr) return;
+  StepState* state =
+      StepStateOf(entry, {order.step.job, order.step.occurrence, order.step.step, 0});
+  TakePermits(&state->permits, order, answer, now);
 }
 
 // True when room is being made, so that the next task of the step may ask for room as well.
@@ -231,12 +287,13 @@
   orders->starts.push_back(*order);
 }
 
-// A gang starts only when all its members find room, with one run number and one checkpoint.
-void Dispatcher::PlaceGang(JobEntry* entry, int occurrence, int step, TimePoint now,
-                           Orders* orders) {
+// Finds room for all members of a gang at once, on one rack if one is named. Nothing is started
+// when a member finds none.
+bool Dispatcher::PlaceMembers(JobEntry* entry, int occurrence, int step, const std::string& rack,
+                              TimePoint now, Orders* orders) {
   jobs::TaskId id{entry->job.id, occurrence, step, 0};
   StepState* state = StepStateOf(entry, id);
-  if (state->waiting < static_cast<int>(state->tasks.size())) return;
+  // All members have one run number and one checkpoint.
   int64_t run = 0;
   const TaskState* newest = &state->tasks.front();
   for (const TaskState& it : state->tasks) {
@@ -246,12 +303,8 @@
   const std::string checkpoint = newest->progress.checkpoint;
   std::vector<WorkerState*> chosen;
   for (id.index = 0; id.index < static_cast<int>(state->tasks.size()); ++id.index) {
-    PlacementRequest request;
-    request.service = entry->job.rules.service;
-    request.step = &StepOf(*entry, id);
-    request.state = state;
-    request.sharing = &sharing_;
-    if (request.step->same_rack && !chosen.empty()) request.rack = chosen.front()->info.rack;
+    PlacementRequest request = RequestOf(entry, id);
+    request.rack = rack;
     WorkerState* worker = ChooseWorker(&workers_, request, now);
     if (worker == nullptr) break;
     AddRun(worker, {id, run}, *request.step, entry->job.rules.priority, now);
@@ -268,6 +321,28 @@
     task.progress.checkpoint = checkpoint;
     StartRun(worker, entry, {id, run}, now, orders);
   }
+  return complete;
+}
+
+// A gang starts only when all its members find room. One that prefers a single rack waits for one
+// as long as it can still be on time.
+void Dispatcher::PlaceGang(JobEntry* entry, int occurrence, int step, TimePoint now,
+                           int64_t wall_ms, Orders* orders) {
+  const jobs::TaskId first{entry->job.id, occurrence, step, 0};
+  const StepState* state = StepStateOf(entry, first);
+  if (state->waiting < static_cast<int>(state->tasks.size())) return;
+  const PlacementRequest request = RequestOf(entry, first);
+  if (request.step->same_rack) {
+    const std::vector<std::string> racks = RacksByRoom(workers_, request, now);
+    for (const std::string& it : racks) {
+      if (PlaceMembers(entry, occurrence, step, it, now, orders)) return;
+    }
+    const bool may_spread = ProspectOf(entry->estimates, *entry, wall_ms) != Prospect::kOnTime ||
+                            !FitsOneRack(workers_, request);
+    if (!may_spread) return AskPermits(entry, first, now, orders);
+  }
+  if (PlaceMembers(entry, occurrence, step, {}, now, orders)) return;
+  AskPermits(entry, first, now, orders);
 }
 
 void Dispatcher::LeaveDrainingWorkers() {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "dispatch/choose_worker.h"
 #include "dispatch/job_table.h"
 #include "dispatch/order.h"
 #include "dispatch/preemption.h"
@@ -32,6 +33,8 @@
   // Starts that wait for an answer at one time. More of them, after a takeover or a burst, would
   // answer each other late on an entry host with a tenth of a core.
   int max_open_starts = 64;
+  // Orders to the policy service that wait for an answer at one time. It handles them in turn.
+  int max_open_permit_orders = 2;
   // How long a report may wait at the worker for an end.
   Duration report_wait = std::chrono::seconds(1);
   // Finished jobs are kept this long for callers who ask for their state.
@@ -44,6 +47,7 @@
   std::vector<StartOrder> starts;
   std::vector<StopOrder> stops;
   std::vector<PaceOrder> paces;
+  std::vector<PermitOrder> permits;
 };
 
 // A change of the durable state, written as a whole or not at all.
@@ -108,6 +112,8 @@
   void OnStopped(const StopOrder& order, const Answer& answer, TimePoint now);
   void OnPaced(const PaceOrder& order, const Answer& answer, TimePoint now);
 
+  void OnPermits(const PermitOrder& order, const PermitAnswer& answer, TimePoint now);
+
   Orders Decide(TimePoint now, int64_t wall_ms);
 
   // The next commit, if there is one; at most one may be open.
@@ -141,6 +147,7 @@
   void FinishTask(JobEntry* entry, const jobs::TaskId& id, int64_t wall_ms);
   void FinishJob(JobEntry* entry, jobs::JobState state, int64_t wall_ms);
   bool TakeAnswer(WorkerState* worker, const Answer& answer, TimePoint now);
+  void DropPermit(const StartOrder& order);
   void TakeSilence(WorkerState* worker, TimePoint now);
 
   // Decisions.
@@ -150,10 +157,16 @@
   void PlaceTasks(TimePoint now, int64_t wall_ms, Orders* orders);
   std::vector<JobEntry*> JobsInOrder(TimePoint now, int64_t wall_ms);
   void PlaceJob(JobEntry* entry, TimePoint now, int64_t wall_ms, Orders* orders);
-  bool PlaceStep(JobEntry* entry, int occurrence, int step, TimePoint now, Orders* orders);
+  bool PlaceStep(JobEntry* entry, int occurrence, int step, TimePoint now, int64_t wall_ms,
+                 Orders* orders);
   bool PlaceTask(JobEntry* entry, const jobs::TaskId& id, TimePoint now, Orders* orders);
+  PlacementRequest RequestOf(JobEntry* entry, const jobs::TaskId& id) const;
+  void AskPermits(JobEntry* entry, const jobs::TaskId& id, TimePoint now, Orders* orders);
   bool PreemptFor(const JobEntry& entry, const PlacementRequest& request, TimePoint now);
-  void PlaceGang(JobEntry* entry, int occurrence, int step, TimePoint now, Orders* orders);
+  bool PlaceMembers(JobEntry* entry, int occurrence, int step, const std::string& rack,
+                    TimePoint now, Orders* orders);
+  void PlaceGang(JobEntry* entry, int occurrence, int step, TimePoint now, int64_t wall_ms,
+                 Orders* orders);
   void StartRun(WorkerState* worker, JobEntry* entry, const RunId& id, TimePoint now,
                 Orders* orders);
   void LeaveDrainingWorkers();
@@ -177,6 +190,7 @@
   SharingModel sharing_;
   DurationModel durations_;
   int open_starts_ = 0;
+  int open_permit_orders_ = 0;
   bool room_changed_ = true;                    // since tasks were last placed
   TimePoint placed_at_;                         // when tasks were last placed
   ClaimedRoom claimed_;                         // by the present decision
--- a/src/dispatch/job_table.h
+++ b/src/dispatch/job_table.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "dispatch/permit.h"
 #include "dispatch/worker.h"
 #include "jobs/progress.h"
 
@@ -30,8 +31,9 @@
 
 struct StepState {
   std::vector<TaskState> tasks;
-  int done = 0;     // tasks that are done
-  int waiting = 0;  // tasks that are not done and have no active run
+  int done = 0;         // tasks that are done
+  int waiting = 0;      // tasks that are not done and have no active run
+  StepPermits permits;  // of queues that need them
 };
 
 // What the order of jobs needs to know of one (dispatch/order.h).
--- /dev/null
+++ b/src/dispatch/permit.cc
@@ -0,0 +1,45 @@
+#include "dispatch/permit.h"
+
+namespace pomelopond::dispatch {
+namespace {
+
+// A start must reach the worker while its permit is valid.
+constexpr Duration kTravelTime = std::chrono::milliseconds(200);
+// The policy service is asked again after this time when it did not answer or refused the call.
+constexpr Duration kAskRetry = std::chrono::milliseconds(300);
+
+}  // namespace
+
+const Permit* FindPermit(const StepPermits& permits, const std::string& worker, int64_t incarnation,
+                         TimePoint now) {
+  const auto it = permits.granted.find(worker);
+  if (it == permits.granted.end() || it->second.incarnation != incarnation) return nullptr;
+  return now + kTravelTime < it->second.valid_until ? &it->second : nullptr;
+}
+
+bool IsUndecided(const StepPermits& permits, const std::string& worker, int64_t incarnation,
+                 TimePoint now) {
+  return permits.denied.count({worker, incarnation}) == 0 &&
+         FindPermit(permits, worker, incarnation, now) == nullptr;
+}
+
+void TakePermits(StepPermits* permits, const PermitOrder& order, const PermitAnswer& answer,
+                 TimePoint now) {
+  permits->call_open = false;
+  if (!answer.ok) {
+    permits->next_call = now + kAskRetry;
+    return;
+  }
+  const std::map<std::string, std::string> granted(answer.granted.begin(), answer.granted.end());
+  for (const auto& [worker, incarnation] : order.workers) {
+    const auto it = granted.find(worker);
+    if (it == granted.end()) {
+      permits->denied.emplace(worker, incarnation);
+      permits->granted.erase(worker);
+    } else {
+      permits->granted[worker] = {it->second, incarnation, now + answer.valid};
+    }
+  }
+}
+
+}  // namespace pomelopond::dispatch
--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -339,6 +339,7 @@
     run.next_call = now + kCallRetry;
     return;
   }
+  if (answer.status == OrderStatus::kNoPermit) DropPermit(order);
   if (answer.status == OrderStatus::kNoRoom || answer.status == OrderStatus::kUnhealthy) {
     worker->avoid_until = std::max(worker->avoid_until, now + kRefusalPause);
   }
@@ -353,6 +354,13 @@
   EndRun(worker, order.run);
 }
 
+// The worker knows better whether the permit is valid.
+void Dispatcher::DropPermit(const StartOrder& order) {
+  JobEntry* entry = FindEntry(order.run.task.job);
+  StepState* step = entry == nullptr ? nullptr : StepStateOf(entry, order.run.task);
+  if (step != nullptr) step->permits.granted.erase(order.to.worker);
+}
+
 void Dispatcher::OnStopped(const StopOrder& order, const Answer& answer, TimePoint now) {
   WorkerState* worker = FindWorker(order.to.worker);
   if (worker == nullptr) return;
--- a/src/dispatch/worker.h
+++ b/src/dispatch/worker.h
@@ -79,6 +79,7 @@
   kLeaseTooOld,  // the lease time in the order has passed on the worker's clock
   kNoRoom,
   kUnhealthy,    // refused, nothing was done
+  kNoPermit,     // the permit is missing or not valid any more
   kInvalid,      // not understood
   kReplaced,     // another incarnation answered
   kUnreachable,  // nothing was sent
--- a/src/dispatch/worker_calls.h
+++ b/src/dispatch/worker_calls.h
@@ -31,6 +31,7 @@
   RunId run;
   std::string spec;
   std::string checkpoint;  // empty: from the beginning
+  std::string permit;      // empty: the queue needs none
 };
 
 struct StopOrder {
--- a/src/entry/pool_owner.cc
+++ b/src/entry/pool_owner.cc
@@ -423,6 +423,7 @@
       });
     });
   }
+  for (const dispatch::PermitOrder& it : orders.permits) SendPermitOrder(it);
   for (const dispatch::HoldOrder& it : orders.holds) {
     calls_->Hold(it, [this, it, round = round_](const dispatch::Report& report) {
       loop_->Post([this, it, round, report] {
@@ -432,6 +433,17 @@
   }
 }
 
+void PoolOwner::SendPermitOrder(const dispatch::PermitOrder& order) {
+  const auto take = [this, order, round = round_](const dispatch::PermitAnswer& answer) {
+    loop_->Post([this, order, round, answer] {
+      if (round == round_) dispatcher_->OnPermits(order, answer, Now());
+    });
+  };
+  if (options_.permits != nullptr) return options_.permits->Ask(order, take);
+  Log(LogLevel::kError, "owner", "no_policy_service", {{"job", order.step.job}});
+  take({});
+}
+
 void PoolOwner::WriteCommit() {
   const TimePoint now = Now();
   if (now < next_commit_) return;
--- a/src/entry/pool_owner.h
+++ b/src/entry/pool_owner.h
@@ -27,6 +27,7 @@
   // The worker that a key registers; an error for an entry that names none.
   std::function<Result<dispatch::WorkerInfo>(const store::Item&)> read_worker;
   dispatch::DispatchLimits limits;
+  dispatch::PermitCalls* permits = nullptr;  // null: no queue needs permits
   Duration lease = std::chrono::seconds(2);  // of the ownership, without renewal
   // An owner that has not loaded its state by then gives up, so that another host may try.
   Duration load_limit = std::chrono::seconds(10);
@@ -70,6 +71,7 @@
   void Tick();
   void LogSummary(TimePoint now);
   void Send(const dispatch::Orders& orders);
+  void SendPermitOrder(const dispatch::PermitOrder& order);
   void WriteCommit();
   void OnCommitAnswer(const Result<store::CommitResult>& result, TimePoint began);
   void CommitDone(int64_t revision, TimePoint began);
--- a/src/entry/settings.cc
+++ b/src/entry/settings.cc
@@ -26,6 +26,7 @@
   settings.readiness = reader.EndpointOf("readiness");
   settings.metrics_port = static_cast<uint16_t>(reader.IntOr("metrics_port", 0, 65535, 0));
   settings.store = reader.EndpointOf("store");
+  if (reader.Has("policy")) settings.policy = reader.EndpointOf("policy");
   settings.log_level = reader.StringOr("log_level", settings.log_level);
   settings.http_threads =
       static_cast<int>(reader.IntOr("http_threads", 1, 64, settings.http_threads));
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -3,6 +3,7 @@
 #define POMELOPOND_ENTRY_SETTINGS_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "base/endpoint.h"
@@ -18,6 +19,7 @@
   Endpoint readiness;         // asked by the load balancer
   uint16_t metrics_port = 0;  // on the address of `callers`; 0: none
   Endpoint store;
+  std::optional<Endpoint> policy;  // names the workers of queues that need permits
   std::string log_level = "info";
   int http_threads = 2;
   int64_t max_body_bytes = 262144;
--- a/src/jobs/job.cc
+++ b/src/jobs/job.cc
@@ -54,9 +54,13 @@
 }
 
 Json ToJson(const QueueRules& rules) {
-  return {{"queue", rules.queue},       {"service", rules.service},
-          {"priority", rules.priority}, {"max_attempts", rules.max_attempts},
-          {"stretch", rules.stretch},   {"target_duration_ms", rules.target_duration_ms}};
+  return {{"queue", rules.queue},
+          {"service", rules.service},
+          {"priority", rules.priority},
+          {"max_attempts", rules.max_attempts},
+          {"stretch", rules.stretch},
+          {"target_duration_ms", rules.target_duration_ms},
+          {"needs_permits", rules.needs_permits}};
 }
 
 QueueRules RulesOf(const Json& in) {
@@ -67,6 +71,8 @@
   in.at("max_attempts").get_to(rules.max_attempts);
   in.at("stretch").get_to(rules.stretch);
   in.at("target_duration_ms").get_to(rules.target_duration_ms);
+  // Absent from jobs that earlier versions stored.
+  rules.needs_permits = in.value("needs_permits", false);
   return rules;
 }
 
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -52,12 +52,12 @@
   int max_attempts = 1;            // failed runs of a task after which the job has failed
   double stretch = 1.0;            // objective: this times the longest chain of work...
   int64_t target_duration_ms = 0;  // ...plus this
+  bool needs_permits = false;      // a policy service names the workers that may run a step
 
   friend bool operator==(const QueueRules& a, const QueueRules& b) {
-    return std::tie(a.queue, a.service, a.priority, a.max_attempts, a.stretch,
-                    a.target_duration_ms) == std::tie(b.queue, b.service, b.priority,
-                                                      b.max_attempts, b.stretch,
-                                                      b.target_duration_ms);
+    return std::tie(a.queue, a.service, a.priority, a.max_attempts, a.stretch, a.target_duration_ms,
+                    a.needs_permits) == std::tie(b.queue, b.service, b.priority, b.max_attempts,
+                                                 b.stretch, b.target_duration_ms, b.needs_permits);
   }
 };
 
--- a/tests/platform/decode_test.cc
+++ b/tests/platform/decode_test.cc
@@ -67,6 +67,17 @@
   EXPECT_FALSE(ReadConfig(ItemOf(kConfigKey, "{}")).ok());
 }
 
+// Guards against starts without a permit on a queue with a policy.
+TEST(DecodeTest, QueuesWithAPolicyNeedPermits) {
+  const Result<jobs::Catalog> catalog = ReadConfig(ItemOf(
+      kConfigKey, R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/","service":"s",)"
+                  R"("advice":{"decide_ms":100,"each_ms":5,"valid_ms":3000}},)"
+                  R"({"name":"q","host":"h","prefix":"/q/","service":"s","advice":null}]})"));
+  ASSERT_TRUE(catalog.ok());
+  EXPECT_TRUE(catalog.value.queues.at(0).rules.needs_permits);
+  EXPECT_FALSE(catalog.value.queues.at(1).rules.needs_permits);
+}
+
 TEST(DecodeTest, ReadsASubmission) {
   std::string fault;
   const Result<jobs::Job> job = ReadSubmission(
@@ -131,6 +142,7 @@
   EXPECT_EQ(status(409, R"({"reason":"old"})"), dispatch::OrderStatus::kStaleRun);
   EXPECT_EQ(status(409, R"({"reason":"late"})"), dispatch::OrderStatus::kLeaseTooOld);
   EXPECT_EQ(status(409, R"({"reason":"room"})"), dispatch::OrderStatus::kNoRoom);
+  EXPECT_EQ(status(409, R"({"reason":"ticket"})"), dispatch::OrderStatus::kNoPermit);
   EXPECT_EQ(status(409, "[]"), dispatch::OrderStatus::kInvalid);
   EXPECT_EQ(status(421, ""), dispatch::OrderStatus::kReplaced);
   EXPECT_EQ(status(429, ""), dispatch::OrderStatus::kUnhealthy);
