--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -15,6 +15,8 @@
 constexpr size_t kMaxForgottenInCommit = 2;
 // A forgotten job has three keys. The others are the condition, the term, workers and counts.
 static_assert(kMaxJobsInCommit + 3 * kMaxForgottenInCommit + 4 <= store::kMaxTransactionEntries);
+constexpr double kMilli = 1000;
+constexpr int kFullPace = 100;
 constexpr Duration kCountsInterval = std::chrono::milliseconds(500);
 
 }  // namespace
@@ -184,6 +186,13 @@
     out.serving_workers += it.serving > 0 ? 1 : 0;
     out.reserved_cpu += it.used.cpu_milli;
     out.fill_cpu += it.fill_cpu;
+    for (const auto& [image, cores] : it.fill_load) {
+      out.fill_used_cpu += static_cast<int64_t>(cores * kMilli);
+    }
+    for (const auto& [id, run] : it.runs) {
+      out.paced_runs += run.fills && run.pace < kFullPace ? 1 : 0;
+    }
+    out.strained_workers += WorstTail(it) > kHighTail ? 1 : 0;
     if (!TakesTasks(it, now)) continue;
     out.workers += 1;
     out.free_cpu += std::max<int64_t>(0, RoomOf(it).cpu_milli - it.fill_cpu);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -82,9 +82,12 @@
   int silent_workers = 0;    // that did not answer the last call
   int serving_workers = 0;   // with tasks that serve users
   int64_t reserved_cpu = 0;  // thousandths of a core
-  int64_t fill_cpu = 0;
-  int64_t free_cpu =
-      0;  // neither reserved nor asked for by filling tasks, on workers that take tasks
+  int64_t fill_cpu = 0;       // requested by filling tasks
+  int64_t fill_used_cpu = 0;  // used by them, as last reported
+  int paced_runs = 0;         // filling tasks that get less than their full share
+  int strained_workers = 0;   // with tails that keep further filling tasks away
+  // Neither reserved nor asked for by filling tasks, on workers that take tasks.
+  int64_t free_cpu = 0;
 };
 
 class Dispatcher {
--- a/src/entry/pool_owner.cc
+++ b/src/entry/pool_owner.cc
@@ -389,6 +389,9 @@
        {"serving", it.serving_workers},
        {"reserved_cpu", it.reserved_cpu},
        {"fill_cpu", it.fill_cpu},
+       {"fill_used_cpu", it.fill_used_cpu},
+       {"paced", it.paced_runs},
+       {"strained", it.strained_workers},
        {"free_cpu", it.free_cpu}});
 }
 
