Begin the newest of the jobs that can still be on time

Cause: in an overload the oldest job that could still be on time got room next, so each job began when any further delay made it late. Change: of the jobs that have not begun the newest comes first; begun ones keep their order. Failing test: OrderTest.JobsThatFindRoomInAnOverloadAreOnTime, 8 of 40 on time before, 14 or more of 16 possible after.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -78,10 +78,10 @@
   int jobs = 0;           // not finished
   int waiting_tasks = 0;  // ready or not, without a run
   int runs = 0;
-  int workers = 0;           // that take tasks
-  int silent_workers = 0;    // that did not answer the last call
-  int serving_workers = 0;   // with tasks that serve users
-  int64_t reserved_cpu = 0;  // thousandths of a core
+  int workers = 0;            // that take tasks
+  int silent_workers = 0;     // that did not answer the last call
+  int serving_workers = 0;    // with tasks that serve users
+  int64_t reserved_cpu = 0;   // thousandths of a core
   int64_t fill_cpu = 0;       // requested by filling tasks
   int64_t fill_used_cpu = 0;  // used by them, as last reported
   int paced_runs = 0;         // filling tasks that get less than their full share
--- a/src/dispatch/order.cc
+++ b/src/dispatch/order.cc
@@ -79,8 +79,8 @@
 
 JobRank RankOf(const Estimates& estimates, const JobEntry& entry, int64_t wall_ms) {
   const bool fresh = entry.state == jobs::JobState::kPending;
-  return {entry.job.rules.priority, ProspectOf(estimates, entry, wall_ms), fresh,
-          entry.job.accepted_ms};
+  const int64_t age_order = fresh ? -entry.job.accepted_ms : entry.job.accepted_ms;
+  return {entry.job.rules.priority, ProspectOf(estimates, entry, wall_ms), fresh, age_order};
 }
 
 }  // namespace pomelopond::dispatch
--- a/src/dispatch/order.h
+++ b/src/dispatch/order.h
@@ -36,8 +36,11 @@
 Prospect ProspectOf(const Estimates& estimates, const JobEntry& entry, int64_t wall_ms);
 
 // Jobs with the smaller rank come first: priority, then those that can still be on time, so that
-// room is not spent on jobs that are late anyway while others become late; among them those that
-// have begun, then the oldest. Jobs of equal rank come in the order of their ids.
+// room is not spent on jobs that are late anyway while others become late. Among them those that
+// have begun come first, the oldest before the others, so that begun work ends soon. Of the rest
+// the newest comes first: when there is too little room for all, the oldest would begin just when
+// any further delay makes it late, and every job would be late in turn. Jobs of equal rank come in
+// the order of their ids.
 using JobRank = std::tuple<int, Prospect, bool, int64_t>;
 JobRank RankOf(const Estimates& estimates, const JobEntry& entry, int64_t wall_ms);
 
--- a/tests/dispatch/order_test.cc
+++ b/tests/dispatch/order_test.cc
@@ -48,6 +48,68 @@
             RankOf(EstimatesOf({}, older), older, kAccepted + 20));
 }
 
+// Guards against an overload in which each job begins only when it can hardly be on time any more.
+TEST(OrderTest, NewestOfTheJobsThatHaveNotBegunComesFirst) {
+  const JobEntry older = MakeOrdered("a", kAccepted);
+  const JobEntry newer = MakeOrdered("b", kAccepted + 1000);
+  const int64_t now = kAccepted + 1500;
+  ASSERT_EQ(ProspectOf(EstimatesOf({}, older), older, now), Prospect::kOnTime);
+  EXPECT_LT(RankOf(EstimatesOf({}, newer), newer, now), RankOf(EstimatesOf({}, older), older, now));
+}
+
+TEST(OrderTest, OldestOfTheBegunJobsComesFirst) {
+  JobEntry older = MakeOrdered("a", kAccepted);
+  JobEntry newer = MakeOrdered("b", kAccepted + 1000);
+  older.state = newer.state = jobs::JobState::kRunning;
+  const int64_t now = kAccepted + 1500;
+  EXPECT_LT(RankOf(EstimatesOf({}, older), older, now), RankOf(EstimatesOf({}, newer), newer, now));
+}
+
+// Guards against an overload in which every job is late. One worker runs one task at a time, which
+// takes a quarter longer than estimated, and a new job of one task comes each half second. There is
+// room for 16 of 40 jobs; what callers get is how many of them end within their objective of 2.5 s.
+TEST(OrderTest, JobsThatFindRoomInAnOverloadAreOnTime) {
+  Scenario it;
+  it.AddWorkers({MakeWorker("w1", 1000)});
+  jobs::Step step = MakeStep(1);
+  step.estimate_ms = 1000;
+  constexpr int kJobs = 40;
+  constexpr int64_t kTookMs = 1250;
+  std::map<std::string, int64_t> accepted;
+  int on_time = 0;
+  int64_t sequence = 0;
+  std::optional<RunId> running;
+  int64_t ends_at = 0;
+  for (int64_t at = 0; at < kJobs * 500; at += 250) {
+    const int64_t wall_ms = kWallStart + at;
+    it.Advance(std::chrono::milliseconds(250));
+    if (at % 500 == 0) {
+      jobs::Job job = MakeJob("job-" + std::to_string(at), {step});
+      job.rules.stretch = 2;
+      job.rules.target_duration_ms = 500;
+      job.accepted_ms = accepted[job.id] = wall_ms;
+      it.dispatcher.AddJob(job, {}, false, it.now);
+    }
+    std::vector<EndedRun> ended;
+    if (running && wall_ms >= ends_at) {
+      ended.push_back(End(++sequence, *running, EndKind::kDone));
+      on_time += wall_ms - accepted.at(running->task.job) <= 2500 ? 1 : 0;
+      running.reset();
+    }
+    std::vector<ActiveRun> active;
+    if (running) active.push_back({*running, "", 50, 0});
+    it.Report("w1", active, ended);
+    it.orders = it.dispatcher.Decide(it.now, wall_ms);
+    for (const StartOrder& order : it.orders.starts) {
+      running = order.run;
+      ends_at = wall_ms + kTookMs;
+    }
+    it.ConfirmStarts();
+    it.CommitAll();
+  }
+  EXPECT_GE(on_time, 14);
+}
+
 TEST(OrderTest, PriorityComesFirst) {
   const JobEntry urgent = MakeOrdered("a", kAccepted);
   JobEntry other = MakeOrdered("b", kAccepted + 60000);
