Write a job as running when a run of it is adopted

Cause: a new owner set the job to running in memory only, so callers saw it as pending until its next end. Change: the adoption marks the job for the next commit. Ruled out: nothing else was tried. Failing test: TakeoverTest.JobOfAnAdoptedRunIsWrittenAsRunning. dispatch_test 56 of 56.

--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -204,7 +204,10 @@
       StepStateOf(entry, active.id.task)->waiting -= 1;
     task->runs.push_back({active.id.run, worker->info.id});
     task->last_run = std::max(task->last_run, active.id.run);
-    if (entry->state == jobs::JobState::kPending) entry->state = jobs::JobState::kRunning;
+    if (entry->state == jobs::JobState::kPending) {
+      entry->state = jobs::JobState::kRunning;
+      MarkDirty(entry->job.id);
+    }
     UpdateQueues(entry);
   }
   if (!wanted) AskToStop(worker, active.id);
--- a/tests/dispatch/recovery_test.cc
+++ b/tests/dispatch/recovery_test.cc
@@ -40,6 +40,15 @@
   EXPECT_EQ(it.dispatcher.workers().at("w1").runs.count(RunOf(0, 0, 1)), 1U);
 }
 
+// Guards against a job that is shown as pending for as long as its adopted runs go on.
+TEST_F(TakeoverTest, JobOfAnAdoptedRunIsWrittenAsRunning) {
+  it.Report("w1", {{RunOf(0, 0, 1), "", 30, 0}}, {});
+  const std::optional<Commit> commit = it.dispatcher.NextCommit(it.now, it.WallMs());
+  ASSERT_TRUE(commit.has_value());
+  ASSERT_EQ(commit->progress.size(), 1U);
+  EXPECT_EQ(jobs::DecodeProgress(commit->progress[0].second).value.state, jobs::JobState::kRunning);
+}
+
 TEST_F(TakeoverTest, NewJobsDoNotWaitForInheritedWorkers) {
   it.dispatcher.AddJob(MakeJob("00000000000000bb", {MakeStep(1)}), {}, false, it.now);
   it.Decide();
