--- a/apps/scheduler/scheduler.cc
+++ b/apps/scheduler/scheduler.cc
@@ -527,10 +527,12 @@
     return reply(http::ErrorResponse(ResultCode::kTooLarge, "job is described by more than 1 KiB"));
   }
   const std::string job = spec.id;
-  homes_.Claim(job, ProposedHome(job), [this, spec, request, reply](Result<std::string> home) {
-    if (!home.ok()) return reply(http::ErrorResponse(CodeOf(home.ec), "job was not accepted"));
-    AcceptAt(home.value, spec, request, reply);
-  });
+  homes_.Claim(job, ProposedHome(job),
+               [this, spec, request, reply](const Result<std::string>& home) {
+                 if (!home.ok())
+                   return reply(http::ErrorResponse(CodeOf(home.ec), "job was not accepted"));
+                 AcceptAt(home.value, spec, request, reply);
+               });
 }
 
 void Scheduler::AcceptAt(const std::string& shard, planning::JobSpec spec,
