--- a/tests/dispatch/order_test.cc
+++ b/tests/dispatch/order_test.cc
@@ -73,7 +73,7 @@
   it.AddWorkers({MakeWorker("w1", 1000)});
   jobs::Step step = MakeStep(1);
   step.estimate_ms = 1000;
-  constexpr int kJobs = 40;
+  constexpr int64_t kJobs = 40;
   constexpr int64_t kTookMs = 1250;
   std::map<std::string, int64_t> accepted;
   int on_time = 0;
