--- a/src/dispatch/decide.cc
+++ b/src/dispatch/decide.cc
@@ -54,7 +54,7 @@
   }
 }
 
-int64_t Dispatcher::LeaseUntilMs(WorkerState* worker, TimePoint now) {
+int64_t Dispatcher::LeaseEndMs(WorkerState* worker, TimePoint now) {
   const Duration lease = worker->info.draining ? kDrainingLease : limits_.run_lease;
   const Duration left = std::min<Duration>(lease, proof_ + limits_.order_horizon - now);
   if (left <= Duration::zero() || worker->clock_ms == 0) return 0;
@@ -73,7 +73,7 @@
     order.acknowledged = worker.acknowledged;
     const bool steady = worker.contacted && worker.silent == 0;
     // Orders to a worker that does not answer extend no lease, so that it expires.
-    if (steady && !worker.runs.empty()) order.lease_until_ms = LeaseUntilMs(&worker, now);
+    if (steady && !worker.runs.empty()) order.lease_end_ms = LeaseEndMs(&worker, now);
     if (steady && worker.processed == worker.acknowledged) order.wait = limits_.report_wait;
     const bool shared = worker.serving > 0 && worker.fill_cpu > 0;
     if (shared) order.wait = std::min(order.wait, kSharingWait);
@@ -88,12 +88,12 @@
   JobEntry* entry = FindEntry(id.task.job);
   const TaskState* task = entry == nullptr ? nullptr : FindTask(entry, id.task);
   if (task == nullptr) return std::nullopt;
-  const int64_t until = LeaseUntilMs(worker, now);
+  const int64_t until = LeaseEndMs(worker, now);
   if (until == 0) return std::nullopt;
   StartOrder order;
   order.to = AddressOf(*worker);
   order.epoch = epoch_;
-  order.lease_until_ms = until;
+  order.lease_end_ms = until;
   order.run = id;
   order.spec = entry->job.spec;
   order.checkpoint = task->progress.checkpoint;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -175,7 +175,7 @@
   void LeaveDrainingWorkers();
   void DecidePace(TimePoint now, Orders* orders);
   std::optional<StartOrder> MakeStart(WorkerState* worker, const RunId& id, TimePoint now);
-  int64_t LeaseUntilMs(WorkerState* worker, TimePoint now);
+  int64_t LeaseEndMs(WorkerState* worker, TimePoint now);
   int64_t NextRun(const TaskState& task) const;
   bool MayStart(const JobEntry& entry) const;
   bool IsSettled() const { return unsettled_.empty(); }
--- a/src/dispatch/worker_calls.h
+++ b/src/dispatch/worker_calls.h
@@ -19,15 +19,15 @@
 struct HoldOrder {
   Address to;
   int64_t epoch = 0;
-  int64_t lease_until_ms = 0;  // on the worker's clock; 0: extends nothing
-  int64_t acknowledged = 0;    // ends up to this position may be forgotten
-  Duration wait{};             // how long the answer may wait for an end
+  int64_t lease_end_ms = 0;  // on the worker's clock; 0: extends nothing
+  int64_t acknowledged = 0;  // ends up to this position may be forgotten
+  Duration wait{};           // how long the answer may wait for an end
 };
 
 struct StartOrder {
   Address to;
   int64_t epoch = 0;
-  int64_t lease_until_ms = 0;
+  int64_t lease_end_ms = 0;
   RunId run;
   std::string spec;
   std::string checkpoint;  // empty: from the beginning
--- a/src/dispatch/worker_table.cc
+++ b/src/dispatch/worker_table.cc
@@ -13,8 +13,8 @@
          std::chrono::duration_cast<std::chrono::milliseconds>(now - worker.clock_at).count();
 }
 
-TimePoint LatestTimeOf(const WorkerState& worker, int64_t until_ms) {
-  const double left_us = static_cast<double>(until_ms - worker.clock_ms) * 1000 / kClockRate;
+TimePoint LatestTimeOf(const WorkerState& worker, int64_t end_ms) {
+  const double left_us = static_cast<double>(end_ms - worker.clock_ms) * 1000 / kClockRate;
   return worker.clock_at + Duration(static_cast<int64_t>(left_us)) + kTimerSlack;
 }
 
--- a/src/dispatch/worker_table.h
+++ b/src/dispatch/worker_table.h
@@ -79,8 +79,8 @@
 // The worker's clock at `now` as far as known.
 int64_t EstimatedClockMs(const WorkerState& worker, TimePoint now);
 
-// The latest time on our clock at which the worker's clock reaches `until_ms`.
-TimePoint LatestTimeOf(const WorkerState& worker, int64_t until_ms);
+// The latest time on our clock at which the worker's clock reaches `end_ms`.
+TimePoint LatestTimeOf(const WorkerState& worker, int64_t end_ms);
 
 // Room for tasks that count against the capacity.
 Resources RoomOf(const WorkerState& worker);
