--- a/src/entry/job_service.cc
+++ b/src/entry/job_service.cc
@@ -58,11 +58,18 @@
 void JobService::Submit(const jobs::Job& job, TimePoint deadline,
                         std::function<void(std::error_code)> done) {
   if (!Admit("submit", job.id)) return done(ResultCode::kStoreUnavailable);
+  store::Transaction create;
+  create.conditions = {{JobKey(job.id), 0}};
+  create.writes = {{JobKey(job.id), jobs::Encode(job), 0}};
+  Begin("submit", job.id, std::move(create), deadline, std::move(done));
+}
+
+void JobService::Begin(const char* name, const std::string& job, store::Transaction transaction,
+                       TimePoint deadline, std::function<void(std::error_code)> done) {
   const auto change = std::make_shared<Change>();
-  change->name = "submit";
-  change->job = job.id;
-  change->transaction.conditions = {{JobKey(job.id), 0}};
-  change->transaction.writes = {{JobKey(job.id), jobs::Encode(job), 0}};
+  change->name = name;
+  change->job = job;
+  change->transaction = std::move(transaction);
   change->began = Now();
   change->refused_limit = GiveUpAt(change->began, kRefusedLimit, deadline);
   change->unknown_limit = GiveUpAt(change->began, kUnknownLimit, deadline);
@@ -179,16 +186,10 @@
           [done](const Result<int>& result) { done(result.ec); });
     }
     if (item.value.revision == 0) return done(ResultCode::kNotFound);
-    const auto change = std::make_shared<Change>();
-    change->name = "cancel";
-    change->job = id;
-    change->transaction.conditions = {{JobKey(id), item.value.revision}, {CancelKey(id), 0}};
-    change->transaction.writes = {{CancelKey(id), "1", 0}};
-    change->began = Now();
-    change->refused_limit = GiveUpAt(change->began, kRefusedLimit, deadline);
-    change->unknown_limit = GiveUpAt(change->began, kUnknownLimit, deadline);
-    change->done = done;
-    TryCommit(change);
+    store::Transaction cancel;
+    cancel.conditions = {{JobKey(id), item.value.revision}, {CancelKey(id), 0}};
+    cancel.writes = {{CancelKey(id), "1", 0}};
+    Begin("cancel", id, std::move(cancel), deadline, done);
   });
 }
 
--- a/src/entry/job_service.h
+++ b/src/entry/job_service.h
@@ -43,6 +43,9 @@
   bool Admit(const char* request, const std::string& id);
   // Notes whether the store answered.
   void Note(std::error_code ec);
+  // Writes the transaction until its fate is known or the deadline is near.
+  void Begin(const char* name, const std::string& job, store::Transaction transaction,
+             TimePoint deadline, std::function<void(std::error_code)> done);
   void TryCommit(const std::shared_ptr<Change>& change);
   void FinishChange(const std::shared_ptr<Change>& change, std::error_code ec);
   template <class T>
