Log why a process ends abnormally, and what it takes of its machine

Now a fatal signal, a signal with a default action that ends the process, and an uncaught exception leave a last line (event=killed, event=terminated); event=usage every 10 s and three gauges tell peak memory, descriptors and processor time. A process that ends without any of these lines was killed from outside.

--- a/apps/admin/main.cc
+++ b/apps/admin/main.cc
@@ -1,5 +1,6 @@
 // pomelopond-admin: release notes, operators' API, and the feed of the other processes of its host.
 #include "apps/admin/admin.h"
+#include "base/exit_log.h"
 #include "base/log.h"
 #include "base/program.h"
 #include "base/random_id.h"
@@ -12,6 +13,7 @@
 constexpr Duration kDrainLimit = std::chrono::seconds(30);
 
 int Main(int argc, char** argv) {
+  InstallExitLog("pomelopond-admin");
   const ProgramStart start =
       StartProgram(argc, argv, "pomelopond-admin", "Accepts and distributes release notes");
   if (!start.settings) return start.exit_status;
--- a/apps/router/main.cc
+++ b/apps/router/main.cc
@@ -4,6 +4,7 @@
 
 #include "apps/common/admin_feed.h"
 #include "apps/router/router.h"
+#include "base/exit_log.h"
 #include "base/log.h"
 #include "base/program.h"
 #include "base/random_id.h"
@@ -17,6 +18,7 @@
 constexpr Duration kDrainLimit = std::chrono::minutes(11);  // above the longest request timeout
 
 int Main(int argc, char** argv) {
+  InstallExitLog("pomelopond-router");
   const ProgramStart start =
       StartProgram(argc, argv, "pomelopond-router", "Routes callers' requests to targets");
   if (!start.settings) return start.exit_status;
--- a/apps/scheduler/main.cc
+++ b/apps/scheduler/main.cc
@@ -1,6 +1,7 @@
 // pomelopond-scheduler: accepts jobs and runs their tasks on the workers of the shards it owns.
 #include "apps/common/admin_feed.h"
 #include "apps/scheduler/scheduler.h"
+#include "base/exit_log.h"
 #include "base/log.h"
 #include "base/program.h"
 #include "base/random_id.h"
@@ -14,6 +15,7 @@
 constexpr Duration kDrainLimit = std::chrono::seconds(30);
 
 int Main(int argc, char** argv) {
+  InstallExitLog("pomelopond-scheduler");
   const ProgramStart start =
       StartProgram(argc, argv, "pomelopond-scheduler", "Places and supervises tasks on workers");
   if (!start.settings) return start.exit_status;
--- /dev/null
+++ b/src/base/process_usage.h
@@ -0,0 +1,25 @@
+// What a process takes of its machine.
+#ifndef POMELOPOND_BASE_PROCESS_USAGE_H_
+#define POMELOPOND_BASE_PROCESS_USAGE_H_
+
+#include <cstdint>
+
+namespace pomelopond {
+
+struct ProcessUsage {
+  int64_t peak_memory_bytes = 0;  // largest resident size so far
+  int64_t descriptors = 0;        // open now
+  int64_t processor_ms = 0;       // used so far, in user and system mode
+
+  friend bool operator==(const ProcessUsage& a, const ProcessUsage& b) {
+    return a.peak_memory_bytes == b.peak_memory_bytes && a.descriptors == b.descriptors &&
+           a.processor_ms == b.processor_ms;
+  }
+};
+
+// Of the calling process. A member that the system does not tell is -1.
+ProcessUsage ReadProcessUsage();
+
+}  // namespace pomelopond
+
+#endif  // POMELOPOND_BASE_PROCESS_USAGE_H_
