--- /dev/null
+++ b/tests/deploy/debian_packages.h
@@ -0,0 +1,92 @@
+// Which Debian packages installed files come from, and what installing a package brings along.
+#ifndef POMELOPOND_TESTS_DEPLOY_DEBIAN_PACKAGES_H_
+#define POMELOPOND_TESTS_DEPLOY_DEBIAN_PACKAGES_H_
+
+#include <gtest/gtest.h>
+#include <stdio.h>
+
+#include <array>
+#include <map>
+#include <memory>
+#include <set>
+#include <sstream>
+#include <string>
+#include <vector>
+
+namespace pomelopond::deploy {
+
+// The output of a shell command; the test fails when the command does.
+inline std::string OutputOf(const std::string& command) {
+  std::string out;
+  FILE* pipe = popen(command.c_str(), "r");
+  if (pipe == nullptr) {
+    ADD_FAILURE() << "cannot run: " << command;
+    return out;
+  }
+  std::array<char, 4096> buf{};
+  while (const size_t n = fread(buf.data(), 1, buf.size(), pipe)) out.append(buf.data(), n);
+  EXPECT_EQ(pclose(pipe), 0) << command;
+  return out;
+}
+
+inline std::vector<std::string> Split(const std::string& text, char separator) {
+  std::vector<std::string> parts;
+  std::istringstream in(text);
+  for (std::string it; std::getline(in, it, separator);) parts.push_back(it);
+  return parts;
+}
+
+// The name in a relation such as " libc6-dev:amd64 (>= 2.36)".
+inline std::string NameOf(const std::string& relation) {
+  const size_t begin = relation.find_first_not_of(' ');
+  if (begin == std::string::npos) return {};
+  return relation.substr(begin, relation.find_first_of(" :(", begin) - begin);
+}
+
+// The packages that own files, by file. A file that no package owns has an empty name.
+inline std::map<std::string, std::string> OwnersOf(const std::set<std::string>& files) {
+  std::map<std::string, std::string> owners;
+  std::string words;
+  for (const std::string& it : files) {
+    owners[it] = "";
+    words += " '" + it + "'";
+  }
+  // dpkg fails when one file has no owner; the others are printed all the same.
+  for (const std::string& it : Split(OutputOf("dpkg -S" + words + " 2>/dev/null || true"), '\n')) {
+    const size_t at = it.find(": ");
+    if (at != std::string::npos) owners[it.substr(at + 2)] = NameOf(it);
+  }
+  return owners;
+}
+
+// `packages` and all that an installation of them brings along: of alternatives the first, as on a
+// machine that has none of them, and for a virtual package those that provide it.
+inline std::set<std::string> WithDependencies(const std::vector<std::string>& packages) {
+  std::map<std::string, std::vector<std::string>> needs;
+  std::map<std::string, std::vector<std::string>> providers;
+  for (const std::string& line :
+       Split(OutputOf("dpkg-query -W -f='${Package}|${Provides}|${Pre-Depends}, ${Depends}\\n' | "
+                      "sed 's/ | [^,]*//g'"),
+             '\n')) {
+    const std::vector<std::string> fields = Split(line, '|');
+    if (fields.size() < 3) continue;
+    for (const std::string& it : Split(fields[1], ',')) providers[NameOf(it)].push_back(fields[0]);
+    for (const std::string& it : Split(fields[2], ',')) needs[fields[0]].push_back(NameOf(it));
+  }
+  std::set<std::string> all;
+  std::vector<std::string> open = packages;
+  while (!open.empty()) {
+    const std::string name = open.back();
+    open.pop_back();
+    if (name.empty() || !all.insert(name).second) continue;
+    for (const std::string& it : needs[name]) open.push_back(it);
+    if (needs.count(name) == 0 || needs[name].empty()) {
+      for (const std::string& it : providers[name]) open.push_back(it);
+    }
+  }
+  return all;
+}
+
+}  // namespace pomelopond::deploy
+
+#endif  // POMELOPOND_TESTS_DEPLOY_DEBIAN_PACKAGES_H_
--- /dev/null
+++ b/tests/failure/program_test.cc
@@ -0,0 +1,120 @@
+// Failure tests of signals to programs, and of what keeps a program from starting.
+#include <gtest/gtest.h>
+#include <signal.h>
+
+#include <filesystem>
+#include <fstream>
+
+#include "http/http_server.h"
+#include "tests/support/cluster.h"
+#include "tests/support/program_path.h"
+
+namespace pomelopond::support {
+namespace {
+
+constexpr int kHangUps = 5;
+constexpr Duration kSettle = std::chrono::milliseconds(300);
+constexpr Duration kStopTime = std::chrono::seconds(60);
+
+// Several, since the first may only end a program that is still starting its threads.
+void HangUp(Process* process) {
+  for (int n = 0; n < kHangUps; ++n) {
+    process->Signal(SIGHUP);
+    process->Wait(kSettle / kHangUps);
+  }
+}
+
+// One entry program without a store, on loopback addresses of its own.
+class EntryProgram {
+ public:
+  explicit EntryProgram(int net) : address_("127." + std::to_string(net) + ".0.1") {
+    folder_ = testing::TempDir() + "pomelopond-entry-" + std::to_string(net);
+    std::filesystem::create_directories(folder_);
+  }
+  ~EntryProgram() { std::filesystem::remove_all(folder_); }
+  EntryProgram(const EntryProgram&) = delete;
+  EntryProgram& operator=(const EntryProgram&) = delete;
+
+  Endpoint readiness() const { return {address_, 7200}; }
+  Endpoint metrics() const { return {address_, 7300}; }
+
+  void WriteSettings(const Json& changes = Json::object()) const {
+    Json settings = {{"host", "entry-0"},
+                     {"failure_domain", "domain-0"},
+                     {"callers", address_ + ":7100"},
+                     {"readiness", ToString(readiness())},
+                     {"metrics_port", metrics().port},
+                     {"store", address_ + ":2379"},
+                     {"max_lease_ms", 10000},
+                     {"stop_limit_ms", 2000},
+                     {"status_time_ms", 120000}};
+    settings.update(changes);
+    std::ofstream(folder_ + "/settings.json") << settings.dump(1);
+  }
+
+  Process Start() const {
+    return {{ProgramPath("pomelopond-entry"), "--settings", folder_ + "/settings.json"},
+            folder_ + "/log"};
+  }
+
+  // Without a store the program serves, but is not ready.
+  bool WaitUntilServing() const {
+    return WaitUntil([this] { return Send(readiness(), "GET", "/").response.status == 503; });
+  }
+
+  std::string Log() const {
+    std::ifstream file(folder_ + "/log");
+    return {std::istreambuf_iterator<char>(file), {}};
+  }
+
+ private:
+  std::string address_;
+  std::string folder_;
+};
+
+// Guards against a program of the platform that ends when its settings are announced as changed.
+TEST(ProgramSignalTest, HangUpKeepsTheEntryProgramServing) {
+  const EntryProgram entry(161);
+  entry.WriteSettings();
+  Process process = entry.Start();
+  ASSERT_TRUE(entry.WaitUntilServing());
+  HangUp(&process);
+  EXPECT_TRUE(process.running()) << entry.Log();
+  EXPECT_EQ(Send(entry.readiness(), "GET", "/").response.status, 503);
+  process.Signal(SIGTERM);
+  EXPECT_EQ(process.Wait(kStopTime), 0);
+}
+
+// Guards against programs of an entry host that a closed terminal or a reload command ends.
+TEST(ProgramSignalTest, HangUpKeepsAllProgramsOfAnEntryHostServing) {
+  ClusterOptions options;
+  options.net = 162;
+  options.entry_hosts = 1;
+  Cluster cluster(options);
+  cluster.StartStandIns();
+  cluster.StartEntryHosts();
+  ASSERT_TRUE(cluster.PutDefaultReleaseInForce());
+  for (const char* it : {"admin", "router", "scheduler"}) {
+    HangUp(&cluster.ProgramOf(it, 0));
+    EXPECT_TRUE(cluster.ProgramOf(it, 0).running()) << it;
+  }
+  EXPECT_EQ(Send(cluster.Router(0), "POST", "/v1/services/svc/quote").response.status, 200);
+}
+
+// Guards against a program that does not start because the port of its metrics is taken.
+TEST(ProgramStartTest, TakenMetricsPortDoesNotKeepTheEntryProgramFromServing) {
+  const EntryProgram entry(163);
+  entry.WriteSettings();
+  http::HttpServer other(entry.metrics(), 1024,
+                         [](const http::HttpRequest&, const http::Reply& reply) {
+                           reply(http::JsonResponse(200, Json::object()));
+                         });
+  ASSERT_FALSE(other.Start());
+  Process process = entry.Start();
+  EXPECT_TRUE(entry.WaitUntilServing()) << entry.Log();
+  EXPECT_TRUE(process.running());
+  EXPECT_NE(entry.Log().find("event=listen_failed"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace pomelopond::support
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -6,6 +6,7 @@
 #include <thread>
 
 #include "http/http_server.h"
+#include "tests/support/program_path.h"
 
 namespace pomelopond::support {
 namespace {
@@ -107,18 +108,17 @@
 }
 
 void Cluster::StartStandIns() {
-  const std::string bin = POMELOPOND_BIN_DIR "/";
   const auto start = [this](const std::string& name, const std::vector<std::string>& words) {
     processes_[name] = Process(words, folder_ + "/" + name + ".log");
   };
-  start("fake-store", {bin + "fake-store", "--listen", ToString(store())});
-  start("fake-hostlist", {bin + "fake-hostlist", "--listen", ToString(host_list()), "--hosts",
-                          folder_ + "/hosts.json"});
-  start("fake-worker", {bin + "fake-worker", "--listen", Join(Workers()), "--cpu-milli",
+  start("fake-store", {ProgramPath("fake-store"), "--listen", ToString(store())});
+  start("fake-hostlist", {ProgramPath("fake-hostlist"), "--listen", ToString(host_list()),
+                          "--hosts", folder_ + "/hosts.json"});
+  start("fake-worker", {ProgramPath("fake-worker"), "--listen", Join(Workers()), "--cpu-milli",
                         std::to_string(options_.capacity.cpu_milli), "--memory-mb",
                         std::to_string(options_.capacity.memory_mb), "--accelerators",
                         std::to_string(options_.capacity.accelerators)});
-  start("fake-target", {bin + "fake-target", "--listen", Join(Targets()), "--service-ms",
+  start("fake-target", {ProgramPath("fake-target"), "--listen", Join(Targets()), "--service-ms",
                         std::to_string(options_.service_ms)});
   WaitUntil([this] { return !Get(store(), "/statistics").is_null(); });
   WaitUntil([this] { return !Get(host_list(), "/v1/hosts").is_null(); });
@@ -129,7 +129,7 @@
 void Cluster::StartProgram(const std::string& program, int host) {
   const std::string name = program + "-" + std::to_string(host);
   processes_[name] =
-      Process({POMELOPOND_BIN_DIR "/pomelopond-" + program, "--settings",
+      Process({ProgramPath("pomelopond-" + program), "--settings",
                host == options_.cut_off_host ? folder_ + "/cut-off.json" : SettingsFile(), "--host",
                "entry-" + std::to_string(host)},
               folder_ + "/" + name + ".log");
