--- a/tests/deploy/deploy_build_test.cc
+++ b/tests/deploy/deploy_build_test.cc
@@ -77,7 +77,7 @@
     folder_ = mkdtemp(pattern.data());
     const std::string command =
         FirstMatch(ReadAll(kRoot + "/deploy/system.toml"), R"(build = "(cmake [^&"]*))");
-    OutputOf("cd '" + kRoot + "' && HOME=/nonexistent " +
+    OutputOf("cd '" + kRoot + "' && HOME=/dev/null " +
              std::regex_replace(command, std::regex("-B target"), "-B '" + folder_ + "'"));
   }
   ~ConfiguredBuild() { std::filesystem::remove_all(folder_); }
