Read the settings again at SIGHUP instead of ending

Cause: no program handled SIGHUP, whose default action ends a process.

ProgramSignalTest.HangUpKeepsTheEntryProgramServing and HangUpKeepsAllProgramsOfAnEntryHostServing failed before: event=killed signal=HUP.

Change: base/signals.h has SIGHUP among the signals that the main loops wait for. pomelopond-entry then puts log level, lease limit, stop limit and status time in force; the other programs their log levels. event=reloaded names these and the members that need a restart; a file with errors changes nothing (event=reload_failed).

Tried and not taken, a trial: blocking the signal from .preinit_array.

--- a/apps/admin/main.cc
+++ b/apps/admin/main.cc
@@ -4,7 +4,7 @@
 #include "base/log.h"
 #include "base/program.h"
 #include "base/random_id.h"
-#include "base/stop_signal.h"
+#include "base/signals.h"
 
 namespace pomelopond::apps {
 namespace {
@@ -14,11 +14,11 @@
 
 int Main(int argc, char** argv) {
   InstallExitLog("pomelopond-admin");
-  const ProgramStart start =
+  InstallSignals();
+  ProgramStart start =
       StartProgram(argc, argv, "pomelopond-admin", "Accepts and distributes release notes");
   if (!start.settings) return start.exit_status;
-  InstallStopSignal();
-  const EntrySettings& settings = *start.settings;
+  const EntrySettings settings = *start.settings;
   const EntryHost own = OwnHost(settings);
   http::InitThreads(settings.http_threads);
   Admin admin(settings, RandomIncarnation());
@@ -37,7 +37,7 @@
   }
   Log(LogLevel::kInfo, "main", "started", {{"host", own.id}, {"endpoint", ToString(own.admin)}});
   admin.Start();
-  while (!WaitForStop(std::chrono::seconds(1))) continue;
+  while (!StopsOrReloads(&start, std::chrono::seconds(1))) continue;
   Log(LogLevel::kInfo, "main", "stopping", {});
   server.Stop(kDrainLimit);
   admin.Stop();
--- a/apps/router/main.cc
+++ b/apps/router/main.cc
@@ -8,7 +8,7 @@
 #include "base/log.h"
 #include "base/program.h"
 #include "base/random_id.h"
-#include "base/stop_signal.h"
+#include "base/signals.h"
 #include "http/http_server.h"
 
 namespace pomelopond::apps {
@@ -19,11 +19,11 @@
 
 int Main(int argc, char** argv) {
   InstallExitLog("pomelopond-router");
-  const ProgramStart start =
+  InstallSignals();
+  ProgramStart start =
       StartProgram(argc, argv, "pomelopond-router", "Routes callers' requests to targets");
   if (!start.settings) return start.exit_status;
-  InstallStopSignal();
-  const EntrySettings& settings = *start.settings;
+  const EntrySettings settings = *start.settings;
   const EntryHost own = OwnHost(settings);
   http::InitThreads(settings.http_threads);
   const uint64_t incarnation = RandomIncarnation();
@@ -40,7 +40,7 @@
   Log(LogLevel::kInfo, "main", "started",
       {{"host", own.id}, {"endpoint", ToString(own.router)}, {"incarnation", incarnation}});
   AdminFeed feed(own.peer, "router", incarnation);
-  while (!WaitForStop(kFeedInterval)) {
+  while (!StopsOrReloads(&start, kFeedInterval)) {
     router.Tick(Now());
     if (!feed.Poll(kFeedTimeout)) continue;
     router.UpdateRelease(feed.release());
--- a/apps/scheduler/main.cc
+++ b/apps/scheduler/main.cc
@@ -5,7 +5,7 @@
 #include "base/log.h"
 #include "base/program.h"
 #include "base/random_id.h"
-#include "base/stop_signal.h"
+#include "base/signals.h"
 #include "http/http_server.h"
 
 namespace pomelopond::apps {
@@ -16,11 +16,11 @@
 
 int Main(int argc, char** argv) {
   InstallExitLog("pomelopond-scheduler");
-  const ProgramStart start =
+  InstallSignals();
+  ProgramStart start =
       StartProgram(argc, argv, "pomelopond-scheduler", "Places and supervises tasks on workers");
   if (!start.settings) return start.exit_status;
-  InstallStopSignal();
-  const EntrySettings& settings = *start.settings;
+  const EntrySettings settings = *start.settings;
   const EntryHost own = OwnHost(settings);
   http::InitThreads(settings.http_threads);
   const uint64_t incarnation = RandomIncarnation();
@@ -38,7 +38,7 @@
       {{"host", own.id}, {"endpoint", ToString(own.scheduler)}, {"incarnation", incarnation}});
   AdminFeed feed(own.peer, "scheduler", incarnation);
   scheduler.Start();
-  while (!WaitForStop(kFeedInterval)) {
+  while (!StopsOrReloads(&start, kFeedInterval)) {
     if (feed.Poll(kFeedTimeout)) {
       scheduler.UpdateHosts(feed.hosts());
       scheduler.UpdateRelease(feed.release());
--- a/fakes/common/fake_program.h
+++ b/fakes/common/fake_program.h
@@ -9,7 +9,7 @@
 
 #include "base/log.h"
 #include "base/program.h"
-#include "base/stop_signal.h"
+#include "base/signals.h"
 
 namespace pomelopond::fakes {
 
@@ -35,9 +35,9 @@
   }
 }
 
-// Waits for SIGTERM.
+// Waits for SIGTERM. A stand-in has no settings to read again at SIGHUP.
 inline void ServeUntilStopped() {
-  while (!WaitForStop(std::chrono::seconds(1))) continue;
+  while (WaitForSignal(std::chrono::seconds(1)) != SignalEvent::kStop) continue;
 }
 
 }  // namespace pomelopond::fakes
--- a/fakes/hostlist/main.cc
+++ b/fakes/hostlist/main.cc
@@ -97,7 +97,7 @@
 }
 
 int Main(int argc, char** argv) {
-  InstallStopSignal();
+  InstallSignals();
   cxxopts::Options options("fake-hostlist", "Stand-in for the platform's host list");
   options.add_options()("listen", "address and port", cxxopts::value<std::string>())(
       "hosts", "file with the first list (JSON)", cxxopts::value<std::string>());
--- a/fakes/store/main.cc
+++ b/fakes/store/main.cc
@@ -128,7 +128,7 @@
 }
 
 int Main(int argc, char** argv) {
-  InstallStopSignal();
+  InstallSignals();
   cxxopts::Options options("fake-store", "Stand-in for the platform's key-value store");
   options.add_options()("listen", "address and port", cxxopts::value<std::string>());
   const auto args = ParseArguments(&options, argc, argv);
--- a/fakes/target/main.cc
+++ b/fakes/target/main.cc
@@ -171,7 +171,7 @@
 }
 
 int Main(int argc, char** argv) {
-  InstallStopSignal();
+  InstallSignals();
   cxxopts::Options options("fake-target", "Stand-in for service executors");
   options.add_options()("listen", "addresses and ports",
                         cxxopts::value<std::vector<std::string>>())(
--- a/fakes/worker/main.cc
+++ b/fakes/worker/main.cc
@@ -98,7 +98,7 @@
 }
 
 int Main(int argc, char** argv) {
-  InstallStopSignal();
+  InstallSignals();
   cxxopts::Options options("fake-worker", "Stand-in for worker hosts");
   options.add_options()("listen", "addresses and ports",
                         cxxopts::value<std::vector<std::string>>())(
--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -51,7 +51,10 @@
 }
 
 void SetLogLevel(std::string_view module, LogLevel level) {
-  log4cxx::Logger::getLogger(std::string(module))->setLevel(ToLevel(level));
+  const log4cxx::LoggerPtr logger = module.empty()
+                                        ? log4cxx::Logger::getRootLogger()
+                                        : log4cxx::Logger::getLogger(std::string(module));
+  logger->setLevel(ToLevel(level));
 }
 
 bool ParseLogLevel(std::string_view text, LogLevel* level) {
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -22,8 +22,8 @@
   std::string value;
 };
 
-// Sends lines to standard error. `level` is the default; Levels of single modules are set with
-// SetLogLevel. Call once at start.
+// Sends lines to standard error. `level` is the default. SetLogLevel sets the level of a module, or
+// the default for an empty name. Call once at start.
 void InitLog(std::string_view program, LogLevel level);
 void SetLogLevel(std::string_view module, LogLevel level);
 bool ParseLogLevel(std::string_view text, LogLevel* level);
--- a/src/base/program.cc
+++ b/src/base/program.cc
@@ -5,55 +5,101 @@
 #include <iostream>
 #include <sstream>
 
+#include "base/log.h"
+#include "base/reload.h"
 #include "base/result_code.h"
+#include "base/signals.h"
 
 namespace pomelopond {
 namespace {
 
-void StartLog(const std::string& name, const EntrySettings& settings) {
+ProgramStart EndWith(int status) {
+  ProgramStart start;
+  start.exit_status = status;
+  return start;
+}
+
+LogLevel LevelOf(const std::string& text) {
   LogLevel level = LogLevel::kInfo;
-  ParseLogLevel(settings.log_level, &level);
-  InitLog(name, level);
-  for (const auto& [module, text] : settings.log_levels) {
-    if (ParseLogLevel(text, &level)) SetLogLevel(module, level);
-  }
+  ParseLogLevel(text, &level);
+  return level;
 }
 
-ProgramStart LoadSettings(const cxxopts::ParseResult& args, const std::string& name) {
-  const std::string path = args["settings"].as<std::string>();
-  const Result<std::string> text = ReadFile(path);
-  if (!text.ok()) {
-    std::cerr << name << ": cannot read settings file " << path << "\n";
-    return {std::nullopt, kExitUsage};
-  }
-  Result<Json> document = ParseJson(text.value);
-  if (!document.ok()) {
-    std::cerr << name << ": " << path << " is not valid JSON (bad_json)\n";
-    return {std::nullopt, kExitUsage};
-  }
-  if (args.count("host") != 0 && document.value.is_object()) {
-    document.value["host"] = args["host"].as<std::string>();
-  }
+void SetModuleLevels(const EntrySettings& settings) {
+  for (const auto& [module, text] : settings.log_levels) SetLogLevel(module, LevelOf(text));
+}
+
+std::optional<EntrySettings> ReadSettingsFile(const ProgramStart& start, std::string* fault) {
+  Result<Json> document = ReadSettingsDocument(start.path, fault);
+  if (!document.ok()) return std::nullopt;
+  if (!start.host.empty() && document.value.is_object()) document.value["host"] = start.host;
   FieldErrors errors;
   EntrySettings settings = ReadEntrySettings(document.value, &errors);
-  if (!errors.empty()) {
-    std::cerr << name << ": " << path << " has errors:\n" << ToString(errors);
-    return {std::nullopt, kExitUsage};
+  if (errors.empty()) return settings;
+  *fault = start.path + " has errors:\n" + ToString(errors);
+  return std::nullopt;
+}
+
+ProgramStart LoadSettings(const cxxopts::ParseResult& args, const std::string& name) {
+  ProgramStart start;
+  start.path = args["settings"].as<std::string>();
+  if (args.count("host") != 0) start.host = args["host"].as<std::string>();
+  std::string fault;
+  const std::optional<EntrySettings> settings = ReadSettingsFile(start, &fault);
+  if (!settings) {
+    std::cerr << name << ": " << fault << "\n";
+    return EndWith(kExitUsage);
   }
   if (args.count("print-settings") != 0) {
-    std::cout << ToJson(settings).dump(2) << "\n";
-    return {std::nullopt, kExitOk};
+    std::cout << ToJson(*settings).dump(2) << "\n";
+    return start;
   }
   if (args.count("check-settings") != 0) {
-    std::cout << path << ": settings are valid\n";
-    return {std::nullopt, kExitOk};
+    std::cout << start.path << ": settings are valid\n";
+    return start;
   }
-  StartLog(name, settings);
-  return {std::move(settings), kExitOk};
+  InitLog(name, LevelOf(settings->log_level));
+  SetModuleLevels(*settings);
+  start.settings = settings;
+  return start;
 }
 
 }  // namespace
 
+void ReloadSettings(ProgramStart* start) {
+  std::string fault;
+  const std::optional<EntrySettings> settings = ReadSettingsFile(*start, &fault);
+  if (!settings) return LogReloadFailure(fault);
+  LogReload(
+      CompareSettings(ToJson(*start->settings), ToJson(*settings), {"log_level", "log_levels"}));
+  SetLogLevel("", LevelOf(settings->log_level));
+  // A module that is no longer named follows the default again.
+  for (const auto& [module, text] : start->settings->log_levels) {
+    SetLogLevel(module, LevelOf(settings->log_level));
+  }
+  SetModuleLevels(*settings);
+  // Other members stay as they are until a restart, so that the next reload names them again.
+  start->settings->log_level = settings->log_level;
+  start->settings->log_levels = settings->log_levels;
+}
+
+bool StopsOrReloads(ProgramStart* start, Duration timeout) {
+  const SignalEvent event = WaitForSignal(timeout);
+  if (event == SignalEvent::kReload) ReloadSettings(start);
+  return event == SignalEvent::kStop;
+}
+
+Result<Json> ReadSettingsDocument(const std::string& path, std::string* fault) {
+  const Result<std::string> text = ReadFile(path);
+  if (!text.ok()) {
+    *fault = "cannot read settings file '" + path + "'";
+    return {text.ec, {}};
+  }
+  Result<Json> document = ParseJson(text.value);
+  if (!document.ok()) *fault = path + " is not valid JSON (bad_json)";
+  return document;
+}
+
 Result<std::string> ReadFile(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
   if (!file) return {ResultCode::kNotFound, {}};
@@ -74,20 +120,20 @@
     const cxxopts::ParseResult args = options.parse(argc, argv);
     if (args.count("help") != 0) {
       std::cout << options.help();
-      return {std::nullopt, kExitOk};
+      return EndWith(kExitOk);
     }
     if (args.count("version") != 0) {
       std::cout << name << " " << kVersion << "\n";
-      return {std::nullopt, kExitOk};
+      return EndWith(kExitOk);
     }
     if (args.count("settings") == 0 || !args.unmatched().empty()) {
       std::cerr << name << ": --settings FILE is required; see --help\n";
-      return {std::nullopt, kExitUsage};
+      return EndWith(kExitUsage);
     }
     return LoadSettings(args, name);
   } catch (const cxxopts::exceptions::exception& e) {
     std::cerr << name << ": " << e.what() << "\n";
-    return {std::nullopt, kExitUsage};
+    return EndWith(kExitUsage);
   }
 }
 
--- a/src/base/program.h
+++ b/src/base/program.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "base/entry_settings.h"
+#include "base/time.h"
 
 namespace pomelopond {
 
@@ -19,6 +20,8 @@
 struct ProgramStart {
   std::optional<EntrySettings> settings;  // set when the program should run
   int exit_status = kExitOk;              // otherwise the status to end with
+  std::string path;                       // of the settings file
+  std::string host;                       // in place of the settings' member host, when not empty
 };
 
 // Handles --settings FILE, --host ID (replaces the member "host"), --check-settings,
@@ -26,6 +29,17 @@
 ProgramStart StartProgram(int argc, char** argv, const std::string& name,
                           const std::string& description);
 
+// Reads the settings file again and puts its log levels in force. A file with errors changes
+// nothing. Writes what changed and what waits for the next start to the log.
+void ReloadSettings(ProgramStart* start);
+
+// One wait of a program's main loop, up to `timeout`: true when the program has to stop. Settings
+// that were announced as changed are reloaded.
+bool StopsOrReloads(ProgramStart* start, Duration timeout);
+
+// The document in a settings file. When it cannot be used, `fault` says why.
+Result<Json> ReadSettingsDocument(const std::string& path, std::string* fault);
+
 // The contents of a file; fails with kNotFound.
 Result<std::string> ReadFile(const std::string& path);
 
--- a/src/base/stop_signal.cc
+++ b/src/base/signals.cc
@@ -1,4 +1,4 @@
-#include "base/stop_signal.h"
+#include "base/signals.h"
 
 #include <pthread.h>
 #include <signal.h>
@@ -11,30 +11,34 @@
 
 std::atomic<bool> stop_requested{false};
 
-sigset_t StopSignals() {
+sigset_t WaitedSignals() {
   sigset_t set;
   sigemptyset(&set);
   sigaddset(&set, SIGTERM);
   sigaddset(&set, SIGINT);
+  sigaddset(&set, SIGHUP);
   return set;
 }
 
 }  // namespace
 
-void InstallStopSignal() {
-  const sigset_t set = StopSignals();
+void InstallSignals() {
+  const sigset_t set = WaitedSignals();
   pthread_sigmask(SIG_BLOCK, &set, nullptr);
   signal(SIGPIPE, SIG_IGN);
 }
 
-bool WaitForStop(Duration timeout) {
-  if (stop_requested.load()) return true;
-  const sigset_t set = StopSignals();
+SignalEvent WaitForSignal(Duration timeout) {
+  if (stop_requested.load()) return SignalEvent::kStop;
+  const sigset_t set = WaitedSignals();
   timespec limit{};
   limit.tv_sec = timeout.count() / 1000000;
   limit.tv_nsec = timeout.count() % 1000000 * 1000;
-  if (sigtimedwait(&set, nullptr, &limit) > 0) stop_requested.store(true);
-  return stop_requested.load();
+  const int signal = sigtimedwait(&set, nullptr, &limit);
+  if (signal <= 0) return SignalEvent::kNone;
+  if (signal == SIGHUP) return SignalEvent::kReload;
+  stop_requested.store(true);
+  return SignalEvent::kStop;
 }
 
 }  // namespace pomelopond
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -95,6 +95,9 @@
   // `epoch` rises with each owner. Runs of earlier owners are adopted as workers report them.
   Dispatcher(const DispatchLimits& limits, int64_t epoch, TimePoint now);
 
+  // Takes effect with the next decision.
+  void SetLimits(const DispatchLimits& limits) { limits_ = limits; }
+
   // `at` is a time at which the store still said that this process is the owner.
   void OnOwnershipProof(TimePoint at);
 
@@ -182,7 +185,7 @@
   WorkerState* FindWorker(const std::string& id);
   JobEntry* FindEntry(const std::string& id);
 
-  const DispatchLimits limits_;
+  DispatchLimits limits_;
   const int64_t epoch_;
   const TimePoint took_over_;
   TimePoint proof_;
--- a/src/entry/pool_owner.cc
+++ b/src/entry/pool_owner.cc
@@ -72,6 +72,13 @@
   owner_feed_->Start();
 }
 
+void PoolOwner::SetLimits(const dispatch::DispatchLimits& limits) {
+  loop_->Post([this, limits] {
+    options_.limits = limits;
+    if (dispatcher_) dispatcher_->SetLimits(limits);
+  });
+}
+
 void PoolOwner::Stop() {
   if (loop_ == nullptr || stopping_.exchange(true)) return;
   owner_feed_->Stop();
--- a/src/entry/pool_owner.h
+++ b/src/entry/pool_owner.h
@@ -44,6 +44,9 @@
   // Gives the ownership up, so that another host takes over at once, and ends.
   void Stop();
 
+  // Replaces the limits while the owner runs. Thread-safe after Start().
+  void SetLimits(const dispatch::DispatchLimits& limits);
+
   bool IsOwner() const { return is_owner_.load(); }
 
  private:
@@ -80,7 +83,7 @@
   template <class F>
   std::function<void()> InTerm(F work);
 
-  const OwnerOptions options_;
+  OwnerOptions options_;
   store::KeyStore* const store_;
   dispatch::WorkerCalls* const calls_;
   const Timer timer_;
--- a/src/entry/settings.cc
+++ b/src/entry/settings.cc
@@ -15,6 +15,10 @@
   return std::chrono::milliseconds(reader->Int(key, 1, kDayMs));
 }
 
+int64_t ToMs(Duration value) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
 }  // namespace
 
 Settings ReadSettings(const Json& document, FieldErrors* errors) {
@@ -42,6 +46,23 @@
   return settings;
 }
 
+Json ToJson(const Settings& settings) {
+  Json out = {{"host", settings.host},
+              {"failure_domain", settings.failure_domain},
+              {"callers", ToString(settings.callers)},
+              {"readiness", ToString(settings.readiness)},
+              {"metrics_port", settings.metrics_port},
+              {"store", ToString(settings.store)},
+              {"log_level", settings.log_level},
+              {"http_threads", settings.http_threads},
+              {"max_body_bytes", settings.max_body_bytes},
+              {"max_lease_ms", ToMs(settings.max_lease)},
+              {"stop_limit_ms", ToMs(settings.stop_limit)},
+              {"status_time_ms", ToMs(settings.status_time)}};
+  if (settings.policy) out["policy"] = ToString(*settings.policy);
+  return out;
+}
+
 Duration RunLease(const Settings& settings) {
   return std::min(settings.max_lease, kOwnerChangeTime);
 }
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -31,6 +31,9 @@
 // Reports each error with its path; the result is meaningful only without errors.
 Settings ReadSettings(const Json& document, FieldErrors* errors);
 
+// The settings document that ReadSettings reads as `settings`.
+Json ToJson(const Settings& settings);
+
 // Leases on workers for these settings: long enough to survive a change of the owner, and never
 // longer than workers grant.
 Duration RunLease(const Settings& settings);
--- a/tests/failure/program_test.cc
+++ b/tests/failure/program_test.cc
@@ -62,6 +62,10 @@
     return WaitUntil([this] { return Send(readiness(), "GET", "/").response.status == 503; });
   }
 
+  bool WaitForLog(const std::string& text) const {
+    return WaitUntil([this, text] { return Log().find(text) != std::string::npos; });
+  }
+
   std::string Log() const {
     std::ifstream file(folder_ + "/log");
     return {std::istreambuf_iterator<char>(file), {}};
@@ -85,6 +89,27 @@
   EXPECT_EQ(process.Wait(kStopTime), 0);
 }
 
+// Guards against changed settings that are announced and not read, and against a bad file that ends
+// the program or is taken in part.
+TEST(ProgramSignalTest, HangUpPutsChangedSettingsInForceUnlessTheyHaveErrors) {
+  const EntryProgram entry(164);
+  entry.WriteSettings();
+  Process process = entry.Start();
+  ASSERT_TRUE(entry.WaitUntilServing());
+  entry.WriteSettings({{"stop_limit_ms", 1500}, {"metrics_port", 7301}});
+  process.Signal(SIGHUP);
+  EXPECT_TRUE(entry.WaitForLog("event=reloaded applied=stop_limit_ms needs_restart=metrics_port"));
+  entry.WriteSettings({{"log_level", "loud"}, {"stop_limit_ms", 1000}});
+  process.Signal(SIGHUP);
+  EXPECT_TRUE(entry.WaitForLog("event=reload_failed"));
+  EXPECT_NE(entry.Log().find("log_level: is not debug, info, warn or error"), std::string::npos);
+  // The file without errors is still in force: stop_limit_ms is 1500 there, and nothing is new.
+  entry.WriteSettings({{"stop_limit_ms", 1500}});
+  process.Signal(SIGHUP);
+  EXPECT_TRUE(entry.WaitForLog("event=reloaded applied=\"\" needs_restart=\"\""));
+  EXPECT_TRUE(process.running());
+}
+
 // Guards against programs of an entry host that a closed terminal or a reload command ends.
 TEST(ProgramSignalTest, HangUpKeepsAllProgramsOfAnEntryHostServing) {
   ClusterOptions options;
