Read fractional and absent bounds in the settings of the entry program

What callers would see: on an installation whose bounds are fractions, or that lacks one, no process starts: a FAULT.

Cause: the template wrote {{bounds.grace_s}}000 to get milliseconds, which turns 2.5 into 2.5000, and the program took whole numbers only.

--- a/src/entry/settings.cc
+++ b/src/entry/settings.cc
@@ -9,16 +9,28 @@
 
 // A change of the owner takes its lease of 2 s, the competition, and a round of reports.
 constexpr Duration kOwnerChangeTime = std::chrono::seconds(5);
-constexpr int64_t kDayMs = 86400000;
+constexpr double kMinMs = 1;
+constexpr double kDayMs = 86400000;
+constexpr double kMsPerSecond = 1000;
 
-Duration Milliseconds(JsonReader* reader, const std::string& key) {
-  return std::chrono::milliseconds(reader->Int(key, 1, kDayMs));
+using Milliseconds = std::chrono::duration<double, std::milli>;
+
+// Times may be fractions, since the installation gives them in its own units.
+Duration MillisecondsOr(JsonReader* reader, const std::string& key, Duration fallback) {
+  const double ms = reader->NumberOr(key, kMinMs, kDayMs, Milliseconds(fallback).count());
+  return std::chrono::duration_cast<Duration>(Milliseconds(ms));
 }
 
-int64_t ToMs(Duration value) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+Duration SecondsOr(JsonReader* reader, const std::string& key, Duration fallback) {
+  const double s = reader->NumberOr(key, kMinMs / kMsPerSecond, kDayMs / kMsPerSecond,
+                                    Milliseconds(fallback).count() / kMsPerSecond);
+  return std::chrono::duration_cast<Duration>(Milliseconds(s * kMsPerSecond));
 }
 
+double ToMs(Duration value) { return Milliseconds(value).count(); }
+
+double ToSeconds(Duration value) { return ToMs(value) / kMsPerSecond; }
+
 }  // namespace
 
 Settings ReadSettings(const Json& document, FieldErrors* errors) {
@@ -35,9 +47,9 @@
   settings.http_threads =
       static_cast<int>(reader.IntOr("http_threads", 1, 64, settings.http_threads));
   settings.max_body_bytes = reader.IntOr("max_body_bytes", 1024, 1 << 30, settings.max_body_bytes);
-  settings.max_lease = Milliseconds(&reader, "max_lease_ms");
-  settings.stop_limit = Milliseconds(&reader, "stop_limit_ms");
-  settings.status_time = Milliseconds(&reader, "status_time_ms");
+  settings.max_lease = MillisecondsOr(&reader, "max_lease_ms", settings.max_lease);
+  settings.stop_limit = SecondsOr(&reader, "stop_limit_s", settings.stop_limit);
+  settings.status_time = SecondsOr(&reader, "status_time_s", settings.status_time);
   LogLevel level = LogLevel::kInfo;
   if (!ParseLogLevel(settings.log_level, &level)) {
     reader.Fail("log_level", ResultCode::kBadField, "is not debug, info, warn or error");
@@ -57,8 +69,8 @@
               {"http_threads", settings.http_threads},
               {"max_body_bytes", settings.max_body_bytes},
               {"max_lease_ms", ToMs(settings.max_lease)},
-              {"stop_limit_ms", ToMs(settings.stop_limit)},
-              {"status_time_ms", ToMs(settings.status_time)}};
+              {"stop_limit_s", ToSeconds(settings.stop_limit)},
+              {"status_time_s", ToSeconds(settings.status_time)}};
   if (settings.policy) out["policy"] = ToString(*settings.policy);
   return out;
 }
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -23,9 +23,12 @@
   std::string log_level = "info";
   int http_threads = 2;
   int64_t max_body_bytes = 262144;
-  Duration max_lease{};    // the longest lease that workers grant
-  Duration stop_limit{};   // from SIGTERM to the end of the process
-  Duration status_time{};  // how long callers may ask for a finished job
+  // The longest lease that workers grant.
+  Duration max_lease = std::chrono::seconds(5);
+  // From SIGTERM to the end of the process.
+  Duration stop_limit = std::chrono::seconds(5);
+  // How long callers may ask for a finished job.
+  Duration status_time = std::chrono::seconds(120);
 };
 
 // Reports each error with its path; the result is meaningful only without errors.
