Refuse stored jobs that cannot be run, and jobs of more than 50,000 tasks

What callers would see: no owner of the pool stays up, so no task starts: each one in turn ends with the same record.

Cause: DecodeJob checked the types of a stored record but not its figures, and took text that is not UTF-8, which throws later, when an order to a worker is written, on a thread where nothing catches it. The number of tasks of one job was bounded by 1,000 x 10,000 only, which exceeds the memory of an entry host.

A job has at most 50,000 tasks.

--- a/src/jobs/job.cc
+++ b/src/jobs/job.cc
@@ -8,6 +8,8 @@
 constexpr int kMaxReplicas = 10000;
 constexpr int kMaxSteps = 1000;
 constexpr size_t kMaxSpecBytes = 4000;
+// Of all steps together. Each task takes some hundred bytes of the owner's memory.
+constexpr int64_t kMaxTasks = 50000;
 
 Json ToJson(const Step& step) {
   return {{"replicas", step.replicas},
@@ -118,9 +120,12 @@
     in.at("first_ms").get_to(job.first_ms);
     in.at("interval_ms").get_to(job.interval_ms);
     in.at("accepted_ms").get_to(job.accepted_ms);
+    // Throws for text that is not UTF-8, which could not be passed on to a worker.
+    static_cast<void>(in.dump());
   } catch (const Json::exception&) {
     return {ResultCode::kStoreBadAnswer, {}};
   }
+  if (!FindFault(job).empty()) return {ResultCode::kStoreBadAnswer, {}};
   return {{}, std::move(job)};
 }
 
@@ -128,10 +133,13 @@
   if (job.spec.size() > kMaxSpecBytes) return "spec is longer than 4000 bytes";
   if (job.steps.empty()) return "there are no steps";
   if (job.steps.size() > static_cast<size_t>(kMaxSteps)) return "there are more than 1000 steps";
+  int64_t tasks = 0;
   for (size_t n = 0; n < job.steps.size(); ++n) {
     const std::string fault = FindFault(job.steps[n], static_cast<int>(n));
     if (!fault.empty()) return "step " + std::to_string(n) + ": " + fault;
+    tasks += job.steps[n].replicas;
   }
+  if (tasks > kMaxTasks) return "there are more than 50000 tasks";
   if (job.occurrences < 0 || job.interval_ms < 0) return "times or interval is negative";
   return {};
 }
--- a/tests/jobs/job_test.cc
+++ b/tests/jobs/job_test.cc
@@ -73,6 +73,17 @@
   EXPECT_NE(FindFault(job), "");
 }
 
+// Guards against one job whose tasks fill the owner's memory.
+TEST(JobTest, TasksOfAllStepsTogetherAreBounded) {
+  Job job = MakeFullJob();
+  job.steps.assign(5, Step{});
+  for (Step& it : job.steps) it.replicas = 10000;
+  EXPECT_EQ(FindFault(job), "");
+  job.steps.push_back(Step{});
+  EXPECT_EQ(FindFault(job), "there are more than 50000 tasks");
+  EXPECT_FALSE(DecodeJob(Encode(job)).ok());
+}
+
 TEST(ProgressTest, StoredFormKeepsEveryMember) {
   JobProgress progress;
   progress.state = JobState::kRunning;
