Start a job only after a proof of ownership that is newer than the job

Cause: a new owner starts jobs that were accepted after its takeover at once, because no earlier owner can have started them. But an owner that does not know yet that it was replaced, for up to a second after its last commit, sees these jobs in the store too and starts them.

Evidence: the numbers of the two runs are those of consecutive owners. PoolOwnerTest.ReplacedOwnerStartsNoJobThatIsNewerThanItsTerm failed before, 3 of 3.

Change: a job's tasks start only when the owner has proved its ownership at a revision of the store that is not older than the job's record: a commit, or a read of the term that began after the job was seen. A replaced owner finds the later term and steps down.

--- a/src/dispatch/decide.cc
+++ b/src/dispatch/decide.cc
@@ -128,7 +128,10 @@
   }
 }
 
-bool Dispatcher::MayStart(const JobEntry& entry) const { return !entry.inherited || IsSettled(); }
+bool Dispatcher::MayStart(const JobEntry& entry) const {
+  if (entry.revision > proven_revision_) return false;
+  return !entry.inherited || IsSettled();
+}
 
 void Dispatcher::PlaceTasks(TimePoint now, int64_t wall_ms, Orders* orders) {
   // Without proof of ownership no order would be sent.
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -66,6 +66,16 @@
 
 void Dispatcher::OnOwnershipProof(TimePoint at) { proof_ = std::max(proof_, at); }
 
+void Dispatcher::OnProvenRevision(int64_t revision) {
+  if (revision <= proven_revision_) return;
+  if (UnprovenRevision() != 0) room_changed_ = true;
+  proven_revision_ = revision;
+}
+
+int64_t Dispatcher::UnprovenRevision() const {
+  return newest_revision_ > proven_revision_ ? newest_revision_ : 0;
+}
+
 WorkerState* Dispatcher::FindWorker(const std::string& id) {
   const auto it = workers_.find(id);
   return it == workers_.end() ? nullptr : &it->second;
@@ -103,9 +113,11 @@
 }
 
 void Dispatcher::AddJob(const jobs::Job& job, const jobs::JobProgress& progress, bool inherited,
-                        TimePoint now) {
+                        TimePoint now, int64_t revision) {
   if (jobs_.count(job.id) > 0) return;
   JobEntry& entry = jobs_[job.id] = MakeEntry(job, progress, inherited, now);
+  entry.revision = revision;
+  newest_revision_ = std::max(newest_revision_, revision);
   if (jobs::IsFinal(entry.state)) {
     finished_.emplace_back(entry.finished_ms, job.id);
   } else if (IsComplete(entry)) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -101,9 +101,17 @@
   // `at` is a time at which the store still said that this process is the owner.
   void OnOwnershipProof(TimePoint at);
 
+  // This process was still the owner at `revision` of the store, or later.
+  void OnProvenRevision(int64_t revision);
+
+  // The newest revision that a job waits to be proven for, or 0. A later owner takes jobs that are
+  // newer than its takeover for its own, so their tasks start only after a proof of that age.
+  int64_t UnprovenRevision() const;
+
   // A job that was accepted; `inherited` when an earlier owner may have started its tasks.
+  // `revision` is that of its record in the store; 0: it precedes this owner.
   void AddJob(const jobs::Job& job, const jobs::JobProgress& progress, bool inherited,
-              TimePoint now);
+              TimePoint now, int64_t revision = 0);
   void CancelJob(const std::string& id, int64_t wall_ms);
 
   // An earlier owner may have tasks on this worker.
@@ -186,6 +194,8 @@
   JobEntry* FindEntry(const std::string& id);
 
   DispatchLimits limits_;
+  int64_t proven_revision_ = 0;
+  int64_t newest_revision_ = 0;  // of the jobs
   const int64_t epoch_;
   const TimePoint took_over_;
   TimePoint proof_;
--- a/src/dispatch/job_table.h
+++ b/src/dispatch/job_table.h
@@ -48,6 +48,7 @@
   jobs::JobState state = jobs::JobState::kPending;
   int64_t finished_ms = 0;
   bool inherited = false;  // accepted before this owner took over
+  int64_t revision = 0;    // of its record in the store
   TimePoint known_since;
   Estimates estimates;
   TimePoint estimates_until;  // they are made again after this time
--- a/src/entry/pool_owner.cc
+++ b/src/entry/pool_owner.cc
@@ -180,6 +180,8 @@
   Log(LogLevel::kInfo, "owner", "took_over", {{"epoch", mine.epoch}});
   dispatcher_.emplace(options_.limits, mine.epoch, owner_since_);
   dispatcher_->OnOwnershipProof(began);
+  dispatcher_->OnProvenRevision(revision);
+  next_term_read_ = TimePoint{};
   proof_ = began;
   jobs_loaded_ = false;
   progress_.clear();
@@ -305,7 +307,7 @@
     const auto progress = progress_.find(id);
     dispatcher_->AddJob(job.value,
                         progress == progress_.end() ? jobs::JobProgress{} : progress->second,
-                        inherited, now);
+                        inherited, now, it.revision);
   }
   for (const std::string& it : cancelled) dispatcher_->CancelJob(it, wall_ms);
 }
@@ -380,6 +382,7 @@
   Send(dispatcher_->Decide(now, WallClockMs()));
   if (dispatcher_->replaced()) return StepDown("a worker follows a later owner");
   WriteCommit();
+  ProveNewJobs();
   if (now >= next_summary_) LogSummary(now);
 }
 
@@ -473,6 +476,33 @@
                  });
 }
 
+void PoolOwner::ProveNewJobs() {
+  const TimePoint now = Now();
+  const int64_t revision = dispatcher_->UnprovenRevision();
+  if (revision == 0 || now < next_term_read_) return;
+  next_term_read_ = TimePoint::max();
+  // The answer is of a time after this one, at which the store has the jobs' revision.
+  store_->Get(kTermKey, [this, revision, round = round_](const Result<store::Item>& item) {
+    loop_->Post([this, revision, round, item] {
+      if (round == round_) OnTermRead(item, revision);
+    });
+  });
+}
+
+void PoolOwner::OnTermRead(const Result<store::Item>& item, int64_t revision) {
+  next_term_read_ = Now() + kRetryPause;
+  if (!item.ok()) {
+    Log(LogLevel::kWarn, "owner", "term_not_read", {{"error", item.ec.message()}});
+    return;
+  }
+  const Result<Term> stored = DecodeTerm(item.value.value);
+  if (!stored.ok()) return StepDown("the term cannot be read");
+  const bool owns = stored.value.epoch == term_.epoch && stored.value.owner == term_.owner;
+  if (!owns) return StepDown("another process took over");
+  next_term_read_ = TimePoint{};
+  dispatcher_->OnProvenRevision(revision);
+}
+
 void PoolOwner::OnCommitAnswer(const Result<store::CommitResult>& result, TimePoint began) {
   next_commit_ = Now() + kRetryPause;
   if (!result.ok()) {
@@ -503,6 +533,7 @@
   metrics_->Observe("commit_time", Now() - began);
   proof_ = began;
   dispatcher_->OnOwnershipProof(began);
+  dispatcher_->OnProvenRevision(revision);
   dispatcher_->OnCommitted(*commit_);
   commit_.reset();
 }
--- a/src/entry/pool_owner.h
+++ b/src/entry/pool_owner.h
@@ -76,6 +76,10 @@
   void Send(const dispatch::Orders& orders);
   void SendPermitOrder(const dispatch::PermitOrder& order);
   void WriteCommit();
+  // Asks the store whether this process is still the owner, for jobs that are newer than the last
+  // commit.
+  void ProveNewJobs();
+  void OnTermRead(const Result<store::Item>& item, int64_t revision);
   void OnCommitAnswer(const Result<store::CommitResult>& result, TimePoint began);
   void CommitDone(int64_t revision, TimePoint began);
   void After(Duration delay, std::function<void()> work);
@@ -107,6 +111,7 @@
   std::shared_ptr<PrefixFeed> worker_feed_;
   bool jobs_loaded_ = false;
   TimePoint next_commit_;
+  TimePoint next_term_read_;  // the latest possible time while a read is open
   TimePoint proof_;  // the last time at which this process was the owner for certain
   TimePoint next_summary_;
   std::unique_ptr<EventLoop> loop_;
--- a/tests/dispatch/recovery_test.cc
+++ b/tests/dispatch/recovery_test.cc
@@ -287,5 +287,24 @@
   EXPECT_EQ(it.dispatcher.FindJob(kJob)->state, jobs::JobState::kCompleted);
 }
 
+// Guards against tasks that this owner and a later one both start: a job that is newer than the
+// last proof of ownership may have been accepted after the takeover of the later owner.
+TEST(RecoveryTest, JobNewerThanTheProofOfOwnershipWaits) {
+  Scenario it;
+  it.AddWorkers({MakeWorker("w1")});
+  it.dispatcher.OnProvenRevision(20);
+  it.dispatcher.AddJob(MakeJob(kJob, {MakeStep(1)}), {}, false, it.now, 25);
+  it.Decide();
+  EXPECT_TRUE(it.orders.starts.empty());
+  EXPECT_EQ(it.dispatcher.UnprovenRevision(), 25);
+  it.dispatcher.OnProvenRevision(24);
+  it.Decide();
+  EXPECT_TRUE(it.orders.starts.empty());
+  it.dispatcher.OnProvenRevision(25);
+  EXPECT_EQ(it.dispatcher.UnprovenRevision(), 0);
+  it.Decide();
+  EXPECT_EQ(it.orders.starts.size(), 1u);
+}
+
 }  // namespace
 }  // namespace pomelopond::dispatch
--- a/tests/entry/pool_owner_test.cc
+++ b/tests/entry/pool_owner_test.cc
@@ -94,6 +94,68 @@
   owner.Stop();
 }
 
+// Answers one report, so that a worker is known to be there, and counts the starts.
+class CountingWorkers : public NoWorkers {
+ public:
+  void Hold(const dispatch::HoldOrder&, std::function<void(dispatch::Report)> done) override {
+    if (!reported_.exchange(true)) done({{dispatch::OrderStatus::kAccepted, 1, 1}, {}, {}});
+  }
+  void Start(const dispatch::StartOrder&, std::function<void(dispatch::Answer)> done) override {
+    starts += 1;
+    done({dispatch::OrderStatus::kAccepted, 1, 1});
+  }
+
+  std::atomic<int> starts{0};
+
+ private:
+  std::atomic<bool> reported_{false};
+};
+
+jobs::Job OneTask(const std::string& id) {
+  jobs::Job job;
+  job.id = id;
+  job.rules.service = "pool";
+  job.steps.resize(1);
+  job.steps[0].request = {1000, 100, 0};
+  return job;
+}
+
+// Guards against an owner that has been replaced and starts a job accepted since, which the next
+// owner starts as well.
+TEST_F(PoolOwnerTest, ReplacedOwnerStartsNoJobThatIsNewerThanItsTerm) {
+  store.Apply({{}, {{"workers/w1", "", 0}}, {}});
+  OwnerOptions options = Options();
+  options.read_worker = [](const store::Item&) {
+    dispatch::WorkerInfo worker;
+    worker.id = "w1";
+    worker.service = "pool";
+    worker.endpoint = {"10.0.0.1", 1};
+    worker.capacity = {8000, 8000, 0};
+    worker.incarnation = 1;
+    return Result<dispatch::WorkerInfo>{{}, worker};
+  };
+  CountingWorkers counting;
+  PoolOwner owner(options, &store, &counting, http::RunAfter, &metrics);
+  owner.Start();
+  const std::string first = "00000000000000aa";
+  const std::string second = "00000000000000bb";
+  {
+    const std::lock_guard<std::recursive_mutex> lock(store.mutex);
+    store.Apply({{}, {{kJobPrefix + first, Encode(OneTask(first)), 0}}, {}});
+  }
+  ASSERT_TRUE(WaitFor([&counting] { return counting.starts.load() == 1; }));
+  {
+    // The next owner takes over, a job is accepted, and the replaced owner's commits hang.
+    const std::lock_guard<std::recursive_mutex> lock(store.mutex);
+    store.fates.assign(kPolls, Fate::kSilent);
+    store.Apply({{}, {{kTermKey, Encode(Term{2, "host-2", 1}), 0}}, {}});
+    store.Apply({{}, {{kJobPrefix + second, Encode(OneTask(second)), 0}}, {}});
+  }
+  EXPECT_TRUE(WaitFor([&owner] { return !owner.IsOwner(); }));
+  EXPECT_EQ(counting.starts.load(), 1);
+  owner.Stop();
+}
+
 TEST_F(PoolOwnerTest, StoppedOwnerEndsItsLease) {
   PoolOwner owner(Options(), &store, &workers, http::RunAfter, &metrics);
   owner.Start();
