--- /dev/null
+++ b/src/entry/owner_feeds.cc
@@ -0,0 +1,145 @@
+// How an owner loads the state of its pool and follows jobs and workers.
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "base/log.h"
+#include "base/result_code.h"
+#include "entry/internal/owner_times.h"
+#include "entry/keys.h"
+#include "entry/pool_owner.h"
+
+namespace pomelopond::entry {
+
+void PoolOwner::Load() {
+  store_->Get(kWorkersKey, [this, round = round_](const Result<store::Item>& item) {
+    loop_->Post([this, round, item] {
+      if (round != round_) return;
+      if (!item.ok()) return After(kRetryPause, [this] { Load(); });
+      const auto workers = dispatch::DecodeWorkersInUse(item.value.value);
+      if (item.value.revision != 0 && !workers.ok()) {
+        Log(LogLevel::kError, "owner", "bad_worker_list");
+      }
+      for (const dispatch::WorkerInUse& it : workers.value) {
+        dispatcher_->InheritWorker(it, owner_since_);
+      }
+      LoadProgress({});
+    });
+  });
+}
+
+void PoolOwner::LoadProgress(const std::string& after) {
+  store_->List(kProgressPrefix, after,
+               [this, after, round = round_](const Result<store::Page>& page) {
+                 loop_->Post([this, after, round, page] {
+                   if (round != round_) return;
+                   if (!page.ok())
+                     return After(kRetryPause, [this, after] { LoadProgress(after); });
+                   const size_t skip = std::string(kProgressPrefix).size();
+                   for (const store::Item& it : page.value.items) {
+                     const Result<jobs::JobProgress> read = jobs::DecodeProgress(it.value);
+                     if (!read.ok())
+                       Log(LogLevel::kError, "owner", "bad_progress", {{"key", it.key}});
+                     if (read.ok()) progress_[it.key.substr(skip)] = read.value;
+                   }
+                   if (page.value.has_more && !page.value.items.empty()) {
+                     return LoadProgress(page.value.items.back().key);
+                   }
+                   StartFeeds();
+                 });
+               });
+}
+
+void PoolOwner::StartFeeds() {
+  FeedHandlers jobs;
+  jobs.on_list = [this, round = round_](const std::vector<store::Item>& items) {
+    loop_->Post([this, round, items] {
+      if (round != round_) return;
+      TakeItems(items, !jobs_loaded_);
+      jobs_loaded_ = true;
+    });
+  };
+  jobs.on_changes = [this, round = round_](const std::vector<store::Change>& changes) {
+    std::vector<store::Item> items;
+    for (const store::Change& it : changes) {
+      if (!it.deleted) items.push_back(it.item);
+    }
+    loop_->Post([this, round, items = std::move(items)] {
+      if (round == round_) TakeItems(items, false);
+    });
+  };
+  FeedHandlers workers;
+  workers.on_list = [this, round = round_](const std::vector<store::Item>& items) {
+    loop_->Post([this, round, items] {
+      if (round == round_) TakeWorkers(items);
+    });
+  };
+  workers.on_changes = [this, round = round_](const std::vector<store::Change>& changes) {
+    loop_->Post([this, round, changes] {
+      if (round != round_) return;
+      for (const store::Change& it : changes) {
+        if (it.deleted) {
+          dispatcher_->UnlistWorker(WorkerIdOf(it.item.key), Now());
+        } else {
+          TakeWorker(it.item);
+        }
+      }
+    });
+  };
+  job_feed_ = std::make_shared<PrefixFeed>(store_, timer_, kJobPrefix, kWatchWait, std::move(jobs));
+  worker_feed_ = std::make_shared<PrefixFeed>(store_, timer_, options_.worker_prefix, kWatchWait,
+                                              std::move(workers));
+  job_feed_->Start();
+  worker_feed_->Start();
+}
+
+void PoolOwner::TakeItems(const std::vector<store::Item>& items, bool inherited) {
+  const TimePoint now = Now();
+  const int64_t wall_ms = WallClockMs();
+  const std::string suffix = kCancelSuffix;
+  std::vector<std::string> cancelled;
+  for (const store::Item& it : items) {
+    const std::string id = it.key.substr(std::string(kJobPrefix).size());
+    const bool cancel = id.size() > suffix.size() &&
+                        id.compare(id.size() - suffix.size(), suffix.size(), suffix) == 0;
+    if (cancel) {
+      cancelled.push_back(id.substr(0, id.size() - suffix.size()));
+      continue;
+    }
+    const Result<jobs::Job> job = jobs::DecodeJob(it.value);
+    if (!job.ok()) {
+      Log(LogLevel::kError, "owner", "bad_job", {{"key", it.key}});
+      continue;
+    }
+    const auto progress = progress_.find(id);
+    dispatcher_->AddJob(job.value,
+                        progress == progress_.end() ? jobs::JobProgress{} : progress->second,
+                        inherited, now, it.revision);
+  }
+  for (const std::string& it : cancelled) dispatcher_->CancelJob(it, wall_ms);
+}
+
+std::string PoolOwner::WorkerIdOf(const std::string& key) const {
+  return key.substr(std::min(key.size(), options_.worker_prefix.size()));
+}
+
+void PoolOwner::TakeWorker(const store::Item& item) {
+  const Result<dispatch::WorkerInfo> worker = options_.read_worker(item);
+  if (worker.ok()) return dispatcher_->UpdateWorker(worker.value, Now());
+  Log(LogLevel::kWarn, "owner", "bad_worker_entry",
+      {{"key", item.key}, {"error", worker.ec.message()}});
+  dispatcher_->UnlistWorker(WorkerIdOf(item.key), Now());
+}
+
+void PoolOwner::TakeWorkers(const std::vector<store::Item>& items) {
+  std::set<std::string> listed;
+  for (const store::Item& it : items) {
+    listed.insert(WorkerIdOf(it.key));
+    TakeWorker(it);
+  }
+  for (const std::string& it : dispatcher_->ListedWorkers()) {
+    if (listed.count(it) == 0) dispatcher_->UnlistWorker(it, Now());
+  }
+}
+
+}  // namespace pomelopond::entry
