--- a/src/base/exit_log.cc
+++ b/src/base/exit_log.cc
@@ -39,6 +39,7 @@
   }
 
   void Write() {
+    size_ = std::min(size_, buf_.size() - 1);
     Add("\n");
     // Nothing is left to do when standard error is gone.
     if (write(STDERR_FILENO, buf_.data(), size_) < 0) return;
--- a/tests/base/exit_log_test.cc
+++ b/tests/base/exit_log_test.cc
@@ -32,6 +32,15 @@
               "event=terminated error=\"bad  value  second line\"\n.*event=killed signal=ABRT\n");
 }
 
+// Guards against a long text that takes the line's end with it.
+TEST(ExitLogTest, LongTextIsCutBeforeTheEndOfTheLine) {
+  const auto fail = [] {
+    InstallExitLog("test-program");
+    std::thread([] { throw std::runtime_error(std::string(2000, 'x')); }).join();
+  };
+  EXPECT_EXIT(fail(), testing::KilledBySignal(SIGABRT), "event=terminated error=\"x+\nlevel=ERROR");
+}
+
 // Guards against figures that stay zero or are not of this process.
 TEST(ProcessUsageTest, CountsDescriptorsAndMemory) {
   const ProcessUsage before = ReadProcessUsage();
--- a/tests/platform/hostile_input_test.cc
+++ b/tests/platform/hostile_input_test.cc
@@ -2,7 +2,6 @@
 // leaves a decoder ends the process, and the next owner of the pool would read the same bytes.
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
-#include <rapidcheck/gtest.h>
 
 #include "dispatch/dispatcher.h"
 #include "entry/term.h"
@@ -83,62 +82,70 @@
                     {"target_ms", 25}, {"fills", true},  {"requires", "a"}};
 
 // Guards against a worker or policy service whose answer ends the owner's process.
-RC_GTEST_PROP(HostileInputTest, AnswersOfOthersAreDecodedWithoutAnException, ()) {
-  const Json report = {{"clock_ms", 1},
-                       {"born", 5},
-                       {"running", {{"a.0.0.1", 1, "s", 40, 7}}},
-                       {"ended", {{1, "a.0.0.1", 1, "done", ""}}}};
-  const Json permits = {{"good", Json::array({Json::array({"w", "ticket"})})}, {"valid_ms", 5}};
-  ReadReport(AnswerWith(AsText(Mutated(report))));
-  ReadAnswer(AnswerWith(AsText(Mutated(report))));
-  ReadPermits(AnswerWith(AsText(Mutated(permits))));
+TEST(HostileInputTest, AnswersOfOthersAreDecodedWithoutAnException) {
+  EXPECT_TRUE(rc::check([] {
+    const Json report = {{"clock_ms", 1},
+                         {"born", 5},
+                         {"running", {{"a.0.0.1", 1, "s", 40, 7}}},
+                         {"ended", {{1, "a.0.0.1", 1, "done", ""}}}};
+    const Json permits = {{"good", Json::array({Json::array({"w", "ticket"})})}, {"valid_ms", 5}};
+    ReadReport(AnswerWith(AsText(Mutated(report))));
+    ReadAnswer(AnswerWith(AsText(Mutated(report))));
+    ReadPermits(AnswerWith(AsText(Mutated(permits))));
+  }));
 }
 
 // Guards against an entry or a configuration of another writer that ends a process.
-RC_GTEST_PROP(HostileInputTest, EntriesOfTheStoreAreDecodedWithoutAnException, ()) {
-  const Json worker = {{"service", "s"},
-                       {"address", "10.0.0.1:80"},
-                       {"zone", "z"},
-                       {"state", "ready"},
-                       {"capacity", {{"cpu", 16000}, {"mem_mb", 1}, {"gpu", 2}}},
-                       {"labels", {"a", "r1-3"}},
-                       {"born", 1}};
-  const Json config = {
-      {"version", 3},
-      {"routes",
-       {{{"host", "h"}, {"prefix", "/p/"}, {"name", "q"}, {"service", "s"}, {"priority", 1}}}}};
-  ReadExecutor(ItemOf("servers/i-1", AsText(Mutated(worker))));
-  ReadConfig(ItemOf("op/config", AsText(Mutated(config))));
+TEST(HostileInputTest, EntriesOfTheStoreAreDecodedWithoutAnException) {
+  EXPECT_TRUE(rc::check([] {
+    const Json worker = {{"service", "s"},
+                         {"address", "10.0.0.1:80"},
+                         {"zone", "z"},
+                         {"state", "ready"},
+                         {"capacity", {{"cpu", 16000}, {"mem_mb", 1}, {"gpu", 2}}},
+                         {"labels", {"a", "r1-3"}},
+                         {"born", 1}};
+    const Json config = {
+        {"version", 3},
+        {"routes",
+         {{{"host", "h"}, {"prefix", "/p/"}, {"name", "q"}, {"service", "s"}, {"priority", 1}}}}};
+    ReadExecutor(ItemOf("servers/i-1", AsText(Mutated(worker))));
+    ReadConfig(ItemOf("op/config", AsText(Mutated(config))));
+  }));
 }
 
 // Guards against a stored record that is decoded but cannot be run or sent, so that each owner in
 // turn ends with it.
-RC_GTEST_PROP(HostileInputTest, StoredRecordsAreRefusedOrUsable, ()) {
-  jobs::Job job;
-  job.id = "0123456789abcdef";
-  job.spec = "text";
-  job.steps.resize(2);
-  job.steps[1].after = {0};
-  const Result<jobs::Job> read =
-      jobs::DecodeJob(AsMessagePack(Mutated(Json::from_msgpack(jobs::Encode(job)))));
-  if (read.ok()) {
-    RC_ASSERT(jobs::FindFault(read.value).empty());
-    RC_ASSERT(!Json(read.value.spec).dump().empty());
-  }
-  jobs::JobProgress progress;
-  progress.tasks[{0, 0, 0}] = {};
-  jobs::DecodeProgress(AsMessagePack(Mutated(Json::from_msgpack(jobs::Encode(progress)))));
-  entry::DecodeTerm(AsMessagePack(Mutated(Json::array({1, "owner", 7}))));
-  dispatch::DecodeWorkersInUse(AsMessagePack(Mutated(Json::array({{"w", "s", "10.0.0.1:80"}}))));
+TEST(HostileInputTest, StoredRecordsAreRefusedOrUsable) {
+  EXPECT_TRUE(rc::check([] {
+    jobs::Job job;
+    job.id = "0123456789abcdef";
+    job.spec = "text";
+    job.steps.resize(2);
+    job.steps[1].after = {0};
+    const Result<jobs::Job> read =
+        jobs::DecodeJob(AsMessagePack(Mutated(Json::from_msgpack(jobs::Encode(job)))));
+    if (read.ok()) {
+      RC_ASSERT(jobs::FindFault(read.value).empty());
+      RC_ASSERT(!Json(read.value.spec).dump().empty());
+    }
+    jobs::JobProgress progress;
+    progress.tasks[{0, 0, 0}] = {};
+    jobs::DecodeProgress(AsMessagePack(Mutated(Json::from_msgpack(jobs::Encode(progress)))));
+    entry::DecodeTerm(AsMessagePack(Mutated(Json::array({1, "owner", 7}))));
+    dispatch::DecodeWorkersInUse(AsMessagePack(Mutated(Json::array({{"w", "s", "10.0.0.1:80"}}))));
+  }));
 }
 
 // Guards against a submission that ends the process, or is accepted and cannot be run.
-RC_GTEST_PROP(HostileInputTest, SubmissionsAreRefusedOrUsable, ()) {
-  const Json submission = {{"spec", "text"}, {"steps", {kStep, kStep}}, {"times", 2}};
-  std::string fault;
-  const Result<jobs::Job> read = ReadSubmission(AsText(Mutated(submission)), &fault);
-  RC_ASSERT(read.ok() == fault.empty());
-  if (read.ok()) RC_ASSERT(jobs::FindFault(read.value).empty());
+TEST(HostileInputTest, SubmissionsAreRefusedOrUsable) {
+  EXPECT_TRUE(rc::check([] {
+    const Json submission = {{"spec", "text"}, {"steps", {kStep, kStep}}, {"times", 2}};
+    std::string fault;
+    const Result<jobs::Job> read = ReadSubmission(AsText(Mutated(submission)), &fault);
+    RC_ASSERT(read.ok() == fault.empty());
+    if (read.ok()) RC_ASSERT(jobs::FindFault(read.value).empty());
+  }));
 }
 
 }  // namespace
