Remove arguments and members that have no reader

JobEntry::known_since and with it the time of MakeEntry and AddJob, the argument of FeedHandlers::on_contact, PoolOwner::LoadWorkers, Dispatcher::active_jobs.

--- a/bench/dispatch_load.cc
+++ b/bench/dispatch_load.cc
@@ -121,12 +121,12 @@
         dispatch::MakeWorker("w" + std::to_string(n), kServingPerWorker * kServingCpu));
   }
   it.AddWorkers(workers);
-  it.dispatcher.AddJob(dispatch::MakeJob(JobId(0), {ServingStep(size.workers)}), {}, false, it.now);
+  it.dispatcher.AddJob(dispatch::MakeJob(JobId(0), {ServingStep(size.workers)}), {}, false);
   Settle(&it);
   const double before = static_cast<double>(mallinfo2().uordblks);
   // Each worker takes about three filling tasks; the other jobs wait.
   const int jobs = size.workers * 3 / kTasksPerStep + size.waiting_jobs;
-  for (int n = 1; n <= jobs; ++n) it.dispatcher.AddJob(FillingJob(n), {}, false, it.now);
+  for (int n = 1; n <= jobs; ++n) it.dispatcher.AddJob(FillingJob(n), {}, false);
   row.job_bytes = (static_cast<double>(mallinfo2().uordblks) - before) / jobs;
   Settle(&it);
   std::vector<int64_t> sequence(static_cast<size_t>(size.workers), 0);
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -113,9 +113,9 @@
 }
 
 void Dispatcher::AddJob(const jobs::Job& job, const jobs::JobProgress& progress, bool inherited,
-                        TimePoint now, int64_t revision) {
+                        int64_t revision) {
   if (jobs_.count(job.id) > 0) return;
-  JobEntry& entry = jobs_[job.id] = MakeEntry(job, progress, inherited, now);
+  JobEntry& entry = jobs_[job.id] = MakeEntry(job, progress, inherited);
   entry.revision = revision;
   newest_revision_ = std::max(newest_revision_, revision);
   if (jobs::IsFinal(entry.state)) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -111,7 +111,7 @@
   // A job that was accepted; `inherited` when an earlier owner may have started its tasks.
   // `revision` is that of its record in the store; 0: it precedes this owner.
   void AddJob(const jobs::Job& job, const jobs::JobProgress& progress, bool inherited,
-              TimePoint now, int64_t revision = 0);
+              int64_t revision = 0);
   void CancelJob(const std::string& id, int64_t wall_ms);
 
   // An earlier owner may have tasks on this worker.
@@ -136,7 +136,6 @@
 
   // A worker obeys a later owner.
   bool replaced() const { return replaced_; }
-  size_t active_jobs() const { return jobs_.size(); }
   const std::map<std::string, WorkerState>& workers() const { return workers_; }
   const JobEntry* FindJob(const std::string& id) const;
   std::map<std::string, int> WaitingCounts(int64_t wall_ms) const;
--- a/src/dispatch/job_table.cc
+++ b/src/dispatch/job_table.cc
@@ -19,13 +19,11 @@
 
 }  // namespace
 
-JobEntry MakeEntry(jobs::Job job, const jobs::JobProgress& progress, bool inherited,
-                   TimePoint now) {
+JobEntry MakeEntry(jobs::Job job, const jobs::JobProgress& progress, bool inherited) {
   JobEntry entry;
   entry.state = progress.state;
   entry.finished_ms = progress.finished_ms;
   entry.inherited = inherited;
-  entry.known_since = now;
   for (int n = 0; n < jobs::Occurrences(job); ++n) entry.steps.push_back(MakeSteps(job));
   entry.job = std::move(job);
   for (const auto& [key, it] : progress.tasks) {
--- a/src/dispatch/job_table.h
+++ b/src/dispatch/job_table.h
@@ -49,14 +49,13 @@
   int64_t finished_ms = 0;
   bool inherited = false;  // accepted before this owner took over
   int64_t revision = 0;    // of its record in the store
-  TimePoint known_since;
   Estimates estimates;
   TimePoint estimates_until;  // they are made again after this time
   // By occurrence, then step.
   std::vector<std::vector<StepState>> steps;
 };
 
-JobEntry MakeEntry(jobs::Job job, const jobs::JobProgress& progress, bool inherited, TimePoint now);
+JobEntry MakeEntry(jobs::Job job, const jobs::JobProgress& progress, bool inherited);
 
 jobs::JobProgress ProgressOf(const JobEntry& entry);
 
--- a/src/entry/catalog_feed.cc
+++ b/src/entry/catalog_feed.cc
@@ -24,7 +24,7 @@
       if (!it.deleted) Take(it.item);
     }
   };
-  handlers.on_contact = [health](TimePoint) { health->OnAnswer(); };
+  handlers.on_contact = [health] { health->OnAnswer(); };
   handlers.on_error = [health](std::error_code) { health->OnFailure(); };
   feed_ =
       std::make_shared<PrefixFeed>(store, std::move(timer), key, kWatchWait, std::move(handlers));
--- a/src/entry/owner_feeds.cc
+++ b/src/entry/owner_feeds.cc
@@ -94,7 +94,6 @@
 }
 
 void PoolOwner::TakeItems(const std::vector<store::Item>& items, bool inherited) {
-  const TimePoint now = Now();
   const int64_t wall_ms = WallClockMs();
   const std::string suffix = kCancelSuffix;
   std::vector<std::string> cancelled;
@@ -114,7 +113,7 @@
     const auto progress = progress_.find(id);
     dispatcher_->AddJob(job.value,
                         progress == progress_.end() ? jobs::JobProgress{} : progress->second,
-                        inherited, now, it.revision);
+                        inherited, it.revision);
   }
   for (const std::string& it : cancelled) dispatcher_->CancelJob(it, wall_ms);
 }
--- a/src/entry/pool_owner.h
+++ b/src/entry/pool_owner.h
@@ -61,7 +61,6 @@
   // Loading.
   void Load();
   void LoadProgress(const std::string& after);
-  void LoadWorkers();
   void StartFeeds();
 
   // Owning.
@@ -112,7 +111,7 @@
   bool jobs_loaded_ = false;
   TimePoint next_commit_;
   TimePoint next_term_read_;  // the latest possible time while a read is open
-  TimePoint proof_;  // the last time at which this process was the owner for certain
+  TimePoint proof_;           // the last time at which this process was the owner for certain
   TimePoint next_summary_;
   std::unique_ptr<EventLoop> loop_;
 };
--- a/src/entry/prefix_feed.cc
+++ b/src/entry/prefix_feed.cc
@@ -38,13 +38,12 @@
 
 void PrefixFeed::List(const std::string& after, std::vector<store::Item> items, int64_t revision) {
   if (stopped()) return;
-  const TimePoint began = Now();
   store_->List(prefix_, after,
-               [self = shared_from_this(), began, items = std::move(items),
+               [self = shared_from_this(), items = std::move(items),
                 revision](Result<store::Page> page) mutable {
                  if (self->stopped()) return;
                  if (!page.ok()) return self->Retry(page.ec, [self] { self->Start(); });
-                 self->handlers_.on_contact(began);
+                 self->handlers_.on_contact();
                  // Pages are not one snapshot: changes since the first page are watched for.
                  if (revision == 0) revision = page.value.revision;
                  for (store::Item& it : page.value.items) items.push_back(std::move(it));
@@ -60,13 +59,12 @@
 
 void PrefixFeed::Watch() {
   if (stopped()) return;
-  const TimePoint began = Now();
   store_->Watch(prefix_, revision_, wait_,
-                [self = shared_from_this(), began](Result<store::Changes> result) {
+                [self = shared_from_this()](Result<store::Changes> result) {
                   if (self->stopped()) return;
                   if (result.ec == ResultCode::kNotFound) return self->Start();
                   if (!result.ok()) return self->Retry(result.ec, [self] { self->Watch(); });
-                  self->handlers_.on_contact(began);
+                  self->handlers_.on_contact();
                   self->revision_ = result.value.revision;
                   if (!result.value.changes.empty()) {
                     self->handlers_.on_changes(std::move(result.value.changes));
--- a/src/entry/prefix_feed.h
+++ b/src/entry/prefix_feed.h
@@ -21,8 +21,8 @@
   // All keys below the prefix, as the store has them now.
   std::function<void(std::vector<store::Item>)> on_list;
   std::function<void(std::vector<store::Change>)> on_changes;
-  // The store answered a call, which began at the given time, or did not.
-  std::function<void(TimePoint)> on_contact = [](TimePoint) {};
+  // The store answered a call, or did not.
+  std::function<void()> on_contact = [] {};
   std::function<void(std::error_code)> on_error = [](std::error_code) {};
 };
 
--- a/tests/dispatch/dispatcher_test.cc
+++ b/tests/dispatch/dispatcher_test.cc
@@ -15,7 +15,7 @@
 TEST(DispatcherTest, StartsEachTaskOnce) {
   Scenario it;
   it.AddWorkers({MakeWorker("w1"), MakeWorker("w2")});
-  it.dispatcher.AddJob(MakeJob(kJob, {MakeStep(3)}), {}, false, it.now);
+  it.dispatcher.AddJob(MakeJob(kJob, {MakeStep(3)}), {}, false);
   it.Decide();
   EXPECT_EQ(it.Started(), (std::vector<RunId>{RunOf(0, 0, 1), RunOf(0, 1, 1), RunOf(0, 2, 1)}));
   it.ConfirmStarts();
@@ -29,7 +29,7 @@
   it.AddWorkers({MakeWorker("w1")});
   jobs::Step second = MakeStep(1);
   second.after = {0};
-  it.dispatcher.AddJob(MakeJob(kJob, {MakeStep(2), second}), {}, false, it.now);
+  it.dispatcher.AddJob(MakeJob(kJob, {MakeStep(2), second}), {}, false);
   it.Decide();
   it.ConfirmStarts();
   it.Report("w1", {{RunOf(0, 1, 1), "", 50, 0}}, {End(1, RunOf(0, 0, 1), EndKind::kDone)});
@@ -46,7 +46,7 @@
 TEST(DispatcherTest, EndIsAcknowledgedOnlyWhenDurable) {
   Scenario it;
   it.AddWorkers({MakeWorker("w1")});
-  it.dispatcher.AddJob(MakeJob(kJob, {MakeStep(2)}), {}, false, it.now);
+  it.dispatcher.AddJob(MakeJob(kJob, {MakeStep(2)}), {}, false);
   it.Decide();
   it.ConfirmStarts();
   // The commit of the job's start is open when the end arrives.
--- a/tests/dispatch/gang_test.cc
+++ b/tests/dispatch/gang_test.cc
@@ -42,7 +42,7 @@
 TEST(GangTest, StartsOnlyWhenAllMembersFindRoom) {
   Scenario it;
   it.AddWorkers({MakeWorker("w1", 4000), MakeWorker("w2", 4000)});
-  it.dispatcher.AddJob(MakeJob(kJob, {GangStep(3, 4000)}), {}, false, it.now);
+  it.dispatcher.AddJob(MakeJob(kJob, {GangStep(3, 4000)}), {}, false);
   it.Decide();
   EXPECT_TRUE(it.orders.starts.empty());
   it.AddWorkers({MakeWorker("w3", 4000)});
@@ -56,7 +56,7 @@
 TEST(GangTest, TakesTheRackThatHoldsAllMembers) {
   Scenario it;
   it.AddWorkers({OnRack("w1", "a", 6000), OnRack("w2", "b", 5000), OnRack("w3", "b", 5000)});
-  it.dispatcher.AddJob(SameRackJob(2), {}, false, it.now);
+  it.dispatcher.AddJob(SameRackJob(2), {}, false);
   it.Decide();
   EXPECT_EQ(Targets(it), (std::set<std::string>{"w2", "w3"}));
 }
@@ -65,11 +65,11 @@
 TEST(GangTest, WaitsForARackWhileItCanBeOnTime) {
   Scenario it;
   it.AddWorkers({OnRack("w1", "a", 4000), OnRack("w2", "a", 4000), OnRack("w3", "b", 4000)});
-  it.dispatcher.AddJob(MakeJob("00000000000000bb", {MakeStep(1, 4000)}), {}, false, it.now);
+  it.dispatcher.AddJob(MakeJob("00000000000000bb", {MakeStep(1, 4000)}), {}, false);
   it.Decide();
   ASSERT_EQ(it.orders.starts.size(), 1U);
   ASSERT_EQ(it.orders.starts[0].to.worker, "w1");
-  it.dispatcher.AddJob(SameRackJob(2), {}, false, it.now);
+  it.dispatcher.AddJob(SameRackJob(2), {}, false);
   it.Decide();
   EXPECT_TRUE(it.orders.starts.empty());
 }
@@ -78,7 +78,7 @@
 TEST(GangTest, SpreadsWhenNoRackCouldHoldIt) {
   Scenario it;
   it.AddWorkers({OnRack("w1", "a", 4000), OnRack("w2", "b", 4000)});
-  it.dispatcher.AddJob(SameRackJob(2), {}, false, it.now);
+  it.dispatcher.AddJob(SameRackJob(2), {}, false);
   it.Decide();
   EXPECT_EQ(Targets(it), (std::set<std::string>{"w1", "w2"}));
 }
--- a/tests/dispatch/order_test.cc
+++ b/tests/dispatch/order_test.cc
@@ -19,7 +19,7 @@
   job.rules.stretch = 2;
   job.rules.target_duration_ms = 500;
   job.accepted_ms = accepted_ms;
-  return MakeEntry(job, {}, false, TimePoint{});
+  return MakeEntry(job, {}, false);
 }
 
 TEST(OrderTest, ObjectiveIsTheStretchedChainAndMore) {
@@ -88,7 +88,7 @@
       job.rules.stretch = 2;
       job.rules.target_duration_ms = 500;
       job.accepted_ms = accepted[job.id] = wall_ms;
-      it.dispatcher.AddJob(job, {}, false, it.now);
+      it.dispatcher.AddJob(job, {}, false);
     }
     std::vector<EndedRun> ended;
     if (running && wall_ms >= ends_at) {
--- a/tests/dispatch/permit_test.cc
+++ b/tests/dispatch/permit_test.cc
@@ -20,7 +20,7 @@
 struct Asked {
   explicit Asked(int replicas) {
     it.AddWorkers({MakeWorker("w1"), MakeWorker("w2"), MakeWorker("w3")});
-    it.dispatcher.AddJob(PermitJob(replicas), {}, false, it.now);
+    it.dispatcher.AddJob(PermitJob(replicas), {}, false);
     it.Decide();
   }
   void Grant(const std::vector<std::pair<std::string, std::string>>& granted) {
@@ -56,7 +56,7 @@
   for (int n = 0; n < 5; ++n) {
     jobs::Job job = PermitJob(1);
     job.id.back() = static_cast<char>('0' + n);
-    it.dispatcher.AddJob(job, {}, false, it.now);
+    it.dispatcher.AddJob(job, {}, false);
   }
   it.Decide();
   EXPECT_EQ(it.orders.permits.size(), static_cast<size_t>(DispatchLimits().max_open_permit_orders));
--- a/tests/dispatch/recovery_test.cc
+++ b/tests/dispatch/recovery_test.cc
@@ -17,7 +17,7 @@
  protected:
   TakeoverTest() : it(2) {
     it.dispatcher.InheritWorker({"w1", "pool", MakeWorker("w1").endpoint}, it.now);
-    it.dispatcher.AddJob(MakeJob(kJob, {MakeStep(1)}), {}, true, it.now);
+    it.dispatcher.AddJob(MakeJob(kJob, {MakeStep(1)}), {}, true);
     it.dispatcher.UpdateWorker(MakeWorker("w1"), it.now);
     it.dispatcher.UpdateWorker(MakeWorker("w2"), it.now);
     it.CommitAll();
@@ -50,7 +50,7 @@
 }
 
 TEST_F(TakeoverTest, NewJobsDoNotWaitForInheritedWorkers) {
-  it.dispatcher.AddJob(MakeJob("00000000000000bb", {MakeStep(1)}), {}, false, it.now);
+  it.dispatcher.AddJob(MakeJob("00000000000000bb", {MakeStep(1)}), {}, false);
   it.Decide();
   ASSERT_EQ(it.orders.starts.size(), 1U);
   EXPECT_EQ(it.orders.starts[0].to.worker, "w2");
@@ -79,7 +79,7 @@
   progress.state = jobs::JobState::kRunning;
   progress.tasks[{0, 0, 0}].failed_runs = {1, 2};
   it.AddWorkers({MakeWorker("w1")});
-  it.dispatcher.AddJob(MakeJob(kJob, {MakeStep(1)}), progress, true, it.now);
+  it.dispatcher.AddJob(MakeJob(kJob, {MakeStep(1)}), progress, true);
   it.Report("w1", {}, {End(1, RunOf(0, 0, 2), EndKind::kFailed)});
   EXPECT_EQ(it.dispatcher.FindJob(kJob)->state, jobs::JobState::kRunning);
   it.Report("w1", {}, {End(2, RunOf(0, 0, 3), EndKind::kFailed)});
@@ -90,7 +90,7 @@
  protected:
   LostCallTest() {
     it.AddWorkers({MakeWorker("w1"), MakeWorker("w2")});
-    it.dispatcher.AddJob(MakeJob(kJob, {MakeStep(1)}), {}, false, it.now);
+    it.dispatcher.AddJob(MakeJob(kJob, {MakeStep(1)}), {}, false);
     it.Decide();
     start = it.orders.starts.at(0);
   }
@@ -161,7 +161,7 @@
 
 // Guards against an owner that goes on ordering when another one may have taken over.
 TEST_F(LostCallTest, NothingIsStartedWithoutProofOfOwnership) {
-  it.dispatcher.AddJob(MakeJob("00000000000000bb", {MakeStep(1)}), {}, false, it.now);
+  it.dispatcher.AddJob(MakeJob("00000000000000bb", {MakeStep(1)}), {}, false);
   it.now += DispatchLimits{}.order_horizon;
   it.Decide();
   EXPECT_TRUE(it.orders.starts.empty());
@@ -193,7 +193,7 @@
     step.perpetual = perpetual;
     jobs::Job job = MakeJob(kJob, {step});
     job.rules.max_attempts = 10;
-    it.dispatcher.AddJob(job, {}, false, it.now);
+    it.dispatcher.AddJob(job, {}, false);
     for (int64_t n = 1; n <= 3; ++n) {
       it.Advance(std::chrono::milliseconds(1500));
       it.Decide();
@@ -227,7 +227,7 @@
   limits.max_open_starts = 10;
   Scenario it(1, limits);
   it.AddWorkers({MakeWorker("w1")});
-  it.dispatcher.AddJob(MakeJob(kJob, {MakeStep(25, 10)}), {}, false, it.now);
+  it.dispatcher.AddJob(MakeJob(kJob, {MakeStep(25, 10)}), {}, false);
   std::vector<size_t> rounds;
   for (int n = 0; n < 4; ++n) {
     it.Decide();
@@ -243,7 +243,7 @@
   it.AddWorkers({MakeWorker("w1")});
   jobs::Step step = MakeStep(1);
   step.perpetual = true;
-  it.dispatcher.AddJob(MakeJob(kJob, {step}), {}, false, it.now);
+  it.dispatcher.AddJob(MakeJob(kJob, {step}), {}, false);
   it.Decide();
   it.ConfirmStarts();
   WorkerInfo draining = MakeWorker("w1");
@@ -265,7 +265,7 @@
   it.AddWorkers({MakeWorker("w1")});
   jobs::Step step = MakeStep(5, 4000);
   step.gang = true;
-  it.dispatcher.AddJob(MakeJob(kJob, {step}), {}, false, it.now);
+  it.dispatcher.AddJob(MakeJob(kJob, {step}), {}, false);
   it.Decide();
   EXPECT_TRUE(it.orders.starts.empty());
   it.AddWorkers({MakeWorker("w2")});
@@ -280,7 +280,7 @@
   it.AddWorkers({MakeWorker("w1")});
   jobs::Step step = MakeStep(2);
   step.gang = true;
-  it.dispatcher.AddJob(MakeJob(kJob, {step}), {}, false, it.now);
+  it.dispatcher.AddJob(MakeJob(kJob, {step}), {}, false);
   it.Decide();
   it.ConfirmStarts();
   it.Report("w1", {}, {End(1, RunOf(0, 0, 1), EndKind::kDone)});
@@ -293,7 +293,7 @@
   Scenario it;
   it.AddWorkers({MakeWorker("w1")});
   it.dispatcher.OnProvenRevision(20);
-  it.dispatcher.AddJob(MakeJob(kJob, {MakeStep(1)}), {}, false, it.now, 25);
+  it.dispatcher.AddJob(MakeJob(kJob, {MakeStep(1)}), {}, false, 25);
   it.Decide();
   EXPECT_TRUE(it.orders.starts.empty());
   EXPECT_EQ(it.dispatcher.UnprovenRevision(), 25);
--- a/tests/dispatch/refused_needs_test.cc
+++ b/tests/dispatch/refused_needs_test.cc
@@ -8,7 +8,7 @@
 namespace {
 
 JobEntry EntryOf(const std::string& id, const jobs::Step& step) {
-  return MakeEntry(MakeJob(id, {step}), {}, false, TimePoint{});
+  return MakeEntry(MakeJob(id, {step}), {}, false);
 }
 
 // Guards against tasks that are not tried although they are smaller than the one that found no
@@ -48,8 +48,8 @@
   it.AddWorkers({MakeWorker("w1", 4000)});
   jobs::Step limited = MakeStep(3);
   limited.max_per_worker = 1;
-  it.dispatcher.AddJob(MakeJob("00000000000000aa", {limited}), {}, false, it.now);
-  it.dispatcher.AddJob(MakeJob("00000000000000bb", {MakeStep(3)}), {}, false, it.now);
+  it.dispatcher.AddJob(MakeJob("00000000000000aa", {limited}), {}, false);
+  it.dispatcher.AddJob(MakeJob("00000000000000bb", {MakeStep(3)}), {}, false);
   it.Decide();
   EXPECT_EQ(it.orders.starts.size(), 4U);
 }
@@ -59,7 +59,7 @@
 TEST(RefusedNeedsTest, WaitingTasksAreTriedAgainWithoutAnEnd) {
   Scenario it;
   it.AddWorkers({MakeWorker("w1", 4000)});
-  it.dispatcher.AddJob(MakeJob("00000000000000aa", {MakeStep(1)}), {}, false, it.now);
+  it.dispatcher.AddJob(MakeJob("00000000000000aa", {MakeStep(1)}), {}, false);
   it.Decide();
   ASSERT_EQ(it.orders.starts.size(), 1U);
   Answer refusal = it.Accepted();
--- a/tests/dispatch/sharing_test.cc
+++ b/tests/dispatch/sharing_test.cc
@@ -35,8 +35,8 @@
  protected:
   SharingTest() {
     it.AddWorkers({MakeWorker("w1")});
-    it.dispatcher.AddJob(MakeJob(kWatch, {ServingStep(1)}), {}, false, it.now);
-    it.dispatcher.AddJob(MakeJob(kBatch, {FillingStep(1, "heavy")}), {}, false, it.now);
+    it.dispatcher.AddJob(MakeJob(kWatch, {ServingStep(1)}), {}, false);
+    it.dispatcher.AddJob(MakeJob(kBatch, {FillingStep(1, "heavy")}), {}, false);
     it.Decide();
     it.ConfirmStarts();
   }
