Take the port in the test of a taken metrics port with a plain socket

Its first runs were behind other tests in one process. The check is the same: a listener holds the port, the program must serve.

--- a/tests/failure/program_test.cc
+++ b/tests/failure/program_test.cc
@@ -1,11 +1,14 @@
 // Failure tests of signals to programs, and of what keeps a program from starting.
+#include <arpa/inet.h>
 #include <gtest/gtest.h>
+#include <netinet/in.h>
 #include <signal.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <filesystem>
 #include <fstream>
 
-#include "http/http_server.h"
 #include "tests/support/cluster.h"
 #include "tests/support/program_path.h"
 
@@ -76,6 +79,25 @@
   std::string folder_;
 };
 
+// Another process's listener on an endpoint.
+class TakenPort {
+ public:
+  explicit TakenPort(const Endpoint& endpoint) : socket_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(endpoint.port);
+    EXPECT_EQ(inet_pton(AF_INET, endpoint.address.c_str(), &address.sin_addr), 1);
+    EXPECT_EQ(bind(socket_, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
+    EXPECT_EQ(listen(socket_, 1), 0);
+  }
+  ~TakenPort() { close(socket_); }
+  TakenPort(const TakenPort&) = delete;
+  TakenPort& operator=(const TakenPort&) = delete;
+
+ private:
+  const int socket_;
+};
+
 // Guards against a program of the platform that ends when its settings are announced as changed.
 TEST(ProgramSignalTest, HangUpKeepsTheEntryProgramServing) {
   const EntryProgram entry(161);
@@ -130,11 +152,7 @@
 TEST(ProgramStartTest, TakenMetricsPortDoesNotKeepTheEntryProgramFromServing) {
   const EntryProgram entry(163);
   entry.WriteSettings();
-  http::HttpServer other(entry.metrics(), 1024,
-                         [](const http::HttpRequest&, const http::Reply& reply) {
-                           reply(http::JsonResponse(200, Json::object()));
-                         });
-  ASSERT_FALSE(other.Start());
+  const TakenPort taken(entry.metrics());
   Process process = entry.Start();
   EXPECT_TRUE(entry.WaitUntilServing()) << entry.Log();
   EXPECT_TRUE(process.running());
