Compare a term that was read by Resolve, as commits do

OnTermRead compared epoch and owner by itself, as Resolve already does for commits. Behaviour is unchanged.

--- a/src/entry/owner_commits.cc
+++ b/src/entry/owner_commits.cc
@@ -93,8 +93,9 @@
   }
   const Result<Term> stored = DecodeTerm(item.value.value);
   if (!stored.ok()) return StepDown("the term cannot be read");
-  const bool owns = stored.value.epoch == term_.epoch && stored.value.owner == term_.owner;
-  if (!owns) return StepDown("another process took over");
+  if (Resolve(term_, stored.value) == Conflict::kReplaced) {
+    return StepDown("another process took over");
+  }
   next_term_read_ = TimePoint{};
   dispatcher_->OnProvenRevision(revision);
 }
--- a/src/entry/settings.cc
+++ b/src/entry/settings.cc
@@ -15,7 +15,7 @@
 
 using Milliseconds = std::chrono::duration<double, std::milli>;
 
-// Times may be fractions, since the installation gives them in its own units.
+// Times may be fractions, since a deployment gives them in its own units.
 Duration MillisecondsOr(JsonReader* reader, const std::string& key, Duration fallback) {
   const double ms = reader->NumberOr(key, kMinMs, kDayMs, Milliseconds(fallback).count());
   return std::chrono::duration_cast<Duration>(Milliseconds(ms));
--- a/tests/failure/program_test.cc
+++ b/tests/failure/program_test.cc
@@ -19,7 +19,7 @@
 constexpr Duration kSettle = std::chrono::milliseconds(300);
 constexpr Duration kStopTime = std::chrono::seconds(60);
 
-// Several, since the first may only end a program that is still starting its threads.
+// Several in a row, so that a handler that works once only is noticed.
 void HangUp(Process* process) {
   for (int n = 0; n < kHangUps; ++n) {
     process->Signal(SIGHUP);
