--- a/src/dispatch/decide.cc
+++ b/src/dispatch/decide.cc
@@ -35,6 +35,7 @@
   Orders orders;
   if (superseded_) return orders;
   ExpireWorkers(now);
+  LogReconciliation(now);
   EvictFromDrainingWorkers();
   PlaceTasks(now, wall_ms, &orders);
   DecidePace(now, &orders);
@@ -59,6 +60,15 @@
   }
 }
 
+void Dispatcher::LogReconciliation(TimePoint now) {
+  if (reconciliation_logged_ || !IsReconciled()) return;
+  reconciliation_logged_ = true;
+  Log(LogLevel::kInfo, "dispatch", "reconciled",
+      {{"epoch", epoch_},
+       {"after_ms",
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - took_over_).count()}});
+}
+
 int64_t Dispatcher::LeaseEndMs(WorkerState* worker, TimePoint now) {
   const Duration lease = worker->info.draining ? kDrainingLease : limits_.run_lease;
   const Duration left = std::min<Duration>(lease, last_proof_ + limits_.lease_horizon - now);
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -193,9 +193,13 @@
     if (jobs::IsFinal(entry.state)) continue;
     out.jobs += 1;
     for (const std::vector<StepState>& steps : entry.steps) {
-      for (const StepState& it : steps) out.waiting_tasks += it.waiting;
+      for (const StepState& it : steps) {
+        out.waiting_tasks += it.waiting;
+        if (entry.inherited && !IsReconciled()) out.withheld_tasks += it.waiting;
+      }
     }
   }
+  out.unreconciled_workers = static_cast<int>(unreconciled_.size());
   for (const auto& [id, it] : workers_) {
     out.runs += static_cast<int>(it.runs.size());
     out.unresponsive_workers += it.unanswered_calls > 0 ? 1 : 0;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -79,9 +79,11 @@
 struct PoolSummary {
   int jobs = 0;                      // jobs that are not finished
   int waiting_tasks = 0;             // tasks without a run, ready or not
+  int withheld_tasks = 0;            // of these, tasks withheld until all workers are reconciled
   int runs = 0;                      // runs on all workers
   int workers = 0;                   // workers that accept tasks
   int unresponsive_workers = 0;      // workers that did not answer the last call
+  int unreconciled_workers = 0;      // workers that may hold unknown runs of earlier owners
   int serving_workers = 0;           // workers with latency-critical tasks
   int64_t reserved_cpu = 0;          // reserved on all workers
   int64_t best_effort_cpu = 0;       // requested by best-effort tasks
@@ -169,6 +171,7 @@
 
   // Decisions.
   void ExpireWorkers(TimePoint now);
+  void LogReconciliation(TimePoint now);
   void DecideHeartbeats(TimePoint now, Orders* orders);
   void RetryRuns(TimePoint now, Orders* orders);
   void PlaceTasks(TimePoint now, int64_t wall_ms, Orders* orders);
@@ -216,7 +219,8 @@
   UnplaceableRequests unplaceable_;             // in the current decision
   std::map<std::string, JobEntry*> placeable_;  // jobs with waiting tasks, by id
   std::set<std::string> unreconciled_;          // inherited workers that have not reported yet
-  bool workers_changed_ = false;                // the durable list of workers in use is outdated
+  bool reconciliation_logged_ = false;
+  bool workers_changed_ = false;  // the durable list of workers in use is outdated
 
   // Jobs with changes that are not durable, in the order of their first such change: generation and
   // job id.
--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -39,6 +39,24 @@
       std::max(worker->suspect_until, now + std::min(backoff, kMaxFailureBackoff));
 }
 
+const char* EndName(EndKind kind) {
+  switch (kind) {
+    case EndKind::kDone:
+      return "done";
+    case EndKind::kFailed:
+      return "failed";
+    case EndKind::kStopped:
+      return "stopped";
+    case EndKind::kLeaseExpired:
+      return "lease_expired";
+    case EndKind::kGangBroken:
+      return "gang_broken";
+    case EndKind::kGangIncomplete:
+      return "gang_incomplete";
+  }
+  return "unknown";
+}
+
 int64_t Milliseconds(Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
@@ -160,6 +178,15 @@
   UpdateCheckpoint(task, end.id, end.checkpoint);
   MarkDirty(entry->job.id);
   if (end.kind == EndKind::kFailed) task->failed_on.insert(worker->info.id);
+  if (step.perpetual) {
+    Log(LogLevel::kInfo, "dispatch", "perpetual_run_ended",
+        {{"job", end.id.task.job},
+         {"step", end.id.task.step},
+         {"index", end.id.task.index},
+         {"run", end.id.run},
+         {"worker", worker->info.id},
+         {"end", EndName(end.kind)}});
+  }
   if (step.perpetual || task->progress.done) return true;
   if (end.kind == EndKind::kFailed) RecordFailure(entry, end.id, wall_ms);
   if (end.kind != EndKind::kDone) return true;
@@ -202,7 +229,11 @@
                       active.id.run <= (epoch_ - 1) * kRunsPerEpoch &&
                       (task->runs.empty() || step.speculative);
   Log(LogLevel::kInfo, "dispatch", wanted ? "run_adopted" : "run_unwanted",
-      {{"job", active.id.task.job}, {"run", active.id.run}, {"worker", worker->info.id}});
+      {{"job", active.id.task.job},
+       {"step", active.id.task.step},
+       {"index", active.id.task.index},
+       {"run", active.id.run},
+       {"worker", worker->info.id}});
   if (task != nullptr) {
     if (task->runs.empty() && !task->progress.done)
       StepStateOf(entry, active.id.task)->waiting -= 1;
