--- /dev/null
+++ b/tests/dispatch/handover_test.cc
@@ -0,0 +1,284 @@
+// What an owner inherits from the one before it, and for how long its tasks wait for workers that
+// are gone.
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+#include <set>
+
+#include "tests/dispatch/scenario.h"
+
+namespace pomelopond::dispatch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr const char* kJob = "00000000000000aa";
+// Longest wait of a new owner for a worker that it cannot reach: the horizon of leases on the
+// slowest clock that a worker may have, and the slack of its timers.
+constexpr Duration kLongestWait = milliseconds(8500);
+
+RunId RunOf(int step, int index, int64_t run) { return {{kJob, 0, step, index}, run}; }
+
+jobs::Job PerpetualJob(int replicas) {
+  jobs::Step step = MakeStep(replicas);
+  step.perpetual = true;
+  return MakeJob(kJob, {step});
+}
+
+// An owner of epoch 2 that inherits w1 and w2. The job's task runs on w2; w1 does not answer.
+class UnreachableWorkerTest : public ::testing::Test {
+ protected:
+  UnreachableWorkerTest() : it(2) {
+    it.dispatcher.InheritWorker({"w1", "pool", MakeWorker("w1").endpoint}, it.now);
+    it.dispatcher.InheritWorker({"w2", "pool", MakeWorker("w2").endpoint}, it.now);
+    for (const char* id : {"w1", "w2", "w3"}) it.dispatcher.UpdateWorker(MakeWorker(id), it.now);
+  }
+
+  void TakeOver(const jobs::Job& job) {
+    it.dispatcher.AddJob(job, {}, true);
+    it.CommitAll();
+    it.Decide();
+    it.Report("w2", {{RunOf(0, 0, 1), "", 30, 0}}, {});
+    it.Report("w3", {}, {});
+    it.Decide();
+  }
+
+  Scenario it;
+};
+
+// Guards against a task that stays away although only the run that has just ended can have existed.
+TEST_F(UnreachableWorkerTest, DoesNotHoldUpATaskWhoseAdoptedRunEnded) {
+  TakeOver(PerpetualJob(1));
+  ASSERT_TRUE(it.orders.starts.empty());
+  it.Report("w2", {}, {End(1, RunOf(0, 0, 1), EndKind::kStopped)});
+  it.Decide();
+  ASSERT_EQ(it.orders.starts.size(), 1U);
+  EXPECT_EQ(it.orders.starts[0].run.task, RunOf(0, 0, 1).task);
+}
+
+// Guards against a second run of a task that the unreachable worker may still run.
+TEST_F(UnreachableWorkerTest, HoldsUpATaskWhoseLastRunIsUnknown) {
+  TakeOver(PerpetualJob(2));
+  it.Report("w2", {}, {End(1, RunOf(0, 0, 1), EndKind::kStopped)});
+  it.Decide();
+  for (const StartOrder& start : it.orders.starts) EXPECT_EQ(start.run.task.index, 0);
+}
+
+// Guards against a run that this owner never saw active: it may have ended long ago, and the
+// earlier owner may have started the task again on the unreachable worker.
+TEST_F(UnreachableWorkerTest, HoldsUpATaskWhoseRunIsOnlyKnownToHaveEnded) {
+  it.dispatcher.AddJob(PerpetualJob(1), {}, true);
+  it.CommitAll();
+  it.Decide();
+  it.Report("w3", {}, {});
+  it.Report("w2", {}, {End(1, RunOf(0, 0, 1), EndKind::kStopped)});
+  it.Decide();
+  EXPECT_TRUE(it.orders.starts.empty());
+}
+
+// Guards against a step that waits although no earlier owner can have started it: the task that it
+// depends on was still active after the takeover.
+TEST_F(UnreachableWorkerTest, DoesNotHoldUpAStepThatBecameReadyAfterTheTakeover) {
+  jobs::Step second = MakeStep(2);
+  second.after = {0};
+  TakeOver(MakeJob(kJob, {MakeStep(1), second}));
+  it.Report("w2", {}, {End(1, RunOf(0, 0, 1), EndKind::kDone)});
+  it.Decide();
+  EXPECT_EQ(it.orders.starts.size(), 2U);
+}
+
+// Guards against a step that starts twice: its dependency ended before the takeover, so the earlier
+// owner may have started it on the unreachable worker.
+TEST_F(UnreachableWorkerTest, HoldsUpAStepThatWasReadyBeforeTheTakeover) {
+  jobs::Step second = MakeStep(2);
+  second.after = {0};
+  it.dispatcher.AddJob(MakeJob(kJob, {MakeStep(1), second}), {}, true);
+  it.CommitAll();
+  it.Decide();
+  it.Report("w3", {}, {});
+  it.Report("w2", {}, {End(1, RunOf(0, 0, 1), EndKind::kDone)});
+  it.Decide();
+  EXPECT_TRUE(it.orders.starts.empty());
+}
+
+// Guards against a wait that starts anew with each change of the owner: no owner since the first
+// takeover has extended the lease of the unreachable worker.
+TEST(HandoverTest, SecondTakeoverDoesNotRestartTheWaitForAnUnreachableWorker) {
+  Scenario first(1);
+  first.AddWorkers({MakeWorker("w1"), MakeWorker("w2")});
+  const TimePoint took_over = first.now;
+  const jobs::Job job = PerpetualJob(1);
+  std::unique_ptr<Scenario> owner;
+  DurableState durable = first.durable;
+  // Returns whether the owner starts the task within `duration`. w1 never answers.
+  const auto start_within = [&](int64_t epoch, TimePoint from, Duration duration) {
+    owner = std::make_unique<Scenario>(epoch, DispatchLimits{}, from);
+    owner->Inherit(durable);
+    owner->dispatcher.AddJob(job, {}, true);
+    owner->dispatcher.UpdateWorker(MakeWorker("w2"), owner->now);
+    for (Duration passed{}; passed < duration; passed += milliseconds(100)) {
+      owner->Decide();
+      if (!owner->orders.starts.empty()) return true;
+      owner->Report("w2", {}, {});
+      owner->CommitAll();
+      owner->Advance(milliseconds(100));
+    }
+    durable = owner->durable;
+    return false;
+  };
+  ASSERT_FALSE(start_within(2, took_over, seconds(6)));
+  // The committed state may be one second old.
+  EXPECT_TRUE(start_within(3, owner->now, kLongestWait + seconds(1) - seconds(6)));
+}
+
+// A worker of a simulated pool. It answers at once, until it is gone.
+struct SimulatedWorker {
+  WorkerInfo info;
+  TimePoint gone_at = TimePoint::max();
+  int64_t epoch = 0;
+  std::set<RunId> active;
+  std::vector<EndedRun> ended;
+};
+
+// A pool in which one worker after the other is replaced while the owner changes again and again.
+class SimulatedPool {
+ public:
+  SimulatedPool() {
+    for (int n = 0; n < kWorkers; ++n) AddWorker();
+    job_ = PerpetualJob(kTasks);
+    TakeOver(false);
+  }
+
+  void Step() {
+    owner_->Advance(kStep);
+    const TimePoint now = owner_->now;
+    for (auto& [id, it] : workers_) {
+      if (it.gone_at > now || it.gone_at + kStep <= now) continue;
+      it.active.clear();
+      owner_->dispatcher.DeregisterWorker(id, now);
+    }
+    owner_->Decide();
+    Deliver(owner_->orders);
+    owner_->CommitAll();
+    RecordAbsences();
+  }
+
+  // The oldest worker announces that it leaves, and another one comes.
+  void ReplaceWorker() {
+    SimulatedWorker& it = workers_.at("w" + std::to_string(next_leaving_++));
+    it.info.draining = true;
+    it.gone_at = owner_->now + kDrainTime;
+    owner_->dispatcher.UpdateWorker(it.info, owner_->now);
+    AddWorker();
+    owner_->dispatcher.UpdateWorker(workers_.rbegin()->second.info, owner_->now);
+  }
+
+  void TakeOver(bool inherited = true) {
+    const DurableState durable = owner_ ? owner_->durable : DurableState{};
+    const TimePoint start = owner_ ? owner_->now + kTakeoverGap : TimePoint(std::chrono::hours(1));
+    owner_ = std::make_unique<Scenario>(++epoch_, DispatchLimits{}, start);
+    owner_->Inherit(durable);
+    owner_->dispatcher.AddJob(job_, {}, inherited);
+    for (const auto& [id, it] : workers_) {
+      if (it.gone_at > owner_->now) owner_->dispatcher.UpdateWorker(it.info, owner_->now);
+    }
+  }
+
+  Duration LongestAbsence() const { return longest_absence_; }
+  bool RanTwice() const { return ran_twice_; }
+
+ private:
+  static constexpr int kWorkers = 8;
+  static constexpr int kTasks = 16;
+  static constexpr Duration kStep = milliseconds(50);
+  static constexpr Duration kDrainTime = seconds(4);
+  static constexpr Duration kTakeoverGap = milliseconds(200);
+
+  void AddWorker() {
+    // Keys sort by age.
+    const std::string id = "w" + std::to_string(next_worker_++);
+    workers_[id].info = MakeWorker(id, 4000);
+  }
+
+  Answer AnswerOf(SimulatedWorker* worker, int64_t epoch) {
+    if (worker->gone_at <= owner_->now) return {OrderStatus::kNoAnswer, 0, 0};
+    if (epoch < worker->epoch) return {OrderStatus::kStaleEpoch, owner_->ClockMs(), 1};
+    worker->epoch = epoch;
+    return owner_->Accepted();
+  }
+
+  void Deliver(const Orders& orders) {
+    Dispatcher& dispatcher = owner_->dispatcher;
+    for (const StartOrder& it : orders.starts) {
+      SimulatedWorker& worker = workers_.at(it.to.worker);
+      const Answer answer = AnswerOf(&worker, it.epoch);
+      if (answer.status == OrderStatus::kAccepted) worker.active.insert(it.run);
+      dispatcher.OnStarted(it, answer, owner_->now);
+    }
+    for (const StopOrder& it : orders.stops) {
+      SimulatedWorker& worker = workers_.at(it.to.worker);
+      const Answer answer = AnswerOf(&worker, it.epoch);
+      if (answer.status == OrderStatus::kAccepted && worker.active.erase(it.run) > 0) {
+        const auto sequence = static_cast<int64_t>(worker.ended.size()) + 1;
+        worker.ended.push_back(End(sequence, it.run, EndKind::kStopped));
+      }
+      dispatcher.OnStopped(it, answer, owner_->now);
+    }
+    for (const HeartbeatOrder& it : orders.heartbeats) {
+      SimulatedWorker& worker = workers_.at(it.to.worker);
+      Report report;
+      report.answer = AnswerOf(&worker, it.epoch);
+      if (report.answer.status == OrderStatus::kAccepted) {
+        for (const RunId& run : worker.active) report.active.push_back({run, "", 100, 0});
+        for (const EndedRun& end : worker.ended) {
+          if (end.sequence > it.acknowledged) report.ended.push_back(end);
+        }
+      }
+      dispatcher.OnReport(it, report, owner_->now, owner_->WallMs());
+    }
+  }
+
+  void RecordAbsences() {
+    std::map<jobs::TaskId, int> runs;
+    for (const auto& [id, it] : workers_) {
+      for (const RunId& run : it.active) runs[run.task] += 1;
+    }
+    for (int n = 0; n < kTasks; ++n) {
+      const jobs::TaskId task{kJob, 0, 0, n};
+      ran_twice_ = ran_twice_ || runs[task] > 1;
+      if (runs[task] > 0) seen_at_[n] = owner_->now;
+      if (seen_at_.count(n) == 0) continue;
+      longest_absence_ = std::max<Duration>(longest_absence_, owner_->now - seen_at_[n]);
+    }
+  }
+
+  jobs::Job job_;
+  int64_t epoch_ = 0;
+  int next_worker_ = 100;
+  int next_leaving_ = 100;
+  std::map<std::string, SimulatedWorker> workers_;
+  std::unique_ptr<Scenario> owner_;
+  std::map<int, TimePoint> seen_at_;
+  Duration longest_absence_{};
+  bool ran_twice_ = false;
+};
+
+// Guards against perpetual tasks that stay away during a rolling restart while workers leave: each
+// new owner waited anew for workers that an earlier one had already emptied.
+TEST(HandoverTest, PerpetualTasksKeepRunningWhileWorkersLeaveAndOwnersChange) {
+  constexpr Duration kAllowedAbsence = seconds(3);
+  constexpr int kSteps = 600;
+  SimulatedPool pool;
+  for (int n = 0; n < kSteps; ++n) {
+    pool.Step();
+    if (n % 120 == 119) pool.TakeOver();
+    if (n >= 60 && n < 500 && n % 14 == 0) pool.ReplaceWorker();
+  }
+  EXPECT_LT(pool.LongestAbsence(), kAllowedAbsence);
+  EXPECT_FALSE(pool.RanTwice());
+}
+
+}  // namespace
+}  // namespace pomelopond::dispatch
--- a/tests/dispatch/scenario.h
+++ b/tests/dispatch/scenario.h
@@ -42,10 +42,16 @@
   return worker;
 }
 
+// The part of an owner's commits that the next owner inherits besides the jobs.
+struct DurableState {
+  std::string workers_in_use;
+};
+
 class Scenario {
  public:
-  explicit Scenario(int64_t epoch = 1, DispatchLimits limits = {})
-      : now(std::chrono::hours(1)), dispatcher(limits, epoch, now) {
+  explicit Scenario(int64_t epoch = 1, DispatchLimits limits = {},
+                    TimePoint start = TimePoint(std::chrono::hours(1)))
+      : now(start), dispatcher(limits, epoch, now) {
     dispatcher.OnOwnershipProof(now);
   }
 
@@ -55,12 +61,21 @@
   }
   int64_t WallMs() const { return kWallStart; }
 
+  // Loads what the previous owner committed, as a new owner does at its takeover.
+  void Inherit(const DurableState& state) {
+    durable = state;
+    for (const WorkerInUse& it : DecodeWorkersInUse(state.workers_in_use).value) {
+      dispatcher.InheritWorker(it, now);
+    }
+  }
+
   // Makes one decision and stores its orders in `orders`.
   void Decide() { orders = dispatcher.Decide(now, WallMs()); }
 
   // Confirms all commits that are due.
   void CommitAll() {
     while (const std::optional<Commit> commit = dispatcher.NextCommit(now, WallMs())) {
+      if (commit->workers_in_use) durable.workers_in_use = *commit->workers_in_use;
       dispatcher.OnCommitted(*commit);
     }
   }
@@ -101,6 +116,7 @@
   TimePoint now;
   Dispatcher dispatcher;
   Orders orders;
+  DurableState durable;
 };
 
 inline EndedRun End(int64_t sequence, const RunId& id, EndKind kind,
