Withhold only inherited tasks that may still run on a worker out of reach

Callers saw perpetual tasks stay away for up to 18 s during a rolling restart (LOST), and tasks of accepted jobs wait for 8.5 s.

Cause: a new owner withheld every task of every inherited job until all workers in use had answered, although most of these tasks cannot have another run.

Change: a run that was active when it was reported to this owner is the only one of its task: an earlier owner starts the next run only once a worker has told it that the last one ended, and a worker that has answered this owner tells nobody else. So the task is started again as soon as that run ends. For the same reason no earlier owner can have started a step whose dependency ended under this owner. Gangs wait until this holds for each member.

The three tests that guard necessary waits still pass.

--- a/spec/new_job.pml
+++ b/spec/new_job.pml
@@ -1,6 +1,6 @@
 /* A job that is accepted while the ownership of the pool changes (docs/platform.md, R2).
  *
- * Code: src/dispatch/decide.cc (MayStart), src/dispatch/dispatcher.cc (OnProvenRevision, InheritWorker),
+ * Code: src/dispatch/decide.cc (JobsInOrder, IsWithheld), src/dispatch/dispatcher.cc (OnProvenRevision, InheritWorker),
  * src/entry/pool_owner.cc (BecomeOwner), src/entry/pool_owner_commits.cc (VerifyTermForNewJobs, OnTermRead),
  * src/entry/pool_owner_watchers.cc (ApplyJobItems).
  * Bounds: one job of one task, two workers, two owners. The second takes over at any time; the
--- a/src/dispatch/decide.cc
+++ b/src/dispatch/decide.cc
@@ -61,7 +61,7 @@
 }
 
 void Dispatcher::LogReconciliation(TimePoint now) {
-  if (reconciliation_logged_ || !IsReconciled()) return;
+  if (reconciliation_logged_ || !unreconciled_.empty()) return;
   reconciliation_logged_ = true;
   Log(LogLevel::kInfo, "dispatch", "reconciled",
       {{"epoch", epoch_},
@@ -143,9 +143,28 @@
   }
 }
 
-bool Dispatcher::MayStart(const JobEntry& entry) const {
-  if (entry.revision > proven_revision_) return false;
-  return !entry.inherited || IsReconciled();
+bool Dispatcher::IsWithheld(const JobEntry& entry, const StepState& step,
+                            const TaskState& task) const {
+  return !IsReconciled(entry) && !step.became_ready && !task.adopted;
+}
+
+bool Dispatcher::IsGangWithheld(const JobEntry& entry, const StepState& step) const {
+  return std::any_of(step.tasks.begin(), step.tasks.end(),
+                     [&](const TaskState& it) { return IsWithheld(entry, step, it); });
+}
+
+int Dispatcher::CountWithheld(const JobEntry& entry) const {
+  int n = 0;
+  if (IsReconciled(entry)) return n;
+  for (const std::vector<StepState>& steps : entry.steps) {
+    for (const StepState& step : steps) {
+      for (const TaskState& it : step.tasks) {
+        if (it.progress.done || !it.runs.empty()) continue;
+        n += IsWithheld(entry, step, it) ? 1 : 0;
+      }
+    }
+  }
+  return n;
 }
 
 void Dispatcher::PlaceTasks(TimePoint now, int64_t wall_ms, Orders* orders) {
@@ -166,7 +185,7 @@
   std::vector<std::pair<JobRank, JobEntry*>> ranked;
   ranked.reserve(placeable_.size());
   for (const auto& [id, entry] : placeable_) {
-    if (!MayStart(*entry)) continue;
+    if (entry->revision > proven_revision_) continue;
     if (now >= entry->estimates_valid_until) {
       entry->estimates = EstimatesOf(durations_, *entry);
       entry->estimates_valid_until = now + kEstimateInterval;
@@ -203,7 +222,7 @@
   const StepState* state = StepStateOf(entry, id);
   for (id.index = 0; id.index < static_cast<int>(state->tasks.size()); ++id.index) {
     const TaskState& task = state->tasks[static_cast<size_t>(id.index)];
-    if (task.progress.done || !task.runs.empty()) continue;
+    if (task.progress.done || !task.runs.empty() || IsWithheld(*entry, *state, task)) continue;
     if (starts_in_flight_ >= limits_.max_starts_in_flight) return false;
     if (PlaceTask(entry, id, now, orders)) continue;
     // If the queue requires permits, the task may have failed for want of a permit, so tasks of
@@ -352,6 +371,7 @@
   const jobs::TaskId first{entry->job.id, occurrence, step, 0};
   const StepState* state = StepStateOf(entry, first);
   if (state->waiting < static_cast<int>(state->tasks.size())) return;
+  if (IsGangWithheld(*entry, *state)) return;
   const PlacementRequest request = RequestOf(entry, first);
   if (request.step->same_rack) {
     const std::vector<std::string> racks = RacksByFreeCapacity(workers_, request, now);
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -193,11 +193,9 @@
     if (jobs::IsFinal(entry.state)) continue;
     out.jobs += 1;
     for (const std::vector<StepState>& steps : entry.steps) {
-      for (const StepState& it : steps) {
-        out.waiting_tasks += it.waiting;
-        if (entry.inherited && !IsReconciled()) out.withheld_tasks += it.waiting;
-      }
+      for (const StepState& it : steps) out.waiting_tasks += it.waiting;
     }
+    out.withheld_tasks += CountWithheld(entry);
   }
   out.unreconciled_workers = static_cast<int>(unreconciled_.size());
   for (const auto& [id, it] : workers_) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -194,8 +194,14 @@
   std::optional<StartOrder> MakeStartOrder(WorkerState* worker, const RunId& id, TimePoint now);
   int64_t LeaseEndMs(WorkerState* worker, TimePoint now);
   int64_t NextRun(const TaskState& task) const;
-  bool MayStart(const JobEntry& entry) const;
-  bool IsReconciled() const { return unreconciled_.empty(); }
+  // True when tasks of an inherited job may run on workers that have not reported yet.
+  bool IsReconciled(const JobEntry& entry) const {
+    return !entry.inherited || unreconciled_.empty();
+  }
+  // True when a run of the task may be active on a worker that has not reported yet.
+  bool IsWithheld(const JobEntry& entry, const StepState& step, const TaskState& task) const;
+  bool IsGangWithheld(const JobEntry& entry, const StepState& step) const;
+  int CountWithheld(const JobEntry& entry) const;
   WorkerState* FindWorker(const std::string& id);
   JobEntry* FindEntry(const std::string& id);
 
--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -61,6 +61,16 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
+// Marks the steps that depend on the task's step.
+void MarkDependentsReady(JobEntry* entry, const jobs::TaskId& id) {
+  std::vector<StepState>& states = entry->steps[static_cast<size_t>(id.occurrence)];
+  for (size_t n = 0; n < states.size(); ++n) {
+    const std::vector<int>& after = entry->job.steps[n].after;
+    if (std::find(after.begin(), after.end(), id.step) == after.end()) continue;
+    states[n].became_ready = true;
+  }
+}
+
 void UpdateCheckpoint(TaskState* task, const RunId& id, const std::string& checkpoint) {
   if (checkpoint.empty() || task->progress.done || id.run < task->progress.checkpoint_run) return;
   task->progress.checkpoint = checkpoint;
@@ -151,6 +161,8 @@
   task->progress.done = true;
   task->progress.checkpoint.clear();
   step->done += 1;
+  // The end was not reported to any earlier owner.
+  if (task->adopted || step->became_ready) MarkDependentsReady(entry, id);
   entry->estimates_valid_until = TimePoint{};
   if (task->runs.empty()) step->waiting -= 1;
   StopRuns(id);
@@ -235,6 +247,7 @@
        {"run", active.id.run},
        {"worker", worker->info.id}});
   if (task != nullptr) {
+    task->adopted = task->adopted || wanted;
     if (task->runs.empty() && !task->progress.done)
       StepStateOf(entry, active.id.task)->waiting -= 1;
     task->runs.push_back({active.id.run, worker->info.id});
