Take a leaving worker off the list of workers in use once it is empty

Cause: the durable list held a worker until it was gone and its last lease had ended by the owner's reckoning. The next owner waits for an answer of each listed worker, so one that the last owner had emptied seconds before it left was waited for, 8.46 s per owner.

Change: a worker that is not registered or leaves, holds no run and awaits no order is taken off the list with the next commit. Nothing is started on it until it is on the list again. Why that is safe: a run leaves the owner's tables only when the worker has reported its end, its last lease has ended or it has restarted, so an empty worker can't come to hold one.

LeavingWorkerTest guards the list in both directions.

--- a/src/dispatch/choose_worker.cc
+++ b/src/dispatch/choose_worker.cc
@@ -81,11 +81,15 @@
 
 }  // namespace
 
-bool AcceptsTasks(const WorkerState& worker, TimePoint now) {
+bool IsMember(const WorkerState& worker, TimePoint now) {
   // A registration that expired during an outage of the store reappears soon after, and the worker
   // still answers heartbeats.
   const bool registered = worker.registered || now < worker.deregistered_at + kReregistrationGrace;
-  return registered && worker.recorded && worker.contacted && !worker.info.draining &&
+  return registered && !worker.info.draining;
+}
+
+bool AcceptsTasks(const WorkerState& worker, TimePoint now) {
+  return IsMember(worker, now) && worker.recorded && worker.contacted &&
          worker.unanswered_calls == 0 && now >= worker.backoff_until;
 }
 
--- a/src/dispatch/choose_worker.h
+++ b/src/dispatch/choose_worker.h
@@ -25,6 +25,9 @@
   std::string rack;                      // if set, only workers of this rack are eligible
 };
 
+// True when the worker is registered and stays, so that it may get new tasks, now or later.
+bool IsMember(const WorkerState& worker, TimePoint now);
+
 // True when the worker accepts new tasks of any kind.
 bool AcceptsTasks(const WorkerState& worker, TimePoint now);
 
--- a/src/dispatch/decide.cc
+++ b/src/dispatch/decide.cc
@@ -50,6 +50,7 @@
     const bool expired = now >= worker.lease_ends;
     if (expired && !worker.runs.empty()) MarkRunsLost(&worker, now);
     if (expired) unreconciled_.erase(it->first);
+    if (worker.recorded && IsUnused(worker, now)) workers_changed_ = true;
     if (!expired || worker.registered || worker.heartbeat_in_flight) {
       ++it;
       continue;
@@ -60,6 +61,10 @@
   }
 }
 
+bool Dispatcher::IsUnused(const WorkerState& worker, TimePoint now) const {
+  return worker.runs.empty() && unreconciled_.count(worker.info.id) == 0 && !IsMember(worker, now);
+}
+
 void Dispatcher::LogReconciliation(TimePoint now) {
   if (reconciliation_logged_ || !unreconciled_.empty()) return;
   reconciliation_logged_ = true;
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -158,7 +158,7 @@
   state.registered = true;
   const bool moved = state.info.endpoint != info.endpoint;
   state.info = info;
-  if (!state.recorded || moved) workers_changed_ = true;
+  if ((!state.recorded && !info.draining) || moved) workers_changed_ = true;
   if (restarted) MarkRunsLost(&state, now);
 }
 
@@ -218,6 +218,20 @@
   return out;
 }
 
+// A worker that leaves is taken off the list once its runs have ended, so the next owner doesn't
+// wait for its answer. Nothing is started on it until it is on the list again.
+std::string Dispatcher::EncodeWorkersInUse(TimePoint now) {
+  std::vector<WorkerInUse> in_use;
+  for (auto& [id, it] : workers_) {
+    if (IsUnused(it, now)) {
+      it.recorded = false;
+      continue;
+    }
+    in_use.push_back({id, it.info.service, it.info.endpoint});
+  }
+  return Encode(in_use);
+}
+
 std::optional<Commit> Dispatcher::NextCommit(TimePoint now, int64_t wall_ms) {
   if (commit_in_flight_) return std::nullopt;
   Commit commit;
@@ -231,9 +245,7 @@
   }
   if (workers_changed_) {
     workers_changed_ = false;
-    std::vector<WorkerInUse> in_use;
-    for (const auto& [id, it] : workers_) in_use.push_back({id, it.info.service, it.info.endpoint});
-    commit.workers_in_use = Encode(in_use);
+    commit.workers_in_use = EncodeWorkersInUse(now);
   }
   if (now - counts_written_at_ >= kCountsInterval) {
     const std::map<std::string, int> counts = WaitingCounts(wall_ms);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -171,6 +171,9 @@
 
   // Decisions.
   void ExpireWorkers(TimePoint now);
+  // True when the worker holds no run, now or later, and will get none.
+  bool IsUnused(const WorkerState& worker, TimePoint now) const;
+  std::string EncodeWorkersInUse(TimePoint now);
   void LogReconciliation(TimePoint now);
   void DecideHeartbeats(TimePoint now, Orders* orders);
   void RetryRuns(TimePoint now, Orders* orders);
--- a/tests/dispatch/handover_test.cc
+++ b/tests/dispatch/handover_test.cc
@@ -133,6 +133,57 @@
   EXPECT_TRUE(start_within(3, owner->now, kLongestWait + seconds(1) - seconds(6)));
 }
 
+// Worker w1 runs the only task and then announces that it leaves.
+class LeavingWorkerTest : public ::testing::Test {
+ protected:
+  LeavingWorkerTest() {
+    it.AddWorkers({MakeWorker("w1")});
+    it.dispatcher.AddJob(PerpetualJob(1), {}, false);
+    it.Decide();
+    it.ConfirmStarts();
+    run = it.orders.starts.at(0).run;
+    leaving = MakeWorker("w1");
+    leaving.draining = true;
+    it.dispatcher.UpdateWorker(leaving, it.now);
+    Commit();
+  }
+
+  void Commit() {
+    it.Advance(milliseconds(100));
+    it.Decide();
+    it.CommitAll();
+  }
+  bool IsInUse() const { return !DecodeWorkersInUse(it.durable.workers_in_use).value.empty(); }
+
+  Scenario it;
+  RunId run;
+  WorkerInfo leaving;
+};
+
+// Guards against a next owner that waits for a worker that holds no run any more.
+TEST_F(LeavingWorkerTest, IsNotLeftToTheNextOwnerOnceItIsEmpty) {
+  EXPECT_TRUE(IsInUse());
+  it.Report("w1", {}, {End(1, run, EndKind::kStopped)});
+  Commit();
+  EXPECT_FALSE(IsInUse());
+}
+
+// Guards against a start on a worker that the next owner would not ask for its runs.
+TEST_F(LeavingWorkerTest, GetsNoTaskBeforeItIsInUseAgain) {
+  it.Report("w1", {}, {End(1, run, EndKind::kStopped)});
+  Commit();
+  leaving.draining = false;
+  it.dispatcher.UpdateWorker(leaving, it.now);
+  it.Advance(milliseconds(100));
+  it.Decide();
+  EXPECT_TRUE(it.orders.starts.empty());
+  it.CommitAll();
+  EXPECT_TRUE(IsInUse());
+  it.Advance(milliseconds(100));
+  it.Decide();
+  EXPECT_EQ(it.orders.starts.size(), 1U);
+}
+
 // A worker of a simulated pool. It answers at once, until it is gone.
 struct SimulatedWorker {
   WorkerInfo info;
