--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -5,22 +5,12 @@
 #include "base/log.h"
 #include "base/result_code.h"
 #include "dispatch/choose_worker.h"
-#include "store/key_store.h"
 
 namespace pomelopond::dispatch {
 namespace {
 
-// Maximum number of job records in one commit. It leaves room for the other entries of a
-// transaction.
-constexpr size_t kMaxJobsInCommit = 20;
-constexpr size_t kMaxRemovedInCommit = 2;
-// A removed job has three keys. The remaining four entries are the condition, the term, the workers
-// in use and the waiting counts.
-static_assert(kMaxJobsInCommit + 3 * kMaxRemovedInCommit + 4 <= store::kMaxTransactionEntries);
 constexpr double kMilli = 1000;
 constexpr int kFullPace = 100;
-// Minimum time between commits of the waiting counts.
-constexpr Duration kCountsInterval = std::chrono::milliseconds(500);
 
 }  // namespace
 
@@ -218,75 +208,4 @@
   return out;
 }
 
-// A worker that leaves is taken off the list once its runs have ended, so the next owner doesn't
-// wait for its answer. Nothing is started on it until it is on the list again.
-std::string Dispatcher::EncodeWorkersInUse(TimePoint now) {
-  std::vector<WorkerInUse> in_use;
-  for (auto& [id, it] : workers_) {
-    if (IsUnused(it, now)) {
-      it.recorded = false;
-      continue;
-    }
-    in_use.push_back({id, it.info.service, it.info.endpoint});
-  }
-  return Encode(in_use);
-}
-
-std::optional<Commit> Dispatcher::NextCommit(TimePoint now, int64_t wall_ms) {
-  if (commit_in_flight_) return std::nullopt;
-  Commit commit;
-  while (!dirty_.empty() && commit.progress.size() < kMaxJobsInCommit) {
-    const auto [generation, id] = dirty_.front();
-    dirty_.pop_front();
-    dirty_jobs_.erase(id);
-    commit.generation = generation;
-    const JobEntry* entry = FindEntry(id);
-    if (entry != nullptr) commit.progress.emplace_back(id, jobs::Encode(ProgressOf(*entry)));
-  }
-  if (workers_changed_) {
-    workers_changed_ = false;
-    commit.workers_in_use = EncodeWorkersInUse(now);
-  }
-  if (now - counts_written_at_ >= kCountsInterval) {
-    const std::map<std::string, int> counts = WaitingCounts(wall_ms);
-    if (counts != written_counts_) {
-      counts_written_at_ = now;
-      written_counts_ = counts;
-      commit.waiting_counts = EncodeWaiting(counts);
-    }
-  }
-  const auto keep =
-      std::chrono::duration_cast<std::chrono::milliseconds>(limits_.finished_retention).count();
-  while (!finished_.empty() && commit.removed_jobs.size() < kMaxRemovedInCommit) {
-    const auto& [finished_ms, id] = finished_.front();
-    if (finished_ms + keep > wall_ms) break;
-    commit.removed_jobs.push_back(id);
-    finished_.pop_front();
-  }
-  const bool empty = commit.progress.empty() && !commit.workers_in_use && !commit.waiting_counts &&
-                     commit.removed_jobs.empty();
-  if (empty) return std::nullopt;
-  commit_in_flight_ = true;
-  return commit;
-}
-
-void Dispatcher::OnCommitted(const Commit& commit) {
-  commit_in_flight_ = false;
-  for (const std::string& it : commit.removed_jobs) jobs_.erase(it);
-  const Result<std::vector<WorkerInUse>> in_use =
-      DecodeWorkersInUse(commit.workers_in_use.value_or(std::string()));
-  if (commit.workers_in_use && in_use.ok()) {
-    for (const WorkerInUse& it : in_use.value) {
-      WorkerState* worker = FindWorker(it.id);
-      if (worker != nullptr && worker->info.endpoint == it.endpoint) worker->recorded = true;
-    }
-    capacity_changed_ = true;
-  }
-  for (auto& [id, it] : workers_) {
-    if (it.processed == it.acknowledged || it.generation > commit.generation) continue;
-    it.acknowledged = it.processed;
-    it.next_heartbeat = TimePoint{};
-  }
-}
-
 }  // namespace pomelopond::dispatch
