Do not wait anew for a worker out of reach with each change of the owner

Cause: what an owner knew of a worker's lease was lost with it, so the next one assumed the longest lease that could have been granted.

Change: for a worker that did not answer two calls the owner writes an upper bound of its lease, each second. The next owner counts on from the bound, if its epoch follows that of the bound.

--- a/src/dispatch/choose_worker.cc
+++ b/src/dispatch/choose_worker.cc
@@ -89,7 +89,7 @@
 }
 
 bool AcceptsTasks(const WorkerState& worker, TimePoint now) {
-  return IsMember(worker, now) && worker.recorded && worker.contacted &&
+  return IsMember(worker, now) && worker.recorded && worker.contacted && !worker.lease_bounded &&
          worker.unanswered_calls == 0 && now >= worker.backoff_until;
 }
 
--- a/src/dispatch/commits.cc
+++ b/src/dispatch/commits.cc
@@ -1,7 +1,9 @@
 // Commits of the dispatcher: what must be durable, and what follows once it is.
+#include <algorithm>
 #include <utility>
 
 #include "dispatch/dispatcher.h"
+#include "dispatch/lease_bounds.h"
 #include "store/key_store.h"
 
 namespace pomelopond::dispatch {
@@ -11,12 +13,17 @@
 // transaction.
 constexpr size_t kMaxJobsInCommit = 20;
 constexpr size_t kMaxRemovedInCommit = 2;
-// A removed job has three keys. The remaining four entries are the condition, the term, the workers
-// in use and the waiting counts.
-static_assert(kMaxJobsInCommit + 3 * kMaxRemovedInCommit + 4 <= store::kMaxTransactionEntries);
+// A removed job has three keys. The remaining five entries are the condition, the term, the workers
+// in use, the lease bounds and the waiting counts.
+static_assert(kMaxJobsInCommit + 3 * kMaxRemovedInCommit + 5 <= store::kMaxTransactionEntries);
 // Minimum time between commits of the waiting counts.
 constexpr Duration kCountsInterval = std::chrono::milliseconds(500);
 
+// Number of consecutive calls without an answer after which a worker's lease is bounded.
+constexpr int kCallsBeforeBound = 2;
+// Time between commits of the lease bounds, which shrink as time passes.
+constexpr Duration kLeaseBoundsInterval = std::chrono::seconds(1);
+
 }  // namespace
 
 // A worker that leaves is taken off the list once its runs have ended, so the next owner doesn't
@@ -33,6 +40,29 @@
   return Encode(in_use);
 }
 
+// A worker that has not answered the last calls gets a bound. From then on its lease is not
+// extended until it answers and a commit without its bound is durable.
+LeaseBounds Dispatcher::CurrentLeaseBounds(TimePoint now) const {
+  LeaseBounds bounds;
+  bounds.epoch = epoch_;
+  for (const auto& [id, it] : workers_) {
+    if (it.unanswered_calls < kCallsBeforeBound) continue;
+    const bool empty = it.runs.empty() && unreconciled_.count(id) == 0;
+    const Duration left = empty ? Duration::zero() : std::max(it.lease_ends - now, Duration{});
+    bounds.left_ms[id] = std::chrono::ceil<std::chrono::milliseconds>(left).count();
+  }
+  return bounds;
+}
+
+std::optional<std::string> Dispatcher::NextLeaseBounds(TimePoint now) {
+  lease_bounds_due_ = now + kLeaseBoundsInterval;
+  LeaseBounds bounds = CurrentLeaseBounds(now);
+  if (bounds.left_ms == written_bounds_.left_ms) return std::nullopt;
+  for (const auto& [id, left_ms] : bounds.left_ms) workers_[id].lease_bounded = true;
+  written_bounds_ = std::move(bounds);
+  return Encode(written_bounds_);
+}
+
 std::optional<Commit> Dispatcher::NextCommit(TimePoint now, int64_t wall_ms) {
   if (commit_in_flight_) return std::nullopt;
   Commit commit;
@@ -48,6 +78,7 @@
     workers_changed_ = false;
     commit.workers_in_use = EncodeWorkersInUse(now);
   }
+  if (now >= lease_bounds_due_) commit.lease_bounds = NextLeaseBounds(now);
   if (now - counts_written_at_ >= kCountsInterval) {
     const std::map<std::string, int> counts = WaitingCounts(wall_ms);
     if (counts != written_counts_) {
@@ -64,13 +95,23 @@
     commit.removed_jobs.push_back(id);
     finished_.pop_front();
   }
-  const bool empty = commit.progress.empty() && !commit.workers_in_use && !commit.waiting_counts &&
-                     commit.removed_jobs.empty();
+  const bool empty = commit.progress.empty() && !commit.workers_in_use && !commit.lease_bounds &&
+                     !commit.waiting_counts && commit.removed_jobs.empty();
   if (empty) return std::nullopt;
   commit_in_flight_ = true;
   return commit;
 }
 
+// The commit with `written_bounds_` is durable.
+void Dispatcher::ReleaseLeaseBounds() {
+  for (auto& [id, it] : workers_) {
+    if (!it.lease_bounded || written_bounds_.left_ms.count(id) > 0) continue;
+    it.lease_bounded = false;
+    it.next_heartbeat = TimePoint{};
+    capacity_changed_ = true;
+  }
+}
+
 void Dispatcher::OnCommitted(const Commit& commit) {
   commit_in_flight_ = false;
   for (const std::string& it : commit.removed_jobs) jobs_.erase(it);
@@ -83,6 +124,7 @@
     }
     capacity_changed_ = true;
   }
+  if (commit.lease_bounds) ReleaseLeaseBounds();
   for (auto& [id, it] : workers_) {
     if (it.processed == it.acknowledged || it.generation > commit.generation) continue;
     it.acknowledged = it.processed;
--- a/src/dispatch/decide.cc
+++ b/src/dispatch/decide.cc
@@ -77,7 +77,7 @@
 int64_t Dispatcher::LeaseEndMs(WorkerState* worker, TimePoint now) {
   const Duration lease = worker->info.draining ? kDrainingLease : limits_.run_lease;
   const Duration left = std::min<Duration>(lease, last_proof_ + limits_.lease_horizon - now);
-  if (left <= Duration::zero() || worker->clock_ms == 0) return 0;
+  if (left <= Duration::zero() || worker->clock_ms == 0 || worker->lease_bounded) return 0;
   const int64_t until = EstimatedClockMs(*worker, now) +
                         std::chrono::duration_cast<std::chrono::milliseconds>(left).count();
   worker->lease_ends = std::max(worker->lease_ends, LatestLocalTime(*worker, until));
@@ -94,7 +94,10 @@
     const bool steady = worker.contacted && worker.unanswered_calls == 0;
     // Heartbeats to a worker that does not answer extend no lease, so its lease expires.
     if (steady && !worker.runs.empty()) order.lease_end_ms = LeaseEndMs(&worker, now);
-    if (steady && worker.processed == worker.acknowledged) order.wait = limits_.report_wait;
+    const bool extendable = !worker.lease_bounded;
+    if (steady && extendable && worker.processed == worker.acknowledged) {
+      order.wait = limits_.report_wait;
+    }
     const bool shared = worker.serving > 0 && worker.best_effort_cpu > 0;
     if (shared) order.wait = std::min(order.wait, kColocatedReportWait);
     worker.heartbeat_in_flight = true;
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -11,6 +11,8 @@
 
 constexpr double kMilli = 1000;
 constexpr int kFullPace = 100;
+// Allowance for clocks and timers of a worker, beyond their rate, when an inherited lease ends.
+constexpr Duration kInheritedLeaseSlack = std::chrono::milliseconds(300);
 
 }  // namespace
 
@@ -126,7 +128,8 @@
   FinishJob(entry, jobs::JobState::kCancelled, wall_ms);
 }
 
-void Dispatcher::InheritWorker(const WorkerInUse& worker, TimePoint now) {
+void Dispatcher::InheritWorker(const WorkerInUse& worker, const LeaseBounds& bounds,
+                               TimePoint now) {
   WorkerState& state = workers_[worker.id];
   state.info.id = worker.id;
   state.info.service = worker.service;
@@ -136,7 +139,13 @@
   // Every lease that the earlier owner granted ends within this time of its last proof of
   // ownership.
   const auto horizon = std::chrono::duration_cast<Duration>(limits_.lease_horizon / kMinClockRate);
-  state.lease_ends = now + horizon + std::chrono::milliseconds(300);
+  Duration left = horizon + kInheritedLeaseSlack;
+  const LeaseBounds valid = BoundsFor(epoch_, bounds);
+  const auto bound = valid.left_ms.find(worker.id);
+  if (bound != valid.left_ms.end()) {
+    left = std::min<Duration>(left, std::chrono::milliseconds(bound->second));
+  }
+  state.lease_ends = now + left;
   unreconciled_.insert(worker.id);
 }
 
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -17,6 +17,7 @@
 #include "dispatch/colocation.h"
 #include "dispatch/job_rank.h"
 #include "dispatch/job_table.h"
+#include "dispatch/lease_bounds.h"
 #include "dispatch/preemption.h"
 #include "dispatch/unplaceable_requests.h"
 #include "dispatch/worker_calls.h"
@@ -56,6 +57,7 @@
   uint64_t generation = 0;
   std::vector<std::pair<std::string, std::string>> progress;  // job id and encoded progress
   std::optional<std::string> workers_in_use;                  // encoded list; set when it changed
+  std::optional<std::string> lease_bounds;    // encoded LeaseBounds; set when they changed
   std::optional<std::string> waiting_counts;  // encoded pending jobs by queue; set when changed
   std::vector<std::string> removed_jobs;      // ids of jobs whose records are deleted
 };
@@ -120,8 +122,9 @@
               int64_t revision = 0);
   void CancelJob(const std::string& id, int64_t wall_ms);
 
-  // Adds a worker on which an earlier owner may have started tasks.
-  void InheritWorker(const WorkerInUse& worker, TimePoint now);
+  // Adds a worker on which an earlier owner may have started tasks. `bounds` are those of the
+  // previous owner.
+  void InheritWorker(const WorkerInUse& worker, const LeaseBounds& bounds, TimePoint now);
   void UpdateWorker(const WorkerInfo& info, TimePoint now);
   // Marks the worker as not registered. Its tasks may still run.
   void DeregisterWorker(const std::string& id, TimePoint now);
@@ -174,6 +177,9 @@
   // True when the worker holds no run, now or later, and will get none.
   bool IsUnused(const WorkerState& worker, TimePoint now) const;
   std::string EncodeWorkersInUse(TimePoint now);
+  LeaseBounds CurrentLeaseBounds(TimePoint now) const;
+  std::optional<std::string> NextLeaseBounds(TimePoint now);
+  void ReleaseLeaseBounds();
   void LogReconciliation(TimePoint now);
   void DecideHeartbeats(TimePoint now, Orders* orders);
   void RetryRuns(TimePoint now, Orders* orders);
@@ -237,6 +243,8 @@
   std::set<std::string> dirty_jobs_;
   uint64_t generation_ = 0;
   bool commit_in_flight_ = false;
+  LeaseBounds written_bounds_;
+  TimePoint lease_bounds_due_;  // when the lease bounds are compared with the written ones
   std::map<std::string, int> written_counts_;
   TimePoint counts_written_at_;
   std::deque<std::pair<int64_t, std::string>> finished_;  // finished_ms and job id
--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -15,7 +15,8 @@
 constexpr Duration kCallRetry = std::chrono::milliseconds(200);
 // A heartbeat without a usable answer is repeated after this time.
 constexpr Duration kHeartbeatRetry = std::chrono::milliseconds(300);
-// Interval of heartbeats while the ended runs of the last report are not durable.
+// Interval of heartbeats while the ended runs of the last report are not durable, or the worker's
+// lease is bounded.
 constexpr Duration kUncommittedRetry = std::chrono::milliseconds(500);
 // A worker that refused a task is offered no task for this time.
 constexpr Duration kRefusalBackoff = std::chrono::milliseconds(300);
@@ -337,6 +338,7 @@
     return false;
   }
   worker->unanswered_calls = 0;
+  if (worker->lease_bounded) lease_bounds_due_ = now;
   if (answer.clock_ms > 0) {
     worker->clock_ms = answer.clock_ms;
     worker->clock_at = now;
@@ -369,8 +371,8 @@
   if (changed) worker->generation = generation_;
   // Ended runs that change no durable state are acknowledged at once.
   if (!changed && all_durable) worker->acknowledged = worker->processed;
-  worker->next_heartbeat =
-      worker->processed == worker->acknowledged ? now : now + kUncommittedRetry;
+  const bool settled = worker->processed == worker->acknowledged && !worker->lease_bounded;
+  worker->next_heartbeat = settled ? now : now + kUncommittedRetry;
 }
 
 void Dispatcher::OnStarted(const StartOrder& order, const Answer& answer, TimePoint now) {
--- a/src/dispatch/worker_table.h
+++ b/src/dispatch/worker_table.h
@@ -55,6 +55,8 @@
   TimePoint clock_at;
   // All runs on the worker end by this time unless another order extends the lease.
   TimePoint lease_ends;
+  // The next owner may rely on a written bound of the lease, so no order may extend it.
+  bool lease_bounded = false;
 
   bool heartbeat_in_flight = false;  // a heartbeat awaits its answer
   TimePoint heartbeat_sent_at;       // when the last heartbeat was sent
--- a/src/entry/keys.h
+++ b/src/entry/keys.h
@@ -19,6 +19,7 @@
 inline constexpr const char* kProgressPrefix = "pomelopond/progress/";
 inline std::string ProgressKey(const std::string& id) { return kProgressPrefix + id; }
 inline constexpr const char* kWorkersKey = "pomelopond/workers";
+inline constexpr const char* kLeaseBoundsKey = "pomelopond/lease-bounds";
 inline constexpr const char* kWaitingKey = "pomelopond/waiting";
 // Holds the owner's epoch, the identity of its process and the number of its last commit.
 inline constexpr const char* kTermKey = "pomelopond/term";
--- a/src/entry/pool_owner.h
+++ b/src/entry/pool_owner.h
@@ -63,6 +63,7 @@
 
   // Loading of the stored state.
   void Load();
+  void LoadLeaseBounds(const std::vector<dispatch::WorkerInUse>& workers);
   void LoadProgress(const std::string& after);
   void StartWatchers();
 
--- a/src/entry/pool_owner_watchers.cc
+++ b/src/entry/pool_owner_watchers.cc
@@ -20,14 +20,32 @@
       if (item.value.revision != 0 && !workers.ok()) {
         Log(LogLevel::kError, "owner", "bad_worker_list");
       }
-      for (const dispatch::WorkerInUse& it : workers.value) {
-        dispatcher_->InheritWorker(it, owner_since_);
-      }
-      LoadProgress({});
+      LoadLeaseBounds(workers.value);
     });
   });
 }
 
+void PoolOwner::LoadLeaseBounds(const std::vector<dispatch::WorkerInUse>& workers) {
+  store_->Get(kLeaseBoundsKey,
+              [this, workers, generation = generation_](const Result<store::Item>& item) {
+                loop_->Post([this, workers, generation, item] {
+                  if (generation != generation_) return;
+                  if (!item.ok())
+                    return After(kRetryDelay, [this, workers] { LoadLeaseBounds(workers); });
+                  const auto bounds = dispatch::DecodeLeaseBounds(item.value.value);
+                  // Without bounds the owner waits for the longest lease that may have been
+                  // granted.
+                  if (item.value.revision != 0 && !bounds.ok()) {
+                    Log(LogLevel::kError, "owner", "bad_lease_bounds");
+                  }
+                  for (const dispatch::WorkerInUse& it : workers) {
+                    dispatcher_->InheritWorker(it, bounds.value, owner_since_);
+                  }
+                  LoadProgress({});
+                });
+              });
+}
+
 void PoolOwner::LoadProgress(const std::string& after) {
   store_->List(kProgressPrefix, after,
                [this, after, generation = generation_](const Result<store::Page>& page) {
--- a/src/entry/term.cc
+++ b/src/entry/term.cc
@@ -40,6 +40,7 @@
     out.writes.push_back({ProgressKey(id), bytes, 0});
   }
   if (commit.workers_in_use) out.writes.push_back({kWorkersKey, *commit.workers_in_use, 0});
+  if (commit.lease_bounds) out.writes.push_back({kLeaseBoundsKey, *commit.lease_bounds, 0});
   if (commit.waiting_counts) out.writes.push_back({kWaitingKey, *commit.waiting_counts, 0});
   for (const std::string& it : commit.removed_jobs) {
     out.deletes.push_back(JobKey(it));
--- a/tests/dispatch/handover_test.cc
+++ b/tests/dispatch/handover_test.cc
@@ -31,8 +31,8 @@
 class UnreachableWorkerTest : public ::testing::Test {
  protected:
   UnreachableWorkerTest() : it(2) {
-    it.dispatcher.InheritWorker({"w1", "pool", MakeWorker("w1").endpoint}, it.now);
-    it.dispatcher.InheritWorker({"w2", "pool", MakeWorker("w2").endpoint}, it.now);
+    it.dispatcher.InheritWorker({"w1", "pool", MakeWorker("w1").endpoint}, {}, it.now);
+    it.dispatcher.InheritWorker({"w2", "pool", MakeWorker("w2").endpoint}, {}, it.now);
     for (const char* id : {"w1", "w2", "w3"}) it.dispatcher.UpdateWorker(MakeWorker(id), it.now);
   }
 
@@ -118,10 +118,11 @@
     owner->Inherit(durable);
     owner->dispatcher.AddJob(job, {}, true);
     owner->dispatcher.UpdateWorker(MakeWorker("w2"), owner->now);
-    for (Duration passed{}; passed < duration; passed += milliseconds(100)) {
+    for (Duration passed{}; passed <= duration; passed += milliseconds(100)) {
       owner->Decide();
       if (!owner->orders.starts.empty()) return true;
       owner->Report("w2", {}, {});
+      if (owner->dispatcher.workers().count("w1") > 0) owner->TimeOut("w1");
       owner->CommitAll();
       owner->Advance(milliseconds(100));
     }
@@ -184,6 +185,94 @@
   EXPECT_EQ(it.orders.starts.size(), 1U);
 }
 
+// Worker w1 runs two tasks and does not answer for some calls. The smaller worker w2 is empty.
+class BoundedLeaseTest : public ::testing::Test {
+ protected:
+  BoundedLeaseTest() {
+    it.AddWorkers({MakeWorker("w1"), MakeWorker("w2", 4000)});
+    it.dispatcher.AddJob(MakeJob(kJob, {MakeStep(2)}), {}, false);
+    it.Decide();
+    it.ConfirmStarts();
+    Step(seconds(2));
+    it.TimeOut("w1");
+    it.TimeOut("w1");
+    Step(seconds(1));
+    it.CommitAll();
+  }
+
+  void Step(Duration by) {
+    it.Advance(by);
+    it.Decide();
+  }
+  LeaseBounds Written() const { return DecodeLeaseBounds(it.durable.lease_bounds).value; }
+  void Answer() { it.Report("w1", {{RunOf(0, 0, 1), "", 30, 0}, {RunOf(0, 1, 1), "", 30, 0}}, {}); }
+  int64_t LastLeaseEnd() const {
+    int64_t out = 0;
+    for (const HeartbeatOrder& order : it.orders.heartbeats) {
+      if (order.to.worker == "w1") out = order.lease_end_ms;
+    }
+    return out;
+  }
+
+  Scenario it;
+};
+
+// Guards against a bound that is shorter than the lease: the worker's clock may be 2% slow.
+TEST_F(BoundedLeaseTest, CoversTheLeaseThatWasGranted) {
+  ASSERT_EQ(Written().left_ms.count("w1"), 1U);
+  EXPECT_GE(Written().left_ms.at("w1"), 2000);
+  EXPECT_LE(Written().left_ms.at("w1"), 2500);
+}
+
+// Guards against a next owner that starts a task while the worker still runs it: this owner
+// extended the lease after it had written the bound.
+TEST_F(BoundedLeaseTest, IsExtendedOnlyOnceTheBoundIsWithdrawn) {
+  Answer();
+  Step(milliseconds(600));
+  EXPECT_EQ(LastLeaseEnd(), 0);
+  Answer();
+  it.CommitAll();
+  EXPECT_TRUE(Written().left_ms.empty());
+  Step(milliseconds(100));
+  EXPECT_GT(LastLeaseEnd(), 0);
+}
+
+// Guards against a start on a worker whose bound the next owner may rely on, and against a task
+// that waits for this worker although another one has room.
+TEST_F(BoundedLeaseTest, GetsNoTaskUntilTheBoundIsWithdrawn) {
+  Answer();
+  it.dispatcher.AddJob(MakeJob("00000000000000bb", {MakeStep(1)}), {}, false);
+  Step(milliseconds(600));
+  ASSERT_EQ(it.orders.starts.size(), 1U);
+  EXPECT_EQ(it.orders.starts[0].to.worker, "w2");
+  it.CommitAll();
+  it.dispatcher.AddJob(MakeJob("00000000000000cc", {MakeStep(1)}), {}, false);
+  Step(milliseconds(100));
+  ASSERT_EQ(it.orders.starts.size(), 1U);
+  EXPECT_EQ(it.orders.starts[0].to.worker, "w1");
+}
+
+// Guards against bounds of an owner before the last one: the last owner may be of a version that
+// writes none and extends leases.
+TEST_F(BoundedLeaseTest, HoldsForTheNextEpochOnly) {
+  EXPECT_EQ(BoundsFor(2, Written()), Written());
+  EXPECT_TRUE(BoundsFor(3, Written()).left_ms.empty());
+  EXPECT_TRUE(BoundsFor(1, Written()).left_ms.empty());
+}
+
+// Guards against a stored value that ends the process or shortens a wait.
+TEST(LeaseBoundsTest, MalformedValuesAreRefused) {
+  LeaseBounds negative;
+  negative.left_ms["w1"] = -1;
+  EXPECT_FALSE(DecodeLeaseBounds(Encode(negative)).ok());
+  EXPECT_FALSE(DecodeLeaseBounds("").ok());
+  EXPECT_FALSE(DecodeLeaseBounds("\x92\x01\xa3").ok());
+  LeaseBounds bounds;
+  bounds.epoch = 3;
+  bounds.left_ms["w1"] = 250;
+  EXPECT_EQ(DecodeLeaseBounds(Encode(bounds)).value, bounds);
+}
+
 // A worker of a simulated pool. It answers at once, until it is gone.
 struct SimulatedWorker {
   WorkerInfo info;
--- a/tests/dispatch/recovery_test.cc
+++ b/tests/dispatch/recovery_test.cc
@@ -16,7 +16,7 @@
 class TakeoverTest : public ::testing::Test {
  protected:
   TakeoverTest() : it(2) {
-    it.dispatcher.InheritWorker({"w1", "pool", MakeWorker("w1").endpoint}, it.now);
+    it.dispatcher.InheritWorker({"w1", "pool", MakeWorker("w1").endpoint}, {}, it.now);
     it.dispatcher.AddJob(MakeJob(kJob, {MakeStep(1)}), {}, true);
     it.dispatcher.UpdateWorker(MakeWorker("w1"), it.now);
     it.dispatcher.UpdateWorker(MakeWorker("w2"), it.now);
--- a/tests/dispatch/scenario.h
+++ b/tests/dispatch/scenario.h
@@ -45,6 +45,7 @@
 // The part of an owner's commits that the next owner inherits besides the jobs.
 struct DurableState {
   std::string workers_in_use;
+  std::string lease_bounds;
 };
 
 class Scenario {
@@ -64,8 +65,9 @@
   // Loads what the previous owner committed, as a new owner does at its takeover.
   void Inherit(const DurableState& state) {
     durable = state;
+    const LeaseBounds bounds = DecodeLeaseBounds(state.lease_bounds).value;
     for (const WorkerInUse& it : DecodeWorkersInUse(state.workers_in_use).value) {
-      dispatcher.InheritWorker(it, now);
+      dispatcher.InheritWorker(it, bounds, now);
     }
   }
 
@@ -76,6 +78,7 @@
   void CommitAll() {
     while (const std::optional<Commit> commit = dispatcher.NextCommit(now, WallMs())) {
       if (commit->workers_in_use) durable.workers_in_use = *commit->workers_in_use;
+      if (commit->lease_bounds) durable.lease_bounds = *commit->lease_bounds;
       dispatcher.OnCommitted(*commit);
     }
   }
@@ -94,6 +97,13 @@
     dispatcher.OnReport(order, {Accepted(), std::move(active), std::move(ended)}, now, WallMs());
   }
 
+  // Lets the heartbeat of a worker time out.
+  void TimeOut(const std::string& worker) {
+    HeartbeatOrder order;
+    order.to = {worker, dispatcher.workers().at(worker).info.endpoint};
+    dispatcher.OnReport(order, {{OrderStatus::kNoAnswer, 0, 0}, {}, {}}, now, WallMs());
+  }
+
   // Registers workers, makes them durable and lets each report, so that they accept tasks.
   void AddWorkers(const std::vector<WorkerInfo>& workers) {
     for (const WorkerInfo& it : workers) dispatcher.UpdateWorker(it, now);
