Take a lease as ended only with a later proof of ownership

Change: leases end only for an owner whose last proof is newer; the owner commits at once when a lease awaits one.

LostCallTest.LeaseEndsOnlyForAnOwnerThatHasProvedItsOwnershipSince failed before (a start without a proof) and passes.

--- a/src/dispatch/decide.cc
+++ b/src/dispatch/decide.cc
@@ -47,7 +47,7 @@
 void Dispatcher::ExpireWorkers(TimePoint now) {
   for (auto it = workers_.begin(); it != workers_.end();) {
     WorkerState& worker = it->second;
-    const bool expired = now >= worker.lease_ends;
+    const bool expired = now >= worker.lease_ends && last_proof_ >= worker.lease_ends;
     if (expired && !worker.runs.empty()) MarkRunsLost(&worker, now);
     if (expired) unreconciled_.erase(it->first);
     if (worker.recorded && IsUnused(worker, now)) workers_changed_ = true;
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -61,6 +61,14 @@
 
 void Dispatcher::OnOwnershipProof(TimePoint at) { last_proof_ = std::max(last_proof_, at); }
 
+bool Dispatcher::AwaitsOwnershipProof(TimePoint now) const {
+  return std::any_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
+    const auto& [id, it] = entry;
+    const bool may_run_tasks = !it.runs.empty() || unreconciled_.count(id) > 0;
+    return may_run_tasks && it.lease_ends <= now && last_proof_ < it.lease_ends;
+  });
+}
+
 void Dispatcher::OnProvenRevision(int64_t revision) {
   if (revision <= proven_revision_) return;
   if (UnprovenRevision() != 0) capacity_changed_ = true;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -107,6 +107,10 @@
   // The store confirmed at time `at` that this process is the owner.
   void OnOwnershipProof(TimePoint at);
 
+  // True when the end of a lease counts only once a later proof of ownership arrives. Without it
+  // another owner may have taken over and extended the lease.
+  bool AwaitsOwnershipProof(TimePoint now) const;
+
   // This process was the owner at `revision` of the store or later.
   void OnProvenRevision(int64_t revision);
 
--- a/src/entry/pool_owner_commits.cc
+++ b/src/entry/pool_owner_commits.cc
@@ -63,7 +63,9 @@
   const bool again = commit_.has_value();
   if (!again) commit_ = dispatcher_->NextCommit(now, WallClockMs());
   // If there is no change to write, an empty commit proves that no other process has taken over.
-  if (!commit_ && now - last_ownership_proof_ >= kOwnershipProofInterval) commit_.emplace();
+  const bool proof_due = now - last_ownership_proof_ >= kOwnershipProofInterval ||
+                         dispatcher_->AwaitsOwnershipProof(now);
+  if (!commit_ && proof_due) commit_.emplace();
   if (!commit_) return;
   if (!again) term_.last_commit += 1;
   // No other commit starts until the response arrives.
--- a/tests/dispatch/recovery_test.cc
+++ b/tests/dispatch/recovery_test.cc
@@ -150,6 +150,23 @@
   EXPECT_EQ(it.orders.starts[0].to.worker, other);
 }
 
+// Guards against a task that runs twice: this owner was replaced without noticing, and the next
+// owner extends the lease of the worker that this one cannot reach.
+TEST_F(LostCallTest, LeaseEndsOnlyForAnOwnerThatHasProvedItsOwnershipSince) {
+  it.ConfirmStarts();
+  it.TimeOut(start.to.worker);
+  const std::string other = start.to.worker == "w1" ? "w2" : "w1";
+  it.now += std::chrono::milliseconds(5500);
+  it.Report(other, {}, {});
+  it.Decide();
+  EXPECT_TRUE(it.orders.starts.empty());
+  EXPECT_TRUE(it.dispatcher.AwaitsOwnershipProof(it.now));
+  it.dispatcher.OnOwnershipProof(it.now);
+  EXPECT_FALSE(it.dispatcher.AwaitsOwnershipProof(it.now));
+  it.Decide();
+  EXPECT_EQ(it.orders.starts.size(), 1U);
+}
+
 // Guards against waiting for the lease of a worker that is known to have restarted.
 TEST_F(LostCallTest, RestartedWorkerRunsNothing) {
   it.ConfirmStarts();
