--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -312,8 +312,7 @@
   if (worker->unanswered_calls > 1) return;
   Log(LogLevel::kInfo, "dispatch", "worker_silent",
       {{"worker", worker->info.id},
-       {"lease_left_ms",
-        std::chrono::duration_cast<std::chrono::milliseconds>(worker->lease_ends - now).count()}});
+       {"lease_left_ms", Milliseconds(std::max(worker->lease_ends - now, Duration{}))}});
 }
 
 // Returns false when the answer comes from another incarnation of the worker or refuses the epoch.
