--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -64,8 +64,8 @@
 bool Dispatcher::AwaitsOwnershipProof(TimePoint now) const {
   return std::any_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
     const auto& [id, it] = entry;
-    const bool may_run_tasks = !it.runs.empty() || unreconciled_.count(id) > 0;
-    return may_run_tasks && it.lease_ends <= now && last_proof_ < it.lease_ends;
+    if (it.lease_ends > now || it.lease_ends <= last_proof_) return false;
+    return !it.runs.empty() || unreconciled_.count(id) > 0;
   });
 }
 
