Let only perpetual tasks skip the reconciliation, after all reports to earlier owners

A task could run twice, or start after it was done, in three cases: a worker answers a call that an earlier, unaware owner sent before the takeover up to 1 s later, so both owners are told of the end; a gang is done by the end of a member that this owner did not see; a task that is not perpetual is done by an earlier run whose end this owner does not know yet.

Change: a run counts as adopted for this purpose only if its task is perpetual and it is active in a report requested more than one report wait after the worker's first answer. The rule that a step which becomes ready under the new owner need not wait is withdrawn; UnreachableWorkerTest.DoesNotHoldUpAStepThatBecameReadyAfterTheTakeover asserted it and is replaced by HoldsUpATaskThatIsNotPerpetual and HoldsUpATaskWhoseRunEndedSoonAfterTheTakeover.

--- a/src/dispatch/decide.cc
+++ b/src/dispatch/decide.cc
@@ -151,14 +151,13 @@
   }
 }
 
-bool Dispatcher::IsWithheld(const JobEntry& entry, const StepState& step,
-                            const TaskState& task) const {
-  return !IsReconciled(entry) && !step.became_ready && !task.adopted;
+bool Dispatcher::IsWithheld(const JobEntry& entry, const TaskState& task) const {
+  return !IsReconciled(entry) && !task.adopted;
 }
 
 bool Dispatcher::IsGangWithheld(const JobEntry& entry, const StepState& step) const {
   return std::any_of(step.tasks.begin(), step.tasks.end(),
-                     [&](const TaskState& it) { return IsWithheld(entry, step, it); });
+                     [&](const TaskState& it) { return IsWithheld(entry, it); });
 }
 
 int Dispatcher::CountWithheld(const JobEntry& entry) const {
@@ -168,7 +167,7 @@
     for (const StepState& step : steps) {
       for (const TaskState& it : step.tasks) {
         if (it.progress.done || !it.runs.empty()) continue;
-        n += IsWithheld(entry, step, it) ? 1 : 0;
+        n += IsWithheld(entry, it) ? 1 : 0;
       }
     }
   }
@@ -230,7 +229,7 @@
   const StepState* state = StepStateOf(entry, id);
   for (id.index = 0; id.index < static_cast<int>(state->tasks.size()); ++id.index) {
     const TaskState& task = state->tasks[static_cast<size_t>(id.index)];
-    if (task.progress.done || !task.runs.empty() || IsWithheld(*entry, *state, task)) continue;
+    if (task.progress.done || !task.runs.empty() || IsWithheld(*entry, task)) continue;
     if (starts_in_flight_ >= limits_.max_starts_in_flight) return false;
     if (PlaceTask(entry, id, now, orders)) continue;
     // If the queue requires permits, the task may have failed for want of a permit, so tasks of
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -36,7 +36,8 @@
   int max_starts_in_flight = 64;
   // Permit orders in flight at one time. The policy service handles them one after the other.
   int max_permit_orders_in_flight = 2;
-  // Longest time that a worker may delay its report until a run ends.
+  // Longest time that a worker may delay its report until a run ends. All owners use the same one:
+  // a new owner assumes that reports to earlier owners are delayed no longer.
   Duration report_wait = std::chrono::seconds(1);
   // Retention of finished jobs, for callers that query their state.
   Duration finished_retention = std::chrono::seconds(150);
@@ -166,6 +167,8 @@
   void StopRuns(const jobs::TaskId& id);
   void Adopt(WorkerState* worker, const ActiveRun& active, TimePoint now);
   void UpdateLoads(WorkerState* worker);
+  // True when no report to an earlier owner can follow one that was requested at `sent`.
+  bool IsAfterEarlierReports(const WorkerState& worker, TimePoint sent) const;
   void ApplyActiveRuns(WorkerState* worker, const Report& report, TimePoint sent, TimePoint now);
   // Returns true when the durable state must change.
   bool ApplyEnd(WorkerState* worker, const EndedRun& end, TimePoint now, int64_t wall_ms);
@@ -212,7 +215,7 @@
     return !entry.inherited || unreconciled_.empty();
   }
   // True when a run of the task may be active on a worker that has not reported yet.
-  bool IsWithheld(const JobEntry& entry, const StepState& step, const TaskState& task) const;
+  bool IsWithheld(const JobEntry& entry, const TaskState& task) const;
   bool IsGangWithheld(const JobEntry& entry, const StepState& step) const;
   int CountWithheld(const JobEntry& entry) const;
   WorkerState* FindWorker(const std::string& id);
--- a/src/dispatch/job_table.h
+++ b/src/dispatch/job_table.h
@@ -27,7 +27,9 @@
   std::set<std::string> failed_on;  // workers on which a run failed
   int64_t first_run = 0;            // first run number that this owner used; 0: none
   int64_t last_run = 0;             // highest run number used
-  // This owner has seen a run of an earlier owner active, so no other such run can exist.
+  // The one run that earlier owners can have left was active when none of them could be told of its
+  // end any more. Set for perpetual tasks only: another task may already be done by an earlier run
+  // whose end is not known yet.
   bool adopted = false;
 };
 
@@ -36,8 +38,6 @@
   int done = 0;         // number of tasks that are done
   int waiting = 0;      // number of tasks that are not done and have no active run
   StepPermits permits;  // used only if the queue requires permits
-  // The step became ready under this owner, so no earlier owner can have started a task of it.
-  bool became_ready = false;
 };
 
 // Estimates that rank a job (dispatch/job_rank.h).
--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -15,6 +15,8 @@
 constexpr Duration kCallRetry = std::chrono::milliseconds(200);
 // A heartbeat without a usable answer is repeated after this time.
 constexpr Duration kHeartbeatRetry = std::chrono::milliseconds(300);
+// Allowance for timers of a worker that answers a delayed report late.
+constexpr Duration kReportSlack = std::chrono::milliseconds(50);
 // Interval of heartbeats while the ended runs of the last report are not durable, or the worker's
 // lease is bounded.
 constexpr Duration kUncommittedRetry = std::chrono::milliseconds(500);
@@ -62,16 +64,6 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
-// Marks the steps that depend on the task's step.
-void MarkDependentsReady(JobEntry* entry, const jobs::TaskId& id) {
-  std::vector<StepState>& states = entry->steps[static_cast<size_t>(id.occurrence)];
-  for (size_t n = 0; n < states.size(); ++n) {
-    const std::vector<int>& after = entry->job.steps[n].after;
-    if (std::find(after.begin(), after.end(), id.step) == after.end()) continue;
-    states[n].became_ready = true;
-  }
-}
-
 void UpdateCheckpoint(TaskState* task, const RunId& id, const std::string& checkpoint) {
   if (checkpoint.empty() || task->progress.done || id.run < task->progress.checkpoint_run) return;
   task->progress.checkpoint = checkpoint;
@@ -162,8 +154,6 @@
   task->progress.done = true;
   task->progress.checkpoint.clear();
   step->done += 1;
-  // The end was not reported to any earlier owner.
-  if (task->adopted || step->became_ready) MarkDependentsReady(entry, id);
   entry->estimates_valid_until = TimePoint{};
   if (task->runs.empty()) step->waiting -= 1;
   StopRuns(id);
@@ -248,7 +238,6 @@
        {"run", active.id.run},
        {"worker", worker->info.id}});
   if (task != nullptr) {
-    task->adopted = task->adopted || wanted;
     if (task->runs.empty() && !task->progress.done)
       StepStateOf(entry, active.id.task)->waiting -= 1;
     task->runs.push_back({active.id.run, worker->info.id});
@@ -274,6 +263,13 @@
   LearnInterference(&colocation_, *worker, before);
 }
 
+// A worker answers a call of an earlier owner that it took before this owner's first one when a run
+// ends, or after the longest report wait.
+bool Dispatcher::IsAfterEarlierReports(const WorkerState& worker, TimePoint sent) const {
+  const auto wait = std::chrono::duration_cast<Duration>(limits_.report_wait / kMinClockRate);
+  return sent >= worker.contacted_at + wait + kReportSlack;
+}
+
 void Dispatcher::ApplyActiveRuns(WorkerState* worker, const Report& report, TimePoint sent,
                                  TimePoint now) {
   std::set<RunId> seen;
@@ -290,7 +286,10 @@
     run.load = it.load;
     JobEntry* entry = FindEntry(it.id.task.job);
     TaskState* task = entry == nullptr ? nullptr : FindTask(entry, it.id.task);
-    if (task != nullptr) UpdateCheckpoint(task, it.id, it.checkpoint);
+    if (task == nullptr) continue;
+    UpdateCheckpoint(task, it.id, it.checkpoint);
+    const bool wanted = run.phase == RunPhase::kRunning && run.perpetual;
+    task->adopted = task->adopted || (wanted && IsAfterEarlierReports(*worker, sent));
   }
   UpdateLoads(worker);
   if (report.ended.size() >= kMaxReportedEnds) return;
@@ -361,6 +360,7 @@
          {"ended", report.ended.size()}});
   }
   capacity_changed_ = capacity_changed_ || !worker->contacted;
+  if (!worker->contacted) worker->contacted_at = now;
   worker->contacted = true;
   capacity_changed_ = unreconciled_.erase(worker->info.id) > 0 || capacity_changed_;
   const bool all_durable = worker->processed == worker->acknowledged;
--- a/src/dispatch/worker_table.h
+++ b/src/dispatch/worker_table.h
@@ -49,6 +49,7 @@
   bool recorded = false;        // contained in the durable list of workers in use
   bool inherited = false;       // an earlier owner may have started runs that are not known yet
   bool contacted = false;       // has answered this owner and so obeys no earlier one
+  TimePoint contacted_at{};     // when `contacted` was set
 
   // The worker's clock showed `clock_ms` at or before `clock_at`.
   int64_t clock_ms = 0;
--- a/tests/dispatch/handover_test.cc
+++ b/tests/dispatch/handover_test.cc
@@ -45,12 +45,22 @@
     it.Decide();
   }
 
+  // Lets w2 report its run as active, as an answer to a call that is sent after `by`.
+  void ReportActive(Duration by) {
+    it.Advance(by);
+    it.Report("w2", {{RunOf(0, 0, 1), "", 40, 0}}, {});
+    it.Decide();
+    it.Report("w2", {{RunOf(0, 0, 1), "", 50, 0}}, {});
+    it.Decide();
+  }
+
   Scenario it;
 };
 
 // Guards against a task that stays away although only the run that has just ended can have existed.
 TEST_F(UnreachableWorkerTest, DoesNotHoldUpATaskWhoseAdoptedRunEnded) {
   TakeOver(PerpetualJob(1));
+  ReportActive(milliseconds(1200));
   ASSERT_TRUE(it.orders.starts.empty());
   it.Report("w2", {}, {End(1, RunOf(0, 0, 1), EndKind::kStopped)});
   it.Decide();
@@ -61,6 +71,7 @@
 // Guards against a second run of a task that the unreachable worker may still run.
 TEST_F(UnreachableWorkerTest, HoldsUpATaskWhoseLastRunIsUnknown) {
   TakeOver(PerpetualJob(2));
+  ReportActive(milliseconds(1200));
   it.Report("w2", {}, {End(1, RunOf(0, 0, 1), EndKind::kStopped)});
   it.Decide();
   for (const StartOrder& start : it.orders.starts) EXPECT_EQ(start.run.task.index, 0);
@@ -78,15 +89,24 @@
   EXPECT_TRUE(it.orders.starts.empty());
 }
 
-// Guards against a step that waits although no earlier owner can have started it: the task that it
-// depends on was still active after the takeover.
-TEST_F(UnreachableWorkerTest, DoesNotHoldUpAStepThatBecameReadyAfterTheTakeover) {
-  jobs::Step second = MakeStep(2);
-  second.after = {0};
-  TakeOver(MakeJob(kJob, {MakeStep(1), second}));
-  it.Report("w2", {}, {End(1, RunOf(0, 0, 1), EndKind::kDone)});
+// Guards against a task that runs twice: a worker answers a call of the earlier owner that it took
+// before the takeover up to 1 s later, so the earlier owner may be told of the end as well.
+TEST_F(UnreachableWorkerTest, HoldsUpATaskWhoseRunEndedSoonAfterTheTakeover) {
+  TakeOver(PerpetualJob(1));
+  ReportActive(milliseconds(900));
+  it.Report("w2", {}, {End(1, RunOf(0, 0, 1), EndKind::kStopped)});
   it.Decide();
-  EXPECT_EQ(it.orders.starts.size(), 2U);
+  EXPECT_TRUE(it.orders.starts.empty());
+}
+
+// Guards against a task that starts after it is done: an earlier run of it may have ended as done
+// on the unreachable worker.
+TEST_F(UnreachableWorkerTest, HoldsUpATaskThatIsNotPerpetual) {
+  TakeOver(MakeJob(kJob, {MakeStep(1)}));
+  ReportActive(milliseconds(1200));
+  it.Report("w2", {}, {End(1, RunOf(0, 0, 1), EndKind::kFailed)});
+  it.Decide();
+  EXPECT_TRUE(it.orders.starts.empty());
 }
 
 // Guards against a step that starts twice: its dependency ended before the takeover, so the earlier
