--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -104,9 +104,9 @@
   worker->acknowledged = 0;
   worker->contacted = false;
   worker->clock_ms = 0;
-  worker->lease_ends = now;
   worker->next_heartbeat = now;
-  unreconciled_.erase(worker->info.id);
+  // A worker that has not answered this owner yet may get new runs from an earlier owner.
+  if (unreconciled_.count(worker->info.id) == 0) worker->lease_ends = now;
 }
 
 void Dispatcher::RequestStop(WorkerState* worker, const RunId& id) {
