Keep the bound of a worker that is forgotten and registers again

A worker's entry is dropped once its registration and its lease have ended, and with it the note that a bound is written for it. When it registered again within a second, a task was started on it while the next owner would have waited for the rest of the bound only.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -158,7 +158,13 @@
 }
 
 void Dispatcher::UpdateWorker(const WorkerInfo& info, TimePoint now) {
-  WorkerState& state = workers_[info.id];
+  const auto [entry, added] = workers_.try_emplace(info.id);
+  WorkerState& state = entry->second;
+  // The bound outlives the entry of a worker that was gone for a while.
+  if (added && written_bounds_.left_ms.count(info.id) > 0) {
+    state.lease_bounded = true;
+    lease_bounds_due_ = now;
+  }
   const bool restarted = state.info.incarnation != 0 && info.incarnation > state.info.incarnation;
   const bool older = info.incarnation < state.info.incarnation;
   if (older) return;
