Let slower hosts wait for faster ones before they own the pool

Cause: all hosts campaigned after the same 60 to 300 ms, so mostly one of the 27 small hosts became the owner, which needs more processor time than that host has.

Evidence: the owner with 0.069 cores used 0.06 cores all the time, heard of all workers after 12 s and had 1,710 runs after 35 s, with 22,000 to 34,000 tasks waiting. It took 3.2 s to its first pool line; on the hosts with 0.5 cores 0.1 to 0.4 s.

Change: the term records the processor time of the fastest owner so far, from limits of the platform's settings. Equal hosts, an unknown share and the first owner of all cause no wait. Terms without the record are read.

--- a/src/entry/pool_owner.cc
+++ b/src/entry/pool_owner.cc
@@ -1,10 +1,12 @@
 #include "entry/pool_owner.h"
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
 #include "base/log.h"
 #include "base/result_code.h"
+#include "entry/campaign_delay.h"
 #include "entry/internal/pool_owner_timing.h"
 #include "entry/keys.h"
 
@@ -13,16 +15,11 @@
 
 // Maximum time between two decisions of the dispatcher.
 constexpr Duration kMaxDecisionInterval = std::chrono::milliseconds(50);
-// Each candidate waits for a random time between these bounds, so that one of them is first. The
-// previous owner, which already has the state, restores its key without waiting.
-constexpr int kMinCampaignDelayMs = 60;
-constexpr int kMaxCampaignDelayMs = 300;
 constexpr Duration kSummaryInterval = std::chrono::seconds(2);
 
-Duration RandomCampaignDelay() {
+double RandomDraw() {
   static thread_local std::mt19937 random{std::random_device{}()};
-  return std::chrono::milliseconds(
-      std::uniform_int_distribution<int>(kMinCampaignDelayMs, kMaxCampaignDelayMs)(random));
+  return std::uniform_real_distribution<double>(0, 1)(random);
 }
 
 }  // namespace
@@ -84,7 +81,21 @@
   if (is_owner_.load()) return RestoreOwnerKey();
   if (campaigning_) return;
   campaigning_ = true;
-  After(RandomCampaignDelay(), [this] { Campaign(); });
+  has_yielded_ = false;
+  CampaignLater();
+}
+
+void PoolOwner::CampaignLater() {
+  After(CampaignDelay(RandomDraw()), [this] { Campaign(); });
+}
+
+bool PoolOwner::YieldToFaster(const Term& current) {
+  if (has_yielded_) return false;
+  has_yielded_ = true;
+  const Duration wait = YieldTime(options_.processor_milli, current.fastest_milli);
+  if (wait == Duration::zero()) return false;
+  After(wait, [this] { Campaign(); });
+  return true;
 }
 
 void PoolOwner::Campaign() {
@@ -105,6 +116,7 @@
         if (!read.ok()) return After(kRetryDelay, again);
         current = read.value;
       }
+      if (YieldToFaster(current)) return;
       store_->GrantLease(options_.lease,
                          [this, began, generation, current,
                           revision = item.value.revision](const Result<store::Lease>& lease) {
@@ -119,7 +131,8 @@
 }
 
 void PoolOwner::TakeOver(const Term& current, int64_t revision, int64_t lease, TimePoint began) {
-  const Term mine{current.epoch + 1, options_.process, 0};
+  const Term mine{current.epoch + 1, options_.process, 0,
+                  std::max(current.fastest_milli, options_.processor_milli)};
   store_->Commit(entry::TakeOver(mine, revision, lease), kCommitTimeout,
                  [this, mine, lease, began,
                   generation = generation_](const Result<store::CommitResult>& result) {
@@ -134,7 +147,7 @@
                        return ResolveTakeOver(mine, lease, began);
                      }
                      store_->EndLease(lease, [](const Result<store::Lease>&) {});
-                     After(RandomCampaignDelay(), [this] { Campaign(); });
+                     CampaignLater();
                    });
                  });
 }
@@ -153,7 +166,7 @@
                   if (it.value.revision != 0 && read.ok() && read.value == mine) {
                     return BecomeOwner(mine, it.value.revision, lease, began);
                   }
-                  After(RandomCampaignDelay(), [this] { Campaign(); });
+                  CampaignLater();
                 });
               });
 }
--- a/src/entry/pool_owner.h
+++ b/src/entry/pool_owner.h
@@ -28,6 +28,8 @@
   // Decodes the worker that a key registers. Returns an error if the entry does not name a worker.
   std::function<Result<dispatch::WorkerInfo>(const store::Item&)> read_worker;
   dispatch::DispatchLimits limits;
+  // Processor time of this host in thousandths of a core; 0: unknown.
+  int64_t processor_milli = 0;
   dispatch::PermitCalls* permits = nullptr;  // grants permits; null if no queue needs them
   Duration lease = std::chrono::seconds(2);  // time to live of the ownership, unless renewed
   // Maximum time to load the state. An owner that exceeds it steps down, so that another host can
@@ -55,7 +57,11 @@
   // Called with whether kOwnerKey exists. If it does not, an owner restores it and any other
   // process campaigns for the ownership.
   void OnOwnerKey(bool exists);
+  // Waits for a random time, then campaigns.
+  void CampaignLater();
   void Campaign();
+  // Returns true if this host now waits for faster ones that the term mentions.
+  bool YieldToFaster(const Term& current);
   void TakeOver(const Term& current, int64_t revision, int64_t lease, TimePoint began);
   void ResolveTakeOver(const Term& mine, int64_t lease, TimePoint began);
   void BecomeOwner(const Term& mine, int64_t revision, int64_t lease, TimePoint began);
@@ -100,6 +106,7 @@
   std::atomic<bool> stopping_{false};
 
   bool campaigning_ = false;
+  bool has_yielded_ = false;  // in this campaign
   bool owner_exists_ = true;
   uint64_t generation_ = 0;  // incremented when the ownership is won or lost
   Term term_;
--- a/src/entry/settings.cc
+++ b/src/entry/settings.cc
@@ -1,6 +1,7 @@
 #include "entry/settings.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "base/log.h"
 
@@ -13,6 +14,8 @@
 constexpr double kMinMs = 1;
 constexpr double kDayMs = 86400000;
 constexpr double kMsPerSecond = 1000;
+constexpr double kMilli = 1000;
+constexpr double kMaxCores = 4096;
 
 using Milliseconds = std::chrono::duration<double, std::milli>;
 
@@ -45,6 +48,8 @@
   settings.store = reader.EndpointOf("store");
   if (reader.Has("policy")) settings.policy = reader.EndpointOf("policy");
   settings.log_level = reader.StringOr("log_level", settings.log_level);
+  settings.processor_share = reader.NumberOr("processor_share", 0, kMaxCores, 0);
+  settings.processor_cores = reader.NumberOr("processor_cores", 0, kMaxCores, 1);
   settings.http_threads =
       static_cast<int>(reader.IntOr("http_threads", 1, 64, settings.http_threads));
   settings.max_body_bytes = reader.IntOr("max_body_bytes", 1024, 1 << 30, settings.max_body_bytes);
@@ -67,6 +72,8 @@
               {"metrics_port", settings.metrics_port},
               {"store", ToString(settings.store)},
               {"log_level", settings.log_level},
+              {"processor_share", settings.processor_share},
+              {"processor_cores", settings.processor_cores},
               {"http_threads", settings.http_threads},
               {"max_body_bytes", settings.max_body_bytes},
               {"max_lease_ms", ToMs(settings.max_lease)},
@@ -76,6 +83,10 @@
   return out;
 }
 
+int64_t ProcessorMilli(const Settings& settings) {
+  return std::llround(settings.processor_share * settings.processor_cores * kMilli);
+}
+
 Duration RunLease(const Settings& settings) {
   return std::min(settings.max_lease, kOwnerFailoverTime);
 }
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -21,6 +21,10 @@
   Endpoint store;                  // address of the metadata store
   std::optional<Endpoint> policy;  // grants permits for the workers of queues that need them
   std::string log_level = "info";
+  // Processor time of this host: a share of each of its cores. Cores may be fractional, as one may
+  // be faster or slower than usual. A share of 0 means unknown.
+  double processor_share = 0;
+  double processor_cores = 1;
   int http_threads = 2;
   int64_t max_body_bytes = 262144;
   // Longest lease that workers grant.
@@ -38,6 +42,10 @@
 // Returns the document from which ReadSettings() reads `settings`.
 Json ToJson(const Settings& settings);
 
+// Returns the processor time of this host in thousandths of a core, or 0 if it is unknown. Faster
+// hosts own the pool by preference.
+int64_t ProcessorMilli(const Settings& settings);
+
 // Returns the duration of the leases of runs on workers. It is long enough for runs to survive a
 // failover of the owner, but never longer than workers grant.
 Duration RunLease(const Settings& settings);
--- a/src/entry/term.cc
+++ b/src/entry/term.cc
@@ -8,7 +8,8 @@
 
 std::string Encode(const Term& term) {
   std::string bytes;
-  Json::to_msgpack(Json::array({term.epoch, term.owner, term.last_commit}), bytes);
+  Json::to_msgpack(Json::array({term.epoch, term.owner, term.last_commit, term.fastest_milli}),
+                   bytes);
   return bytes;
 }
 
@@ -19,6 +20,8 @@
     in.at(0).get_to(term.epoch);
     in.at(1).get_to(term.owner);
     in.at(2).get_to(term.last_commit);
+    // Terms of versions before the member was added lack it.
+    if (in.size() > 3) in.at(3).get_to(term.fastest_milli);
   } catch (const Json::exception&) {
     return {ResultCode::kStoreBadAnswer, {}};
   }
--- a/src/entry/term.h
+++ b/src/entry/term.h
@@ -17,9 +17,12 @@
   int64_t epoch = 0;        // incremented with each new owner
   std::string owner;        // identity of a process, not of a host
   int64_t last_commit = 0;  // number of the owner's last commit
+  // Processor time of the fastest owner so far, in thousandths of a core; 0: unknown.
+  int64_t fastest_milli = 0;
 
   friend bool operator==(const Term& a, const Term& b) {
-    return std::tie(a.epoch, a.owner, a.last_commit) == std::tie(b.epoch, b.owner, b.last_commit);
+    return std::tie(a.epoch, a.owner, a.last_commit, a.fastest_milli) ==
+           std::tie(b.epoch, b.owner, b.last_commit, b.fastest_milli);
   }
 };
 
--- /dev/null
+++ b/tests/entry/campaign_delay_test.cc
@@ -0,0 +1,36 @@
+#include "entry/campaign_delay.h"
+
+#include <gtest/gtest.h>
+
+namespace pomelopond::entry {
+namespace {
+
+// Guards against later takeovers on installations with equal hosts or unknown processor times.
+TEST(CampaignDelayTest, OnlyHostsKnownToBeSlowerYield) {
+  EXPECT_EQ(YieldTime(69, 69), Duration::zero());
+  EXPECT_EQ(YieldTime(500, 69), Duration::zero());
+  EXPECT_EQ(YieldTime(0, 500), Duration::zero());
+  EXPECT_EQ(YieldTime(69, 0), Duration::zero());
+}
+
+// Guards against a slow host that takes over although faster hosts campaign, and against a pool
+// that is without an owner for long.
+TEST(CampaignDelayTest, SlowerHostsYieldLongerButNotForLong) {
+  Duration shorter{};
+  for (const int64_t own : {450, 250, 125, 69, 1}) {
+    const Duration wait = YieldTime(own, 500);
+    EXPECT_GT(wait, shorter) << own;
+    EXPECT_LE(wait, kMaxYieldTime) << own;
+    shorter = wait;
+  }
+  // The last of the fast hosts campaigns before the first of the hosts with half the time.
+  EXPECT_GT(YieldTime(250, 500) + CampaignDelay(0), CampaignDelay(1));
+}
+
+TEST(CampaignDelayTest, DelayIsWithinItsBounds) {
+  EXPECT_EQ(CampaignDelay(0), kMinCampaignDelay);
+  EXPECT_EQ(CampaignDelay(1), kMaxCampaignDelay);
+}
+
+}  // namespace
+}  // namespace pomelopond::entry
--- a/tests/entry/pool_owner_test.cc
+++ b/tests/entry/pool_owner_test.cc
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <thread>
 
+#include "entry/campaign_delay.h"
 #include "entry/keys.h"
 #include "http/http_client.h"
 #include "tests/entry/memory_store.h"
@@ -161,6 +162,28 @@
   owner.Stop();
 }
 
+// Guards against a slow host that becomes the owner of a pool that faster hosts can own, and
+// against a pool without an owner when the faster hosts are gone.
+TEST_F(PoolOwnerTest, SlowHostWaitsForFasterOnesBeforeItTakesOver) {
+  store.Apply({{}, {{kTermKey, Encode(Term{1, "host-2", 0, 500}), 0}}, {}});
+  std::atomic<int> yields{0};
+  const Timer timer = [&yields](Duration delay, std::function<void()> work) {
+    if (delay == YieldTime(100, 500)) yields += 1;
+    http::RunAfter(delay, std::move(work));
+  };
+  OwnerOptions options = Options();
+  options.processor_milli = 100;
+  PoolOwner owner(options, &store, &workers, timer, &metrics);
+  owner.Start();
+  ASSERT_TRUE(WaitFor([&owner] { return owner.IsOwner(); }));
+  EXPECT_EQ(yields.load(), 1);
+  {
+    const std::lock_guard<std::recursive_mutex> lock(store.mutex);
+    EXPECT_EQ(DecodeTerm(store.items[kTermKey].value).value.fastest_milli, 500);
+  }
+  owner.Stop();
+}
+
 TEST_F(PoolOwnerTest, StoppedOwnerEndsItsLease) {
   PoolOwner owner(Options(), &store, &workers, http::RunAfter, &metrics);
   owner.Start();
--- a/tests/entry/term_test.cc
+++ b/tests/entry/term_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include "base/json.h"
 #include "base/result_code.h"
 #include "entry/keys.h"
 #include "tests/entry/memory_store.h"
@@ -10,11 +11,18 @@
 namespace {
 
 TEST(TermTest, StoredFormKeepsEveryMember) {
-  const Term term{3, "host-1", 17};
+  const Term term{3, "host-1", 17, 500};
   EXPECT_EQ(DecodeTerm(Encode(term)).value, term);
   EXPECT_EQ(DecodeTerm("x").ec, ResultCode::kStoreBadAnswer);
 }
 
+// Guards against a version that cannot read the terms of the previous one during an upgrade.
+TEST(TermTest, TermWithoutFastestHostIsRead) {
+  std::string bytes;
+  Json::to_msgpack(Json::array({3, "host-1", 17}), bytes);
+  EXPECT_EQ(DecodeTerm(bytes).value, (Term{3, "host-1", 17, 0}));
+}
+
 // Guards against two owners: only one of two candidates may win the same term.
 TEST(TermTest, OneCompetitorTakesOver) {
   MemoryStore store;
--- a/tests/platform/entry_template_test.cc
+++ b/tests/platform/entry_template_test.cc
@@ -85,6 +85,17 @@
   EXPECT_TRUE(settings.policy.has_value());
 }
 
+// Guards against an owner on a slow host although faster ones exist: the hosts would not know their
+// processor time.
+TEST(EntryTemplateTest, ProcessorTimeIsRead) {
+  Json fields = Fields();
+  EXPECT_EQ(ProcessorMilli(ReadRendered(fields)), 0);
+  fields["limits"] = {{"cpu_share", 0.25}};
+  EXPECT_EQ(ProcessorMilli(ReadRendered(fields)), 250);
+  fields["limits"]["cores"] = 2;
+  EXPECT_EQ(ProcessorMilli(ReadRendered(fields)), 500);
+}
+
 // Guards against processes that do not start on an installation with fractional bounds.
 TEST(EntryTemplateTest, FractionalBoundsAreRead) {
   Json fields = Fields();
