--- a/bench/dispatch_load.cc
+++ b/bench/dispatch_load.cc
@@ -178,7 +178,7 @@
   job.rules.priority = n % 3;
   job.rules.stretch = 2;
   job.rules.target_duration_ms = 1000;
-  job.accepted_ms = dispatch::kWallStart - n * 10;
+  job.accepted_ms = dispatch::kWallStart - int64_t{n} * 10;
   return job;
 }
 
