--- a/apps/admin/main.cc
+++ b/apps/admin/main.cc
@@ -6,6 +6,7 @@
 #include "base/program.h"
 #include "base/random_id.h"
 #include "base/signals.h"
+#include "http/thread_pool.h"
 
 namespace pomelopond::apps {
 namespace {
--- a/apps/ctl/main.cc
+++ b/apps/ctl/main.cc
@@ -11,7 +11,7 @@
 #include "base/program.h"
 #include "base/result_code.h"
 #include "http/http_client.h"
-#include "http/http_server.h"
+#include "http/thread_pool.h"
 #include "release/note.h"
 #include "release/rebase.h"
 
--- a/apps/report/main.cc
+++ b/apps/report/main.cc
@@ -7,7 +7,7 @@
 #include "base/json.h"
 #include "base/program.h"
 #include "http/http_client.h"
-#include "http/http_server.h"
+#include "http/thread_pool.h"
 
 namespace pomelopond::apps {
 namespace {
--- a/apps/router/main.cc
+++ b/apps/router/main.cc
@@ -10,6 +10,7 @@
 #include "base/random_id.h"
 #include "base/signals.h"
 #include "http/http_server.h"
+#include "http/thread_pool.h"
 
 namespace pomelopond::apps {
 namespace {
--- a/fakes/hostlist/main.cc
+++ b/fakes/hostlist/main.cc
@@ -7,6 +7,7 @@
 
 #include "fakes/common/fake_program.h"
 #include "http/http_server.h"
+#include "http/thread_pool.h"
 #include "membership/host_list.h"
 
 namespace pomelopond::fakes {
--- a/fakes/store/main.cc
+++ b/fakes/store/main.cc
@@ -10,6 +10,7 @@
 #include "fakes/store/store_faults.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
+#include "http/thread_pool.h"
 
 namespace pomelopond::fakes {
 namespace {
--- a/fakes/worker/main.cc
+++ b/fakes/worker/main.cc
@@ -13,6 +13,7 @@
 #include "fakes/common/fake_program.h"
 #include "fakes/worker/worker_state.h"
 #include "http/http_server.h"
+#include "http/thread_pool.h"
 
 namespace pomelopond::fakes {
 namespace {
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -1,7 +1,6 @@
 #include "http/http_server.h"
 
 #include <cpprest/http_listener.h>
-#include <pplx/threadpool.h>
 
 #include <algorithm>
 #include <atomic>
@@ -95,10 +94,6 @@
 
 }  // namespace
 
-void InitThreadPool(int n) {
-  crossplat::threadpool::initialize_with_threads(static_cast<size_t>(n));
-}
-
 // Counts the requests of a server. It outlives the server, because replies may arrive after the
 // server is destroyed.
 struct RequestTracker {
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -21,10 +21,6 @@
 // before or after it returns.
 using Handler = std::function<void(HttpRequest, Reply)>;
 
-// Sets the number of pool threads of the whole process. Must be called before any other use of this
-// library; otherwise the cpprest library starts 40 threads.
-void InitThreadPool(int n);
-
 class HttpServer {
  public:
   // Requests with a body larger than `max_body_bytes` get kTooLarge. Bodies without a
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -5,7 +5,7 @@
 #include <fstream>
 #include <thread>
 
-#include "http/http_server.h"
+#include "http/thread_pool.h"
 #include "tests/support/program_path.h"
 
 namespace pomelopond::support {
