Let entries with numbers out of range or odd ids name no worker

Keys without an id, or with spaces or line breaks in it, became workers too, and the id goes into a request header.

Cause: get<int64_t>() wraps or is undefined out of range; ids were not checked, and a key shorter than the prefix threw std::out_of_range, which the decoder does not catch (the store lists no such key).

Not run: the sanitizer build of this change, and the other test programs.

--- a/src/base/resources.h
+++ b/src/base/resources.h
@@ -7,6 +7,10 @@
 
 namespace pomelopond {
 
+// Largest amount that any input may state, in every dimension: 10^9 cores, or an exbibyte of
+// memory. Sums and differences over up to 9 million workers or runs then stay within int64_t.
+inline constexpr int64_t kMaxResourceAmount = 1000000000000;
+
 struct Resources {
   int64_t cpu_milli = 0;     // thousandths of a core
   int64_t memory_mb = 0;     // mebibytes
--- a/tests/platform/decode_test.cc
+++ b/tests/platform/decode_test.cc
@@ -54,6 +54,71 @@
   }
 }
 
+std::string EntryWith(const std::string& capacity, const std::string& born) {
+  return R"({"service":"s","address":"10.0.0.1:1","state":"ready","capacity":)" + capacity +
+         R"(,"born":)" + born + "}";
+}
+
+const std::vector<std::string>& NumbersOutOfRange() {
+  static const std::vector<std::string> numbers = {"1e300",
+                                                   "-1e300",
+                                                   "9223372036854775807",
+                                                   "18446744073709551615",
+                                                   "-5",
+                                                   "-9223372036854775808",
+                                                   "true"};
+  return numbers;
+}
+
+// Guards against a worker whose capacity overflows in sums or draws all tasks to it, and against an
+// incarnation that no later start of the worker can exceed.
+TEST(DecodeTest, EntriesWithNumbersOutOfRangeNameNoExecutor) {
+  for (const std::string& it : NumbersOutOfRange()) {
+    for (const char* key : {"cpu", "mem_mb", "gpu"}) {
+      const std::string entry = EntryWith(R"({")" + std::string(key) + R"(":)" + it + "}", "1");
+      EXPECT_FALSE(ReadExecutor(ItemOf("servers/i-1", entry)).ok()) << entry;
+    }
+    EXPECT_FALSE(ReadExecutor(ItemOf("servers/i-1", EntryWith("{}", it))).ok()) << it;
+  }
+}
+
+// Guards against a range that refuses usable executors.
+TEST(DecodeTest, EntriesWithTheLargestNumbersNameAnExecutor) {
+  const Result<dispatch::WorkerInfo> worker = ReadExecutor(
+      ItemOf("servers/i-1",
+             EntryWith(R"({"cpu":1000000000000,"mem_mb":2048.0,"gpu":0})", "1796500000000")));
+  ASSERT_TRUE(worker.ok());
+  EXPECT_EQ(worker.value.capacity, (Resources{kMaxResourceAmount, 2048, 0}));
+  EXPECT_EQ(worker.value.incarnation, 1796500000000);
+}
+
+// Guards against ids that break the header or the path of a request, and against keys that are
+// shorter than the prefix.
+TEST(DecodeTest, EntriesWithOddKeysNameNoExecutor) {
+  for (const char* it : {"", "serv", "servers/", "servers/a b", "servers/a\r\nX: y", "servers/\x7f",
+                         "servers/\xc3\xa9"}) {
+    EXPECT_FALSE(ReadExecutor(ItemOf(it, kExecutor)).ok()) << it;
+  }
+}
+
+std::string Nested(int depth) {
+  return std::string(static_cast<size_t>(depth), '[') +
+         std::string(static_cast<size_t>(depth), ']');
+}
+
+// Guards against nesting that exhausts the stack of the decoder or of a destructor.
+TEST(DecodeTest, DeeplyNestedEntriesNameNoExecutor) {
+  constexpr int kDepth = 1000000;
+  const std::string deep = Nested(kDepth);
+  for (const std::string& it :
+       {std::string(kDepth, '['), deep, EntryWith(deep, "1"), EntryWith("{}", deep),
+        R"({"service":)" + deep + "}", R"({"service":"s","address":)" + deep + "}",
+        R"({"service":"s","address":"10.0.0.1:1","state":"ready","capacity":{},"labels":)" + deep +
+            "}"}) {
+    EXPECT_FALSE(ReadExecutor(ItemOf("servers/i-1", it)).ok()) << it.substr(0, 80);
+  }
+}
+
 TEST(DecodeTest, ReadsAConfig) {
   const Result<jobs::Catalog> catalog = ReadConfig(ItemOf(
       kConfigKey,
