--- a/tests/dispatch/colocation_test.cc
+++ b/tests/dispatch/colocation_test.cc
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <random>
+
 #include "tests/dispatch/scenario.h"
 
 namespace pomelopond::dispatch {
@@ -30,6 +33,50 @@
 RunId ServingRun(int index) { return {{kServingJob, 0, 0, index}, 1}; }
 RunId BestEffortRun(int index) { return {{kBestEffortJob, 0, 0, index}, 1}; }
 
+// The definition that ExpectedTailRatio() computes without building the load.
+double PlainTailRatio(const ColocationModel& model, const WorkerState& worker,
+                      const std::string& image, double cores) {
+  planning::BatchLoad load{{image, cores}};
+  for (const auto& [id, it] : worker.runs) {
+    if (it.best_effort) load[it.image] += static_cast<double>(it.request.cpu_milli) / 1000;
+  }
+  double worst = 0;
+  for (const auto& [id, it] : worker.runs) {
+    if (it.target_tail_ms <= 0) continue;
+    const double tail = model.baseline_tail_ms.at(it.image) *
+                        (1 + planning::ExpectedSlowdown(model.slowdown, it.image, load));
+    worst = std::max(worst, tail / static_cast<double>(it.target_tail_ms));
+  }
+  return worst;
+}
+
+// Guards against a cheaper computation that places best-effort tasks elsewhere than its definition.
+TEST(ExpectedTailTest, AgreesWithItsDefinitionOnRandomWorkers) {
+  std::mt19937 random(7);
+  const auto draw = [&random](int most) {
+    return std::uniform_int_distribution<int>(0, most)(random);
+  };
+  for (int round = 0; round < 500; ++round) {
+    ColocationModel model;
+    for (const char* image : {"a", "b", "c", "d"}) model.baseline_tail_ms[image] = 50 + draw(60);
+    WorkerState worker;
+    for (int n = draw(8); n >= 0; --n) {
+      jobs::Step step = draw(1) == 0 ? ServingStep(1) : BestEffortStep(1, "b");
+      step.image = std::string(1, static_cast<char>('a' + draw(3)));
+      AddRun(&worker, {{kServingJob, 0, 0, n}, 1}, step, 0, TimePoint{});
+      model.slowdown[{"a", step.image}] = {draw(100) / 1000.0, 50};
+    }
+    const double expected = PlainTailRatio(model, worker, "c", 2);
+    const double actual = ExpectedTailRatio(model, worker, "c", 2);
+    if (expected <= kMaxExpectedTailRatio) {
+      EXPECT_NEAR(actual, expected, 1e-9);
+    } else {
+      EXPECT_GT(actual, kMaxExpectedTailRatio);
+      EXPECT_LE(actual, expected + 1e-9);
+    }
+  }
+}
+
 // One worker with a latency-critical task and a best-effort task of the image "heavy".
 class SharingTest : public ::testing::Test {
  protected:
