Write inherited bounds again, and bound leases after lost heartbeats only

An owner that was replaced within about 3 s wrote no bounds, as it must see two calls time out first, so the wait began anew for owners that follow each other each 2 s. And a start and a heartbeat that time out together counted as two lost calls, so one short disturbance bounded a worker.

HandoverTest.BoundsOutliveOwnersOfAFewSeconds failed before (no start) and passes.

--- a/src/dispatch/commits.cc
+++ b/src/dispatch/commits.cc
@@ -19,8 +19,6 @@
 // Minimum time between commits of the waiting counts.
 constexpr Duration kCountsInterval = std::chrono::milliseconds(500);
 
-// Number of consecutive calls without an answer after which a worker's lease is bounded.
-constexpr int kCallsBeforeBound = 2;
 // Time between commits of the lease bounds, which shrink as time passes.
 constexpr Duration kLeaseBoundsInterval = std::chrono::seconds(1);
 
@@ -40,13 +38,13 @@
   return Encode(in_use);
 }
 
-// A worker that has not answered the last calls gets a bound. From then on its lease is not
+// A worker that has not answered the last heartbeats gets a bound. From then on its lease is not
 // extended until it answers and a commit without its bound is durable.
 LeaseBounds Dispatcher::CurrentLeaseBounds(TimePoint now) const {
   LeaseBounds bounds;
   bounds.epoch = epoch_;
   for (const auto& [id, it] : workers_) {
-    if (it.unanswered_calls < kCallsBeforeBound) continue;
+    if (it.unanswered_heartbeats < kHeartbeatsBeforeBound) continue;
     const bool empty = it.runs.empty() && unreconciled_.count(id) == 0;
     const Duration left = empty ? Duration::zero() : std::max(it.lease_ends - now, Duration{});
     bounds.left_ms[id] = std::chrono::ceil<std::chrono::milliseconds>(left).count();
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -152,6 +152,8 @@
   const auto bound = valid.left_ms.find(worker.id);
   if (bound != valid.left_ms.end()) {
     left = std::min<Duration>(left, std::chrono::milliseconds(bound->second));
+    // This owner's first commit writes the bound again, for an owner that follows soon.
+    state.unanswered_heartbeats = kHeartbeatsBeforeBound;
   }
   state.lease_ends = now + left;
   unreconciled_.insert(worker.id);
--- a/src/dispatch/lease_bounds.h
+++ b/src/dispatch/lease_bounds.h
@@ -12,6 +12,9 @@
 
 namespace pomelopond::dispatch {
 
+// Number of consecutive heartbeats without an answer after which a worker's lease is bounded.
+inline constexpr int kHeartbeatsBeforeBound = 2;
+
 struct LeaseBounds {
   // Epoch of the owner that wrote the bounds. They hold for the next epoch only, since a later
   // owner may have extended leases without writing bounds.
--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -336,6 +336,7 @@
     return false;
   }
   worker->unanswered_calls = 0;
+  worker->unanswered_heartbeats = 0;
   if (worker->lease_bounded) lease_bounds_due_ = now;
   if (answer.clock_ms > 0) {
     worker->clock_ms = answer.clock_ms;
@@ -351,6 +352,10 @@
   worker->heartbeat_in_flight = false;
   worker->next_heartbeat = now + kHeartbeatRetry;
   if (worker->info.endpoint != order.to.endpoint) return;
+  const OrderStatus status = report.answer.status;
+  if (status == OrderStatus::kUnreachable || status == OrderStatus::kNoAnswer) {
+    worker->unanswered_heartbeats += 1;
+  }
   if (!HandleAnswer(worker, report.answer, now)) return;
   if (report.answer.status != OrderStatus::kAccepted) return;
   if (!worker->contacted) {
--- a/src/dispatch/worker_table.h
+++ b/src/dispatch/worker_table.h
@@ -66,6 +66,7 @@
   int64_t acknowledged = 0;          // highest position of an ended run that is durable
   uint64_t generation = 0;           // the commit that makes `processed` durable
   int unanswered_calls = 0;          // consecutive calls without an answer
+  int unanswered_heartbeats = 0;     // consecutive heartbeats without an answer
   int failures = 0;                  // consecutive failed runs
   TimePoint backoff_until;           // accepts no task before this time
   // Until then the worker accepts only perpetual tasks that fit on no other worker.
--- a/tests/dispatch/handover_test.cc
+++ b/tests/dispatch/handover_test.cc
@@ -154,6 +154,37 @@
   EXPECT_TRUE(start_within(3, owner->now, kLongestWait + seconds(1) - seconds(6)));
 }
 
+// Guards against owners that follow each other within two heartbeats and their time limits, so that
+// none of them sees the worker as unreachable by itself.
+TEST(HandoverTest, BoundsOutliveOwnersOfAFewSeconds) {
+  DurableState durable;
+  durable.workers_in_use = Encode(std::vector<WorkerInUse>{
+      {"w1", "pool", MakeWorker("w1").endpoint}, {"w2", "pool", MakeWorker("w2").endpoint}});
+  LeaseBounds bounds;
+  bounds.epoch = 1;
+  bounds.left_ms["w1"] = 5000;
+  durable.lease_bounds = Encode(bounds);
+  TimePoint now(std::chrono::hours(1));
+  int starts = 0;
+  // A bound may be 1 s old at a takeover, so each owner of 2 s shortens the wait by 1 s at least.
+  for (int64_t epoch = 2; epoch <= 7; ++epoch) {
+    Scenario owner(epoch, DispatchLimits{}, now);
+    owner.Inherit(durable);
+    owner.dispatcher.AddJob(PerpetualJob(1), {}, true);
+    owner.dispatcher.UpdateWorker(MakeWorker("w2"), owner.now);
+    for (int n = 0; n < 20; ++n) {
+      owner.Decide();
+      starts += static_cast<int>(owner.orders.starts.size());
+      owner.Report("w2", {}, {});
+      owner.CommitAll();
+      owner.Advance(milliseconds(100));
+    }
+    now = owner.now;
+    durable = owner.durable;
+  }
+  EXPECT_GT(starts, 0);
+}
+
 // Worker w1 runs the only task and then announces that it leaves.
 class LeavingWorkerTest : public ::testing::Test {
  protected:
