Forget a worker whose address another one has taken

Each refusal by the other worker set the end of the lease anew, later than the last proof of ownership, so the entry was never dropped, and the next heartbeat followed at once: one call a round trip until the owner changed. Inherited tasks waited up to 8.5 s for it, although no owner can start a run at that address.

LostCallTest.WorkerWhoseAddressIsTakenIsForgotten failed before (71 heartbeats in 1 s, entry kept) and passes.

--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -106,7 +106,9 @@
   worker->clock_ms = 0;
   worker->next_heartbeat = now;
   // A worker that has not answered this owner yet may get new runs from an earlier owner.
-  if (unreconciled_.count(worker->info.id) == 0) worker->lease_ends = now;
+  if (unreconciled_.count(worker->info.id) == 0) {
+    worker->lease_ends = std::min(worker->lease_ends, now);
+  }
 }
 
 void Dispatcher::RequestStop(WorkerState* worker, const RunId& id) {
@@ -324,8 +326,14 @@
   const bool newer = answer.incarnation != 0 && known != 0 && answer.incarnation > known;
   if (newer || answer.status == OrderStatus::kWrongIncarnation) {
     Log(LogLevel::kInfo, "dispatch", "worker_restarted", {{"worker", worker->info.id}});
-    if (newer) worker->info.incarnation = answer.incarnation;
+    if (newer) {
+      worker->info.incarnation = answer.incarnation;
+    } else {
+      // Another worker has taken the address, so no owner can start a run of this one there.
+      unreconciled_.erase(worker->info.id);
+    }
     MarkRunsLost(worker, now);
+    if (!newer) worker->next_heartbeat = now + kHeartbeatRetry;
     worker->unanswered_calls += 1;
     return false;
   }
--- a/tests/dispatch/recovery_test.cc
+++ b/tests/dispatch/recovery_test.cc
@@ -167,6 +167,31 @@
   EXPECT_EQ(it.orders.starts.size(), 1U);
 }
 
+// Guards against heartbeats without a pause, and an entry that is never dropped, for a worker that
+// has left and whose address another one has taken.
+TEST_F(LostCallTest, WorkerWhoseAddressIsTakenIsForgotten) {
+  it.ConfirmStarts();
+  const std::string id = start.to.worker;
+  const HeartbeatOrder order{start.to, 1, 0, 0, {}};
+  it.dispatcher.DeregisterWorker(id, it.now);
+  it.TimeOut(id);
+  int heartbeats = 0;
+  for (int n = 0; n < 100 && it.dispatcher.workers().count(id) > 0; ++n) {
+    // The call that proves the ownership was sent before the last answers arrived.
+    it.dispatcher.OnOwnershipProof(it.now - std::chrono::milliseconds(15));
+    it.now += std::chrono::milliseconds(10);
+    it.Decide();
+    for (const HeartbeatOrder& sent : it.orders.heartbeats) {
+      if (sent.to.worker != id) continue;
+      heartbeats += 1;
+      it.dispatcher.OnReport(order, {{OrderStatus::kWrongIncarnation, 0, 0}, {}, {}}, it.now,
+                             it.WallMs());
+    }
+  }
+  EXPECT_EQ(it.dispatcher.workers().count(id), 0U);
+  EXPECT_LE(heartbeats, 2);
+}
+
 // Guards against waiting for the lease of a worker that is known to have restarted.
 TEST_F(LostCallTest, RestartedWorkerRunsNothing) {
   it.ConfirmStarts();
