--- /dev/null
+++ b/tests/platform/kv_store_test.cc
@@ -0,0 +1,131 @@
+// Checks the requests that KvStore sends, with a server that answers like the platform's store.
+#include "platform/kv_store.h"
+
+#include <gtest/gtest.h>
+
+#include <future>
+#include <mutex>
+#include <set>
+
+#include "http/http_server.h"
+
+namespace pomelopond::platform {
+namespace {
+
+constexpr int64_t kMaxBodyBytes = 1 << 20;
+constexpr size_t kPageItems = 2;
+constexpr int kMaxPages = 10;
+constexpr std::chrono::seconds kTimeout{20};
+constexpr const char* kPrefix = "servers/";
+const Endpoint kEndpoint = {"127.0.77.1", 18077};
+
+// Lists `keys` in pages of kPageItems, and reads single keys.
+class KvStoreTest : public ::testing::Test {
+ protected:
+  KvStoreTest()
+      : server(kEndpoint, kMaxBodyBytes,
+               [this](const http::HttpRequest& request, const http::Reply& reply) {
+                 reply(AnswerTo(request));
+               }) {}
+
+  void SetUp() override { ASSERT_FALSE(server.Start()); }
+  void TearDown() override { server.Stop(kTimeout); }
+
+  http::HttpResponse AnswerTo(const http::HttpRequest& request) {
+    const std::lock_guard<std::mutex> lock(mutex);
+    const std::string path = http::PathOf(request);
+    if (path == "/api/kv-key") {
+      const std::string key = http::QueryParameterOf(request, "key");
+      if (keys.count(key) == 0) return http::JsonResponse(404, Json::object());
+      return http::JsonResponse(200, {{"key", key}, {"rev", 1}, {"value", ""}});
+    }
+    const std::string prefix = http::QueryParameterOf(request, "prefix");
+    if (path == "/api/kv-watch") {
+      return http::JsonResponse(200,
+                                {{"events", Json::array({{{"key", prefix}}})}, {"current_rev", 1}});
+    }
+    const std::string after = http::QueryParameterOf(request, "after");
+    Json items = Json::array();
+    bool has_more = false;
+    for (const std::string& it : keys) {
+      if (it.compare(0, prefix.size(), prefix) != 0 || it <= after) continue;
+      has_more = items.size() == kPageItems;
+      if (has_more) break;
+      items.push_back({{"key", it}, {"rev", 1}, {"value", ""}});
+    }
+    return http::JsonResponse(
+        200, {{"items", std::move(items)}, {"has_more", has_more}, {"current_rev", 1}});
+  }
+
+  template <class T, class F>
+  static Result<T> Wait(F call) {
+    const auto promise = std::make_shared<std::promise<Result<T>>>();
+    std::future<Result<T>> future = promise->get_future();
+    call([promise](Result<T> it) { promise->set_value(std::move(it)); });
+    if (future.wait_for(kTimeout) != std::future_status::ready) return {ResultCode::kTimeout, {}};
+    return future.get();
+  }
+
+  // Reads all pages, or the first kMaxPages.
+  std::vector<std::string> ListAll(const std::string& prefix) {
+    std::vector<std::string> out;
+    std::string after;
+    for (int n = 0; n < kMaxPages; ++n) {
+      const Result<store::Page> page =
+          Wait<store::Page>([&](auto done) { store.List(prefix, after, std::move(done)); });
+      EXPECT_TRUE(page.ok()) << "after \"" << after << "\": " << page.ec.message();
+      if (!page.ok()) return out;
+      for (const store::Item& it : page.value.items) out.push_back(it.key);
+      if (!page.value.has_more) return out;
+      after = out.back();
+    }
+    ADD_FAILURE() << "pages without end after \"" << after << '"';
+    return out;
+  }
+
+  const std::vector<std::string> odd_keys = {
+      "servers/b c", "servers/b&prefix=x", "servers/b#c",  "servers/b%41", "servers/b%",
+      "servers/b+c", "servers/b?c=d",      "servers/b\nc", "servers/b\"<", "servers/b\xc3\xa9"};
+
+  std::mutex mutex;  // guards keys
+  std::set<std::string> keys;
+  metrics::Registry metrics;
+  KvStore store{kEndpoint, &metrics};
+  http::HttpServer server;
+};
+
+// Guards against an odd key at the end of a page that makes the next page fail or begin anew, so
+// that the list is read again without end.
+TEST_F(KvStoreTest, ListContinuesAfterAnOddKey) {
+  for (const std::string& odd : odd_keys) {
+    const std::vector<std::string> expected = {odd, odd + "2", "servers/x", "servers/y"};
+    {
+      const std::lock_guard<std::mutex> lock(mutex);
+      keys = {expected.begin(), expected.end()};
+      keys.insert("other/z");
+    }
+    EXPECT_EQ(ListAll(kPrefix), expected);
+  }
+}
+
+// Guards against an odd key or prefix that reads something else or nothing.
+TEST_F(KvStoreTest, OddKeysAndPrefixesAreReadAsTheyAre) {
+  for (const std::string& odd : odd_keys) {
+    {
+      const std::lock_guard<std::mutex> lock(mutex);
+      keys = {"servers/b", odd};
+    }
+    const auto item = Wait<store::Item>([&](auto done) { store.Get(odd, std::move(done)); });
+    EXPECT_TRUE(item.ok()) << odd;
+    EXPECT_EQ(item.value.key, odd);
+    EXPECT_EQ(item.value.revision, 1) << odd;
+    EXPECT_EQ(ListAll(odd), std::vector<std::string>{odd});
+    const auto changes = Wait<store::Changes>(
+        [&](auto done) { store.Watch(odd, 1, Duration::zero(), std::move(done)); });
+    ASSERT_TRUE(changes.ok()) << odd;
+    EXPECT_EQ(changes.value.changes.at(0).item.key, odd);
+  }
+}
+
+}  // namespace
+}  // namespace pomelopond::platform
