Let no timer of a destroyed owner run in ExecutorListTest

In one process with later tests, platform_test ended with SIGSEGV in 2 of 4 whole runs, in EventLoop::Post called by a timer of the owner that ExecutorListTest had destroyed. The entry program ends without destroying its owner, so this is a fault of the test. The test's checks are unchanged; its timers run no work after the owner has stopped. 8 of 8 whole runs pass.

--- a/tests/platform/executor_list_test.cc
+++ b/tests/platform/executor_list_test.cc
@@ -2,6 +2,9 @@
 // it from using and following the other entries.
 #include <gtest/gtest.h>
 
+#include <functional>
+#include <memory>
+#include <mutex>
 #include <set>
 #include <thread>
 
@@ -38,6 +41,31 @@
   std::set<std::string> called_;
 };
 
+// Runs delayed work until Close(). The owner of a process is never destroyed, but that of a test
+// is, and work that is due afterwards would use it.
+class Timers {
+ public:
+  entry::Timer Get() {
+    return [state = state_](Duration delay, std::function<void()> work) {
+      http::RunAfter(delay, [state, work = std::move(work)] {
+        const std::lock_guard<std::mutex> lock(state->mutex);
+        if (!state->closed) work();
+      });
+    };
+  }
+  void Close() {
+    const std::lock_guard<std::mutex> lock(state_->mutex);
+    state_->closed = true;
+  }
+
+ private:
+  struct State {
+    std::mutex mutex;  // guards closed
+    bool closed = false;
+  };
+  const std::shared_ptr<State> state_ = std::make_shared<State>();
+};
+
 std::string Entry(const std::string& capacity, const std::string& address = "10.0.0.1:1") {
   return R"({"service":"s","address":")" + address + R"(","state":"ready","capacity":)" + capacity +
          "}";
@@ -69,6 +97,7 @@
 
   entry::MemoryStore store;
   RecordingWorkers workers;
+  Timers timers;
   metrics::Registry metrics;
 };
 
@@ -90,12 +119,13 @@
   Write("", Entry(kUsable));
   Write("m-bytes", "\xff\xfe");
   Write("usable-1", Entry(kUsable));
-  entry::PoolOwner owner(Options(), &store, &workers, http::RunAfter, &metrics);
+  entry::PoolOwner owner(Options(), &store, &workers, timers.Get(), &metrics);
   owner.Start();
   EXPECT_TRUE(WaitForCalls({"usable-1"})) << ::testing::PrintToString(workers.called());
   Write("usable-2", Entry(kUsable));
   EXPECT_TRUE(WaitForCalls({"usable-1", "usable-2"})) << ::testing::PrintToString(workers.called());
   owner.Stop();
+  timers.Close();
 }
 
 }  // namespace
