--- a/tests/platform/kv_store_test.cc
+++ b/tests/platform/kv_store_test.cc
@@ -39,6 +39,11 @@
       if (keys.count(key) == 0) return http::JsonResponse(404, Json::object());
       return http::JsonResponse(200, {{"key", key}, {"rev", 1}, {"value", ""}});
     }
+    if (path == "/api/kv-lease") {
+      http::HttpResponse response = http::JsonResponse(200, Json::object());
+      response.body = lease_answer;
+      return response;
+    }
     const std::string prefix = http::QueryParameterOf(request, "prefix");
     if (path == "/api/kv-watch") {
       return http::JsonResponse(200,
@@ -87,8 +92,9 @@
       "servers/b c", "servers/b&prefix=x", "servers/b#c",  "servers/b%41", "servers/b%",
       "servers/b+c", "servers/b?c=d",      "servers/b\nc", "servers/b\"<", "servers/b\xc3\xa9"};
 
-  std::mutex mutex;  // guards keys
+  std::mutex mutex;  // guards keys and lease_answer
   std::set<std::string> keys;
+  std::string lease_answer;
   metrics::Registry metrics;
   KvStore store{kEndpoint, &metrics};
   http::HttpServer server;
@@ -127,5 +133,32 @@
   }
 }
 
+// Guards against a lease whose time wraps or overflows, so that it seems to have ended or never to
+// end.
+TEST_F(KvStoreTest, LeasesOutOfRangeAreRefused) {
+  const auto grant = [&](const std::string& answer) {
+    {
+      const std::lock_guard<std::mutex> lock(mutex);
+      lease_answer = answer;
+    }
+    return Wait<store::Lease>(
+        [&](auto done) { store.GrantLease(std::chrono::seconds(5), std::move(done)); });
+  };
+  const Result<store::Lease> granted = grant(R"({"lease":7,"ttl_ms":5000})");
+  ASSERT_TRUE(granted.ok());
+  EXPECT_EQ(granted.value.id, 7);
+  EXPECT_EQ(granted.value.ttl, Duration(std::chrono::seconds(5)));
+  for (const char* odd : {"1e300", "-1", "18446744073709551615", "\"5\"", "null"}) {
+    EXPECT_EQ(grant(std::string(R"({"lease":7,"ttl_ms":)") + odd + "}").ec,
+              ResultCode::kStoreBadAnswer)
+        << odd;
+    EXPECT_EQ(grant(std::string(R"({"ttl_ms":5000,"lease":)") + odd + "}").ec,
+              ResultCode::kStoreBadAnswer)
+        << odd;
+  }
+  EXPECT_EQ(grant(R"({"lease":7,"ttl_ms":9223372036854775807})").ec, ResultCode::kStoreBadAnswer);
+  EXPECT_EQ(grant("[]").ec, ResultCode::kStoreBadAnswer);
+}
+
 }  // namespace
 }  // namespace pomelopond::platform
--- a/tests/platform/policy_api_test.cc
+++ b/tests/platform/policy_api_test.cc
@@ -33,5 +33,15 @@
   EXPECT_FALSE(ReadPermits(lost).ok);
 }
 
+// Guards against a validity that wraps or overflows, which would let a permit count too long or not
+// at all.
+TEST(PolicyApiTest, ValidityOutOfRangeDecidesNothing) {
+  for (const char* odd : {"1e300", "-1e300", "-1", "9223372036854775807", "18446744073709551615",
+                          "31536000001", "true", "null"}) {
+    const std::string body = std::string(R"({"good":[["i-1","t-1"]],"valid_ms":)") + odd + "}";
+    EXPECT_FALSE(ReadPermits(AnswerWith(200, body)).ok) << odd;
+  }
+}
+
 }  // namespace
 }  // namespace pomelopond::platform
--- /dev/null
+++ b/tests/platform/worker_api_test.cc
@@ -0,0 +1,112 @@
+#include "platform/worker_api.h"
+
+#include <gtest/gtest.h>
+
+namespace pomelopond::platform {
+namespace {
+
+using dispatch::OrderStatus;
+using dispatch::Report;
+
+Report ReadBody(const std::string& body) {
+  http::HttpResult result;
+  result.response.status = 200;
+  result.response.body = body;
+  return ReadReport(result);
+}
+
+Report ReadRows(const std::string& running, const std::string& ended) {
+  return ReadBody(R"({"clock_ms":1000,"born":5,"running":[)" + running + R"(],"ended":[)" + ended +
+                  "]}");
+}
+
+constexpr const char* kRun = R"(["a.b.0.1.2",7,"s",40.9,12.5])";
+constexpr const char* kEnd = R"([3,"a.b.0.1.3",8,"done","c"])";
+// Not in the range of any number of a report.
+constexpr const char* kOddNumbers[] = {
+    "1e300", "-1e300", "-1", "9223372036854775807", "18446744073709551615", "\"5\"", "null"};
+
+TEST(WorkerApiTest, ReadsRunsWithTheirTasks) {
+  const Report report = ReadRows(kRun, kEnd);
+  EXPECT_EQ(report.answer.status, OrderStatus::kAccepted);
+  EXPECT_EQ(report.answer.clock_ms, 1000);
+  EXPECT_EQ(report.answer.incarnation, 5);
+  ASSERT_EQ(report.active.size(), 1U);
+  EXPECT_EQ(TaskName(report.active[0].id.task), "a.b.0.1.2");
+  EXPECT_EQ(report.active[0].id.run, 7);
+  EXPECT_EQ(report.active[0].percent, 40);
+  EXPECT_EQ(report.active[0].load, 12);
+  ASSERT_EQ(report.ended.size(), 1U);
+  EXPECT_EQ(TaskName(report.ended[0].id.task), "a.b.0.1.3");
+  EXPECT_EQ(report.ended[0].sequence, 3);
+  EXPECT_EQ(report.ended[0].id.run, 8);
+}
+
+// Guards against a name of another system that is taken for one of our tasks.
+TEST(WorkerApiTest, OnlyNamesThatWeGiveAreTasks) {
+  for (const char* odd : {"", ".", "...", "a", "a.0.0", ".0.0.0", "a.0.0.", "a..0.0", "a.0.0.x",
+                          "a.0.0.1x", "a.0.0.-1", "a.0.0.+1", "a.0.0. 1", "a.0.0.01",
+                          "a.4294967296.0.0", "a.0.0.2147483648", "a.0.0.99999999999999999999"}) {
+    EXPECT_FALSE(ParseTaskName(odd).ok()) << odd;
+  }
+  for (const char* it : {"a.0.0.0", "a.2147483647.10.2", "a.b.0.1.2", "..0.0.0"}) {
+    const Result<jobs::TaskId> read = ParseTaskName(it);
+    ASSERT_TRUE(read.ok()) << it;
+    EXPECT_EQ(TaskName(read.value), it);
+  }
+}
+
+// Guards against a run of another system that hides our runs on the same worker. Its end keeps its
+// position, since the worker would report it for ever if it were not acknowledged.
+TEST(WorkerApiTest, ForeignRunsLeaveOursInTheReport) {
+  const Report report =
+      ReadRows(std::string(R"(["backup",1e300],["a.4294967296.1.2",1,"",1],)") + kRun,
+               std::string(R"([1e300,"backup"],[2,"backup",1,"failed",""],)") + kEnd);
+  EXPECT_EQ(report.answer.status, OrderStatus::kAccepted);
+  ASSERT_EQ(report.active.size(), 1U);
+  EXPECT_EQ(TaskName(report.active[0].id.task), "a.b.0.1.2");
+  ASSERT_EQ(report.ended.size(), 2U);
+  EXPECT_EQ(report.ended[0].sequence, 2);
+  EXPECT_EQ(report.ended[0].id.task.job, "");
+  EXPECT_EQ(report.ended[0].kind, dispatch::EndKind::kStopped);
+  EXPECT_EQ(TaskName(report.ended[1].id.task), "a.b.0.1.3");
+}
+
+// Guards against a number out of range in a row that may be ours: it would wrap, and sums with it
+// would overflow. Without the row, our run would seem to have ended.
+TEST(WorkerApiTest, ReportsWithAMalformedRowOfOursAreNoAnswer) {
+  for (const std::string odd : kOddNumbers) {
+    EXPECT_EQ(ReadRows(R"(["a.0.0.0",)" + odd + R"(,"",1,1])", kEnd).answer.status,
+              OrderStatus::kNoAnswer)
+        << odd;
+    EXPECT_EQ(ReadRows(R"(["a.0.0.0",1,"",)" + odd + ",1]", kEnd).answer.status,
+              OrderStatus::kNoAnswer)
+        << odd;
+    EXPECT_EQ(ReadRows(R"(["a.0.0.0",1,"",1,)" + odd + "]", kEnd).answer.status,
+              OrderStatus::kNoAnswer)
+        << odd;
+    EXPECT_EQ(ReadRows(kRun, "[" + odd + R"(,"a.0.0.0",1,"done",""])").answer.status,
+              OrderStatus::kNoAnswer)
+        << odd;
+    EXPECT_EQ(ReadRows(kRun, R"([1,"a.0.0.0",)" + odd + R"(,"done",""])").answer.status,
+              OrderStatus::kNoAnswer)
+        << odd;
+  }
+  EXPECT_EQ(ReadRows(R"(["a.0.0.0",1,"",101])", "").answer.status, OrderStatus::kNoAnswer);
+  EXPECT_EQ(ReadRows("[5,1,\"\",1]", "").answer.status, OrderStatus::kNoAnswer);
+  EXPECT_EQ(ReadRows("null", "").answer.status, OrderStatus::kNoAnswer);
+}
+
+// Guards against a clock or start time out of range that replaces the right one.
+TEST(WorkerApiTest, ClocksOutOfRangeAreNotReported) {
+  for (const std::string odd : kOddNumbers) {
+    const Report report =
+        ReadBody(R"({"clock_ms":)" + odd + R"(,"born":)" + odd + R"(,"running":[],"ended":[]})");
+    EXPECT_EQ(report.answer.status, OrderStatus::kAccepted) << odd;
+    EXPECT_EQ(report.answer.clock_ms, 0) << odd;
+    EXPECT_EQ(report.answer.incarnation, 0) << odd;
+  }
+}
+
+}  // namespace
+}  // namespace pomelopond::platform
