--- a/spec/takeover.pml
+++ b/spec/takeover.pml
@@ -1,8 +1,8 @@
 /* One task across changes of the pool's owner (docs/platform.md, "Ownership").
  *
  * Code: src/dispatch/decide.cc (IsWithheld, IsUnused, ExpireWorkers, LeaseEndMs), src/dispatch/commits.cc,
- * src/dispatch/lease_bounds.cc (BoundsFor), src/dispatch/reports.cc (Adopt, MarkRunsLost),
- * src/dispatch/dispatcher.cc (InheritWorker), src/dispatch/choose_worker.cc (AcceptsTasks).
+ * src/dispatch/lease_bounds.cc (BoundsFor), src/dispatch/reports.cc (Adopt, ApplyActiveRuns, IsAfterEarlierReports,
+ * MarkRunsLost), src/dispatch/dispatcher.cc (InheritWorker, UpdateWorker), src/dispatch/choose_worker.cc (AcceptsTasks).
  * Time advances in ticks, which any interleaving may delay. All clocks agree; margins are in run_lease.pml.
  * Leases are stored as remaining ticks, so that the state space is finite.
  * Bounds: one task that never completes, two workers, OWNERS owners of rising epochs, of which the earlier
@@ -11,20 +11,21 @@
  * later time, once, and is sent again. Any worker may leave, and any may be taken for silent, at any commit
  * (sets LEAVING and SILENT). LATE=0: start messages arrive at once or never. Owners before FROM start nothing.
  * A commit is built and becomes durable in two steps; it fails once the term is another owner's.
- * HELD_REPORTS: a worker that took a call answers it at any time before the next tick, whatever epoch it
- * follows by then. RESTARTS worker restarts; a worker keeps its highest epoch. FORGOTTEN: the owner drops
- * workers that hold no run, and they register again.
+ * HELD=1: a worker that took a call answers it at any time before the next tick, whatever epoch it follows by
+ * then; else at once or never. RESTARTS worker restarts; a worker keeps its highest epoch. The owner may drop
+ * the workers of the set FORGOTTEN while they hold no run; they register again.
  *
- * The code lacks three guards that the model has; their mutations show what it does now (KNOWN-RED.txt):
- * held-report, restart-reconciles, bound-forgotten. Steps and gangs are not modelled.
+ * The task is perpetual: only such a task may start before the reconciliation, once a run of it was seen active
+ * after all held reports. Another task starts in a subset of these cases. Ends that make a task done, steps and
+ * gangs are not modelled.
  *
- * verify: takeover/ends | takeover | safety | - | -DRUNS=2 -DLEAVING=0 -DSILENT=0
+ * verify: takeover/ends | takeover | safety | - | -DHELD=1 -DRUNS=2 -DLEAVING=0 -DSILENT=0
  * verify: takeover/three-owners | takeover | safety | - | -DOWNERS=3 -DLEAVING=0 -DSILENT=0
  * verify: takeover/leaving | takeover | safety | - | -DSILENT=0
  * verify: takeover/bounds | takeover | safety | - | -DLEAVING=2 -DSILENT=1
  * verify: takeover/bounds-three-owners | takeover | safety | - | -DOWNERS=3 -DFROM=1 -DLATE=0 -DLEAVING=0 -DSILENT=1
- * verify: takeover/restart | takeover | safety | - | -DRESTARTS=1 -DLEAVING=0 -DSILENT=0
- * verify: takeover/held | takeover | safety | - | -DHELD_REPORTS -DADOPT_AFTER_HOLD -DRUNS=2 -DLEAVING=0 -DSILENT=0
+ * verify: takeover/restart | takeover | safety | - | -DHELD=1 -DRESTARTS=1 -DLEAVING=0 -DSILENT=0
+ * verify: takeover/forgotten | takeover | safety | - | -DFORGOTTEN=1 -DLATE=0 -DLEAVING=1 -DSILENT=1
  * verify: takeover/no-epoch | takeover | safety | R2_one_place | -DNO_EPOCH -DLEAVING=0 -DSILENT=0
  * verify: takeover/no-wait | takeover | safety | R2_one_place | -DNO_WAIT -DLEAVING=0 -DSILENT=0
  * verify: takeover/adopted-by-end | takeover | safety | R2_one_place | -DADOPTED_BY_END -DRUNS=2 -DLEAVING=0 -DSILENT=0
@@ -35,9 +36,9 @@
  * verify: takeover/extend-bounded | takeover | safety | R2_one_place | -DEXTEND_BOUNDED -DLEAVING=0 -DSILENT=1
  * verify: takeover/withdraw-early | takeover | safety | R2_one_place | -DWITHDRAW_EARLY -DLEAVING=0 -DSILENT=1
  * verify: takeover/old-bounds | takeover | safety | R2_one_place | -DOLD_BOUNDS -DOWNERS=3 -DFROM=1 -DLATE=0 -DLEAVING=0 -DSILENT=1
- * verify: takeover/held-report | takeover | safety | R2_one_place | -DHELD_REPORTS -DRUNS=2 -DLEAVING=0 -DSILENT=0
+ * verify: takeover/held-report | takeover | safety | R2_one_place | -DADOPT_HELD -DHELD=1 -DRUNS=2 -DLEAVING=0 -DSILENT=0
  * verify: takeover/restart-reconciles | takeover | safety | R2_one_place | -DRESTART_RECONCILES -DRESTARTS=1 -DLEAVING=0 -DSILENT=0
- * verify: takeover/bound-forgotten | takeover | safety | R2_one_place | -DBOUND_FORGOTTEN -DFORGOTTEN -DLATE=0 -DLEAVING=0 -DSILENT=1
+ * verify: takeover/bound-forgotten | takeover | safety | R2_one_place | -DBOUND_FORGOTTEN -DFORGOTTEN=1 -DLATE=0 -DLEAVING=0 -DSILENT=1
  */
 #ifndef OWNERS
 #define OWNERS 2
@@ -50,6 +51,9 @@
 #ifndef RESTARTS
 #define RESTARTS 0
 #endif
+#ifndef FORGOTTEN
+#define FORGOTTEN 0      /* set of the workers that the owner may drop */
+#endif
 #ifndef LEAVING
 #define LEAVING 3        /* set of the workers that may leave */
 #endif
@@ -59,6 +63,9 @@
 #ifndef FROM
 #define FROM 0           /* first owner that starts the task */
 #endif
+#ifndef HELD
+#define HELD 0           /* workers answer a call at any time before the next tick */
+#endif
 #ifndef LATE
 #define LATE 1           /* start messages may arrive late */
 #endif
@@ -104,17 +111,14 @@
 bool m_used[OWNERS];
 byte m_worker[OWNERS], m_run[OWNERS], m_left[OWNERS];
 
-#ifdef HELD_REPORTS
+#if HELD
 bool held[MAXI];
-#define HELD true
-#else
-#define HELD false
 #endif
-#ifdef ADOPT_AFTER_HOLD
+#if !HELD || defined(ADOPT_HELD)
+#define SETTLED(i) true
+#else
 bool settled[MAXI];      /* no call that the worker took from an earlier owner is unanswered */
 #define SETTLED(i) settled[i]
-#else
-#define SETTLED(i) true
 #endif
 #if RESTARTS > 0
 byte restarts = RESTARTS;
@@ -171,9 +175,9 @@
 #define AFTER_RESTART(i) skip
 #endif
 #ifdef BOUND_FORGOTTEN
-#define KEEPS_BOUND(i) false
+#define KEEPS_BOUND(o, w) false
 #else
-#define KEEPS_BOUND(i) bounded[i]
+#define KEEPS_BOUND(o, w) (bounded[I(o, w)] && !(c_bounds[o] && c_bound[I(o, w)] == NONE))
 #endif
 
 #define RUN_OF(o, n) ((o) * RUNS + (n))
@@ -217,8 +221,8 @@
   :: else
   fi;
   if
-  :: !UNAWARE(I(o, w)) -> report(o, w)
-#ifdef HELD_REPORTS
+  :: !UNAWARE(I(o, w)) -> answers = true
+#if HELD
   :: o < OWNERS - 1 -> held[I(o, w)] = true
 #endif
   :: true                          /* the answer is lost */
@@ -250,7 +254,7 @@
 inline send_start(o, w) {
   raise(lease[I(o, w)], TTL); over[I(o, w)] = false;
   m_used[o] = true; m_worker[o] = w; m_run[o] = view[I(o, w)]; m_left[o] = TTL;
-  if :: LATE :: deliver(o) :: drop(o) fi
+  if :: LATE :: !LATE -> arrives = true :: !LATE -> drop(o) fi
 }
 
 inline start(o, w) {
@@ -288,7 +292,7 @@
   fi
 }
 
-inline build(o) { c_open[o] = true; c_bounds[o] = false; build_worker(o, 0); build_worker(o, 1) }
+inline build(o) { c_open[o] = true; c_bounds[o] = false; for (x : 0 .. 1) { build_worker(o, x) } x = 0 }
 
 inline close(o) {
   c_open[o] = false; c_bounds[o] = false;
@@ -309,7 +313,8 @@
 inline commit(o) {
   if :: c_bounds[o] -> bound_epoch = o + 1 :: else fi;
   horizon[o] = HORIZON;
-  committed_worker(o, 0); committed_worker(o, 1);
+  for (x : 0 .. 1) { committed_worker(o, x) }
+  x = 0;
   close(o)
 }
 
@@ -328,7 +333,8 @@
 
 inline take_over(o) {
   term = o + 1; horizon[o] = HORIZON;
-  inherit(o, 0); inherit(o, 1);
+  for (x : 0 .. 1) { inherit(o, x) }
+  x = 0;
 #ifndef OLD_BOUNDS
   bound_epoch = 0; bound[0] = NONE; bound[1] = NONE;
 #endif
@@ -349,10 +355,10 @@
   }
   for (k : 0 .. MAXI - 1) {
     count_down(lease[k]);
-#ifdef HELD_REPORTS
+#if HELD
     held[k] = false;
 #endif
-#ifdef ADOPT_AFTER_HOLD
+#if HELD && !defined(ADOPT_HELD)
     settled[k] = contacted[k];
 #endif
   }
@@ -369,6 +375,7 @@
 /* A single process executes all steps; an owner that is paused or cut off is one whose steps are not executed. */
 active proctype System() {
   byte o, w, x, k;
+  bool answers, arrives;   /* set in a step that ends with a report to o, or with its start message */
   atomic {
     listed[0] = true; listed[1] = true;
     bound[0] = NONE; bound[1] = NONE;
@@ -386,14 +393,14 @@
        :: PLACES(o, w) && (w == 0 || o > FROM || starts[FROM] > 0) -> start(o, w)
        :: IS_STARTING(o, w) -> send_start(o, w)
        :: ON(o) && ENDED(I(o, w)) && (view[I(o, w)] != 0 || unreconciled[I(o, w)]) -> expire(o, w)
-       :: w == 0 && m_used[o] -> deliver(o)
+       :: w == 0 && m_used[o] -> arrives = true
        :: w == 0 && m_used[o] -> drop(o)
        :: w == 0 && term == o + 1 && !c_open[o] -> build(o)
        :: w == 0 && c_open[o] && term == o + 1 -> commit(o)
        :: w == 0 && term == o -> take_over(o)
        :: o == 0 && running[w] -> end_run(w)
-#ifdef HELD_REPORTS
-       :: held[I(o, w)] -> held[I(o, w)] = false; report(o, w)
+#if HELD
+       :: held[I(o, w)] -> held[I(o, w)] = false; answers = true
 #endif
 #if RESTARTS > 0
        :: o == 0 && restarts > 0 -> restarts--; end_run(w);
@@ -405,14 +412,16 @@
        :: UNAWARE(I(o, w)) -> restarted[I(o, w)] = false; view[I(o, w)] = 0;
           contacted[I(o, w)] = false; AFTER_RESTART(I(o, w)); forget_lease(o, w)
 #endif
-#ifdef FORGOTTEN
-       /* Its registration has lapsed; it registers again with a later commit. */
-       :: ON(o) && view[I(o, w)] == 0 && !unreconciled[I(o, w)] && lease[I(o, w)] == 0 && !KEEPS_BOUND(I(o, w)) ->
-          contacted[I(o, w)] = false; recorded[I(o, w)] = false; bounded[I(o, w)] = false
+#if FORGOTTEN > 0
+       /* Its registration and lease have ended; it registers again with a later commit. */
+       :: IN(FORGOTTEN, w) && ON(o) && view[I(o, w)] == 0 && !unreconciled[I(o, w)] && lease[I(o, w)] == 0 ->
+          contacted[I(o, w)] = false; recorded[I(o, w)] = false; bounded[I(o, w)] = KEEPS_BOUND(o, w)
 #endif
        :: w == 0 && o == 0 -> tick()
        :: else
        fi;
+       if :: answers -> answers = false; report(o, w) :: else fi;
+       if :: arrives -> arrives = false; deliver(o) :: else fi;
        o = 0; w = 0 }
   od
 }
