--- a/tests/dispatch/overlapping_owners_test.cc
+++ b/tests/dispatch/overlapping_owners_test.cc
@@ -179,6 +179,11 @@
   const LeaseBounds written = DecodeLeaseBounds(it.durable.lease_bounds).value;
   EXPECT_TRUE(it.orders.starts.empty() || written.left_ms.count("w1") == 0)
       << "bound in ms: " << written.left_ms.at("w1");
+  it.CommitAll();
+  it.Report("w1", {}, {});
+  it.Advance(milliseconds(50));
+  it.Decide();
+  EXPECT_EQ(it.orders.starts.size(), 1U);
 }
 
 }  // namespace
