Log how many jobs have nothing running although a task could start, and for how long

The pool line could not tell jobs that starve from jobs that run: it counts waiting tasks only. No decision changes.

--- a/src/dispatch/decide.cc
+++ b/src/dispatch/decide.cc
@@ -181,6 +181,7 @@
   // Most decisions follow an answer that frees no capacity.
   if (!capacity_changed_ && now < placed_at_ + kPlacementInterval) return;
   placed_at_ = now;
+  UpdateIdleTimes(now, wall_ms);
   reserved_capacity_.clear();
   unplaceable_.clear();
   for (JobEntry* it : JobsInOrder(now, wall_ms)) PlaceJob(it, now, wall_ms, orders);
@@ -188,6 +189,14 @@
   capacity_changed_ = starts_in_flight_ >= limits_.max_starts_in_flight;
 }
 
+void Dispatcher::UpdateIdleTimes(TimePoint now, int64_t wall_ms) {
+  for (const auto& [id, entry] : placeable_) {
+    const bool idle = !HasActiveTask(*entry) && HasReadyTask(*entry, wall_ms);
+    if (!idle) entry->idle_since.reset();
+    if (idle && !entry->idle_since) entry->idle_since = now;
+  }
+}
+
 std::vector<JobEntry*> Dispatcher::JobsInOrder(TimePoint now, int64_t wall_ms) {
   std::vector<std::pair<JobRank, JobEntry*>> ranked;
   ranked.reserve(placeable_.size());
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -107,6 +107,7 @@
       for (const StepState& it : steps) waiting = waiting || it.waiting > 0;
     }
   }
+  if (!waiting || HasActiveTask(*entry)) entry->idle_since.reset();
   if (waiting) {
     placeable_.emplace(entry->job.id, entry);
     capacity_changed_ = true;
@@ -211,6 +212,11 @@
       for (const StepState& it : steps) out.waiting_tasks += it.waiting;
     }
     out.withheld_tasks += CountWithheld(entry);
+    if (!entry.idle_since) continue;
+    out.idle_jobs += 1;
+    if (now - *entry.idle_since < out.longest_idle) continue;
+    out.longest_idle = now - *entry.idle_since;
+    out.idle_job = id;
   }
   out.unreconciled_workers = static_cast<int>(unreconciled_.size());
   for (const auto& [id, it] : workers_) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -83,6 +83,9 @@
   int jobs = 0;                      // jobs that are not finished
   int waiting_tasks = 0;             // tasks without a run, ready or not
   int withheld_tasks = 0;            // of these, tasks withheld until all workers are reconciled
+  int idle_jobs = 0;                 // jobs without a run although a task could start
+  Duration longest_idle{};           // longest time that one of them has been idle
+  std::string idle_job;              // id of that job
   int runs = 0;                      // runs on all workers
   int workers = 0;                   // workers that accept tasks
   int unresponsive_workers = 0;      // workers that did not answer the last call
@@ -191,6 +194,7 @@
   void DecideHeartbeats(TimePoint now, Orders* orders);
   void RetryRuns(TimePoint now, Orders* orders);
   void PlaceTasks(TimePoint now, int64_t wall_ms, Orders* orders);
+  void UpdateIdleTimes(TimePoint now, int64_t wall_ms);
   std::vector<JobEntry*> JobsInOrder(TimePoint now, int64_t wall_ms);
   void PlaceJob(JobEntry* entry, TimePoint now, int64_t wall_ms, Orders* orders);
   bool PlaceStep(JobEntry* entry, int occurrence, int step, TimePoint now, int64_t wall_ms,
--- a/src/dispatch/job_table.cc
+++ b/src/dispatch/job_table.cc
@@ -94,6 +94,27 @@
   return job.first_ms + job.interval_ms * occurrence;
 }
 
+bool HasActiveTask(const JobEntry& entry) {
+  for (const std::vector<StepState>& steps : entry.steps) {
+    for (const StepState& it : steps) {
+      if (it.done + it.waiting < static_cast<int>(it.tasks.size())) return true;
+    }
+  }
+  return false;
+}
+
+bool HasReadyTask(const JobEntry& entry, int64_t wall_ms) {
+  for (size_t k = 0; k < entry.steps.size(); ++k) {
+    const int occurrence = static_cast<int>(k);
+    if (wall_ms < DueMs(entry.job, occurrence)) continue;
+    for (size_t s = 0; s < entry.steps[k].size(); ++s) {
+      if (entry.steps[k][s].waiting == 0) continue;
+      if (IsReady(entry, occurrence, static_cast<int>(s))) return true;
+    }
+  }
+  return false;
+}
+
 bool IsComplete(const JobEntry& entry) {
   for (const std::vector<StepState>& steps : entry.steps) {
     for (const StepState& it : steps) {
--- a/src/dispatch/job_table.h
+++ b/src/dispatch/job_table.h
@@ -3,6 +3,7 @@
 #define POMELOPOND_DISPATCH_JOB_TABLE_H_
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -55,6 +56,8 @@
   int64_t revision = 0;     // store revision of the job's record; 0: precedes this owner
   Estimates estimates;
   TimePoint estimates_valid_until;  // the estimates are computed again after this time
+  // Since when a task could start while no task of the job had a run; unset if that is not so.
+  std::optional<TimePoint> idle_since;
   // Indexed by occurrence, then step.
   std::vector<std::vector<StepState>> steps;
 };
@@ -74,6 +77,12 @@
 // When the occurrence is due, milliseconds since the Unix epoch.
 int64_t DueMs(const jobs::Job& job, int occurrence);
 
+// True when a task that is not done has an active run.
+bool HasActiveTask(const JobEntry& entry);
+
+// True when the turn of a task has come that is not done and has no active run.
+bool HasReadyTask(const JobEntry& entry, int64_t wall_ms);
+
 // True when all tasks of all occurrences are done.
 bool IsComplete(const JobEntry& entry);
 
