--- /dev/null
+++ b/tests/dispatch/backlog_test.cc
@@ -0,0 +1,159 @@
+// Jobs that can no longer complete on time: how long one of them may have nothing running.
+#include <gtest/gtest.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "tests/dispatch/scenario.h"
+
+namespace pomelopond::dispatch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A job may have nothing running for this time although there is room for its tasks.
+constexpr Duration kLongestIdle = seconds(3);
+constexpr Duration kTaskTime = seconds(2);
+constexpr Duration kStep = milliseconds(100);
+
+// A step of best-effort tasks, which reserve memory only.
+jobs::Step BestEffortStep(int replicas, int64_t cpu_milli) {
+  jobs::Step step = MakeStep(replicas, cpu_milli);
+  step.best_effort = true;
+  step.estimate_ms = 1000;
+  step.image = "batch";
+  return step;
+}
+
+std::string IdOf(int n) { return "000000000000" + std::to_string(1000 + n); }
+
+// A pool of workers that answer at once and complete each task after kTaskTime.
+class Backlog {
+ public:
+  explicit Backlog(int workers) {
+    std::vector<WorkerInfo> infos;
+    for (int n = 0; n < workers; ++n) {
+      infos.push_back(MakeWorker("w" + std::to_string(n + 1)));
+      runs_[infos.back().id];
+    }
+    it_.AddWorkers(infos);
+  }
+
+  // Adds a job that was accepted at `accepted_ms`, before kWallStart.
+  void AddJob(const std::string& id, const jobs::Step& step, int64_t accepted_ms) {
+    jobs::Job job = MakeJob(id, {step});
+    job.accepted_ms = accepted_ms;
+    it_.dispatcher.AddJob(job, {}, false);
+    last_run_[id] = it_.now;
+  }
+
+  void Run(Duration duration) {
+    for (Duration passed{}; passed < duration; passed += kStep) Advance();
+  }
+
+  Duration LongestIdle() const { return longest_idle_; }
+  const std::string& IdleJob() const { return idle_job_; }
+  bool Completed(const std::string& id) const {
+    return it_.dispatcher.FindJob(id)->state == jobs::JobState::kCompleted;
+  }
+  Scenario* scenario() { return &it_; }
+
+ private:
+  void Advance() {
+    it_.Advance(kStep);
+    it_.Decide();
+    for (const StartOrder& order : it_.orders.starts) runs_[order.to.worker][order.run] = it_.now;
+    it_.ConfirmStarts();
+    for (auto& [worker, runs] : runs_) ReportRuns(worker, &runs);
+    it_.CommitAll();
+  }
+
+  void ReportRuns(const std::string& worker, std::map<RunId, TimePoint>* runs) {
+    std::vector<ActiveRun> active;
+    std::vector<EndedRun> ended;
+    for (const auto& [run, began] : *runs) {
+      if (it_.now - began < kTaskTime) {
+        active.push_back({run, "", 50, 0});
+        last_run_[run.task.job] = it_.now;
+        continue;
+      }
+      ended.push_back(End(++sequence_[worker], run, EndKind::kDone));
+    }
+    for (const EndedRun& end : ended) runs->erase(end.id);
+    it_.Report(worker, active, ended);
+    if (worker == runs_.rbegin()->first) RecordIdleJobs();
+  }
+
+  void RecordIdleJobs() {
+    for (const auto& [id, seen] : last_run_) {
+      if (Completed(id) || it_.now - seen <= longest_idle_) continue;
+      longest_idle_ = it_.now - seen;
+      idle_job_ = id;
+    }
+  }
+
+  Scenario it_;
+  std::map<std::string, std::map<RunId, TimePoint>> runs_;
+  std::map<std::string, int64_t> sequence_;
+  std::map<std::string, TimePoint> last_run_;
+  Duration longest_idle_{};
+  std::string idle_job_;
+};
+
+// Guards against jobs that have nothing running while others, which are as late, have all their
+// tasks running.
+TEST(BacklogTest, EachLateJobKeepsARunWhereThereIsRoomForOneOfEach) {
+  Backlog it(4);
+  // 64 cores run 32 tasks at a time.
+  for (int n = 0; n < 24; ++n) it.AddJob(IdOf(n), BestEffortStep(16, 2000), n);
+  it.Run(seconds(20));
+  EXPECT_LE(it.LongestIdle(), kLongestIdle) << it.IdleJob();
+}
+
+// Guards against a job whose tasks are larger than what becomes free at a time, so that smaller
+// tasks of jobs that are as late always take it.
+TEST(BacklogTest, LargeTaskIsNotPassedOverBySmallerOnes) {
+  Backlog it(4);
+  for (int n = 0; n < 24; ++n) {
+    it.AddJob(IdOf(n), BestEffortStep(16, 3000), n);
+    it.Run(milliseconds(100));
+  }
+  it.AddJob(IdOf(50), BestEffortStep(2, 14000), 50);
+  it.Run(seconds(10));
+  EXPECT_TRUE(it.Completed(IdOf(50)));
+}
+
+// Guards against a job that never starts because an expected tail keeps its tasks off every worker.
+TEST(BacklogTest, TaskStartsWhereTailsAreShortThoughItIsExpectedToLengthenThem) {
+  Backlog it(1);
+  jobs::Step serving = MakeStep(1, 4000);
+  serving.perpetual = true;
+  serving.image = "service";
+  serving.target_tail_ms = 150;
+  jobs::Job job = MakeJob(IdOf(0), {serving});
+  Scenario& pool = *it.scenario();
+  pool.dispatcher.AddJob(job, {}, false);
+  pool.Decide();
+  pool.ConfirmStarts();
+  const RunId serving_run = pool.orders.starts.at(0).run;
+  // The prior slowdown of 2% a core lets the expected tail with 12 more cores exceed 0.8 of the target.
+  for (int n = 0; n < 30; ++n) {
+    pool.Advance(kStep);
+    pool.Report("w1", {{serving_run, "", 100, 100}}, {});
+  }
+  jobs::Job late = MakeJob(IdOf(1), {BestEffortStep(1, 12000)});
+  pool.dispatcher.AddJob(late, {}, false);
+  size_t starts = 0;
+  for (Duration passed{}; passed < kLongestIdle; passed += kStep) {
+    pool.Advance(kStep);
+    pool.Decide();
+    starts += pool.orders.starts.size();
+    pool.Report("w1", {{serving_run, "", 100, 100}}, {});
+  }
+  EXPECT_EQ(starts, 1U);
+}
+
+}  // namespace
+}  // namespace pomelopond::dispatch
