Give each idle late job one run before others that are late get more

Cause: among jobs that are late, begun ones got all their tasks first and of the others the newest came first, so the oldest waited behind the whole backlog; and a large best-effort task found no worker while smaller ones took each bit of processor time that became free. Change: a late job without a run has a turn of its own, before late jobs get more than they have, in the order of the idle time, for a single task. Unless a job on time waits, that task may exceed the worker's spare processor time. Jobs that are too late come oldest first.

--- a/src/dispatch/choose_worker.cc
+++ b/src/dispatch/choose_worker.cc
@@ -44,17 +44,18 @@
   return dispatch::ExpectedTailRatio(*request.colocation, worker, request.step->image, cores);
 }
 
-// Best-effort tasks that share too little processor time all complete late, so later ones wait.
-bool FitsBestEffort(const WorkerState& worker, const PlacementRequest& request) {
-  if (SpareCpu(worker) < request.step->request.cpu_milli) return false;
-  if (worker.serving == 0) return true;
-  return WorstTailRatio(worker) <= kHighTailRatio &&
-         ExpectedTailRatio(worker, request) <= kMaxExpectedTailRatio;
-}
-
+// Best-effort tasks that share too little processor time all complete late, so later ones wait. One
+// that may share exceeds the spare processor time by less than its request.
 bool HasCapacityFor(const WorkerState& worker, const PlacementRequest& request) {
   if (!Fits(StepReservation(*request.step), FreeCapacity(worker))) return false;
-  return !request.step->best_effort || FitsBestEffort(worker, request);
+  if (!request.step->best_effort) return true;
+  return SpareCpu(worker) >= (request.shares_processor ? 1 : request.step->request.cpu_milli);
+}
+
+bool KeepsTailsShort(const WorkerState& worker, const PlacementRequest& request) {
+  if (!request.step->best_effort || worker.serving == 0) return true;
+  return WorstTailRatio(worker) <= kHighTailRatio &&
+         ExpectedTailRatio(worker, request) <= kMaxExpectedTailRatio;
 }
 
 // Smaller scores are better.
@@ -156,7 +157,8 @@
   for (const auto& [id, it] : workers) {
     if (!IsUndecided(*request.permits, id, it.info.incarnation, now)) continue;
     if (!IsEligible(it, any, now)) continue;
-    candidates.emplace_back(!HasCapacityFor(it, any), ScoreOf(it, any, now), &it);
+    const bool full = !HasCapacityFor(it, any) || !KeepsTailsShort(it, any);
+    candidates.emplace_back(full, ScoreOf(it, any, now), &it);
   }
   std::sort(candidates.begin(), candidates.end());
   std::vector<std::pair<std::string, int64_t>> out;
@@ -173,14 +175,27 @@
   return need;
 }
 
+std::map<std::string, SpareProcessor> SpareProcessors(
+    const std::map<std::string, WorkerState>& workers, TimePoint now) {
+  std::map<std::string, SpareProcessor> spare;
+  for (const auto& [id, it] : workers) {
+    if (!AcceptsTasks(it, now)) continue;
+    int64_t& most = spare[it.info.service].most;
+    most = std::max(most, SpareCpu(it));
+  }
+  return spare;
+}
+
 WorkerState* ChooseWorker(std::map<std::string, WorkerState>* workers,
                           const PlacementRequest& request, TimePoint now) {
   WorkerState* best = nullptr;
   Score best_score;
   for (auto& [id, it] : *workers) {
-    if (!IsEligible(it, request, now) || !HasCapacityFor(it, request)) continue;
+    // The cheap conditions come first, as most workers are full when many tasks wait.
+    if (!HasCapacityFor(it, request) || !IsEligible(it, request, now)) continue;
     const Score score = ScoreOf(it, request, now);
     if (best != nullptr && best_score <= score) continue;
+    if (!KeepsTailsShort(it, request)) continue;
     best = &it;
     best_score = score;
   }
--- a/src/dispatch/choose_worker.h
+++ b/src/dispatch/choose_worker.h
@@ -23,6 +23,8 @@
   const ColocationModel* colocation = nullptr;
   const StepPermits* permits = nullptr;  // if set, only workers with a valid permit are eligible
   std::string rack;                      // if set, only workers of this rack are eligible
+  // A best-effort task may start beside others with less processor time than it requests.
+  bool shares_processor = false;
 };
 
 // True when the worker is registered and stays, so that it may get new tasks, now or later.
@@ -38,6 +40,16 @@
 // processor time.
 Resources StepReservation(const jobs::Step& step);
 
+// Processor time of a service's workers, in thousandths of a core, that best-effort tasks may use.
+struct SpareProcessor {
+  int64_t most = 0;     // on one worker, at the begin of the decision
+  bool wanted = false;  // a best-effort task that requests a fixed amount has found no worker
+};
+
+// By service. In a decision spare processor time only shrinks.
+std::map<std::string, SpareProcessor> SpareProcessors(
+    const std::map<std::string, WorkerState>& workers, TimePoint now);
+
 // Returns the best worker with free capacity for one task, or null. Of otherwise equal workers,
 // tasks with a reservation but no tail target go to the emptiest one, and tasks with a tail target
 // to the fullest one. Best-effort tasks go to the worker with the most spare processor time on
--- a/src/dispatch/decide.cc
+++ b/src/dispatch/decide.cc
@@ -25,6 +25,10 @@
 // Minimum time between an order that changes the pace of a run and one that raises it.
 constexpr Duration kPaceInterval = std::chrono::milliseconds(800);
 
+bool IsFirstRun(const PlacementTurn& turn) {
+  return std::get<TurnKind>(turn.rank) == TurnKind::kFirstRun;
+}
+
 WorkerAddress AddressOf(const WorkerState& worker) {
   return {worker.info.id, worker.info.endpoint};
 }
@@ -184,7 +188,8 @@
   UpdateIdleTimes(now, wall_ms);
   reserved_capacity_.clear();
   unplaceable_.clear();
-  for (JobEntry* it : JobsInOrder(now, wall_ms)) PlaceJob(it, now, wall_ms, orders);
+  spare_processors_ = SpareProcessors(workers_, now);
+  for (const PlacementTurn& it : TurnsInOrder(now, wall_ms)) PlaceJob(it, now, wall_ms, orders);
   // At the limit of starts in flight, more tasks may be placeable once some starts are answered.
   capacity_changed_ = starts_in_flight_ >= limits_.max_starts_in_flight;
 }
@@ -197,66 +202,81 @@
   }
 }
 
-std::vector<JobEntry*> Dispatcher::JobsInOrder(TimePoint now, int64_t wall_ms) {
-  std::vector<std::pair<JobRank, JobEntry*>> ranked;
-  ranked.reserve(placeable_.size());
+std::vector<PlacementTurn> Dispatcher::TurnsInOrder(TimePoint now, int64_t wall_ms) {
+  std::vector<PlacementTurn> turns;
+  turns.reserve(placeable_.size());
   for (const auto& [id, entry] : placeable_) {
     if (entry->revision > proven_revision_) continue;
     if (now >= entry->estimates_valid_until) {
       entry->estimates = EstimatesOf(durations_, *entry);
       entry->estimates_valid_until = now + kEstimateInterval;
     }
-    ranked.emplace_back(RankOf(entry->estimates, *entry, wall_ms), entry);
+    turns.push_back({RankOf(entry->estimates, *entry, wall_ms), entry});
+    if (!NeedsFirstRun(entry->estimates, *entry, wall_ms)) continue;
+    turns.push_back({FirstRunRank(*entry), entry});
   }
-  std::stable_sort(ranked.begin(), ranked.end(),
-                   [](const auto& a, const auto& b) { return a.first < b.first; });
-  std::vector<JobEntry*> jobs;
-  jobs.reserve(ranked.size());
-  for (const auto& [rank, entry] : ranked) jobs.push_back(entry);
-  return jobs;
+  std::stable_sort(turns.begin(), turns.end(),
+                   [](const PlacementTurn& a, const PlacementTurn& b) { return a.rank < b.rank; });
+  return turns;
 }
 
-void Dispatcher::PlaceJob(JobEntry* entry, TimePoint now, int64_t wall_ms, Orders* orders) {
-  for (int k = 0; k < static_cast<int>(entry->steps.size()); ++k) {
-    if (wall_ms < DueMs(entry->job, k)) continue;
-    for (int s = 0; s < static_cast<int>(entry->job.steps.size()); ++s) {
-      if (entry->steps[static_cast<size_t>(k)][static_cast<size_t>(s)].waiting == 0) continue;
-      if (IsReady(*entry, k, s)) PlaceStep(entry, k, s, now, wall_ms, orders);
+void Dispatcher::PlaceJob(const PlacementTurn& turn, TimePoint now, int64_t wall_ms,
+                          Orders* orders) {
+  const JobEntry& entry = *turn.entry;
+  for (int k = 0; k < static_cast<int>(entry.steps.size()); ++k) {
+    if (wall_ms < DueMs(entry.job, k)) continue;
+    for (int s = 0; s < static_cast<int>(entry.job.steps.size()); ++s) {
+      if (entry.steps[static_cast<size_t>(k)][static_cast<size_t>(s)].waiting == 0) continue;
+      if (IsReady(entry, k, s)) PlaceStep(turn, k, s, now, wall_ms, orders);
+      if (IsFirstRun(turn) && HasActiveTask(entry)) return;
     }
   }
 }
 
-bool Dispatcher::PlaceStep(JobEntry* entry, int occurrence, int step, TimePoint now,
+void Dispatcher::PlaceStep(const PlacementTurn& turn, int occurrence, int step, TimePoint now,
                            int64_t wall_ms, Orders* orders) {
-  if (entry->job.steps[static_cast<size_t>(step)].gang) {
-    PlaceGang(entry, occurrence, step, now, wall_ms, orders);
-    return true;
-  }
+  JobEntry* entry = turn.entry;
   const jobs::Step& what = entry->job.steps[static_cast<size_t>(step)];
-  if (IsUnplaceable(unplaceable_, *entry, what)) return false;
+  if (what.gang) return PlaceGang(entry, occurrence, step, now, wall_ms, orders);
+  SpareProcessor& spare = spare_processors_[entry->job.rules.service];
+  // Until every job that can be useful has got its processor time, others share none of it.
+  const bool shares_processor = IsFirstRun(turn) && what.best_effort && !spare.wanted;
+  const bool fixed_amount =
+      what.best_effort && !shares_processor && !entry->job.rules.needs_permits;
+  if (fixed_amount && what.request.cpu_milli > spare.most) {
+    spare.wanted = true;
+    return;
+  }
+  if (IsUnplaceable(unplaceable_, *entry, what, shares_processor)) return;
   jobs::TaskId id{entry->job.id, occurrence, step, 0};
   const StepState* state = StepStateOf(entry, id);
   for (id.index = 0; id.index < static_cast<int>(state->tasks.size()); ++id.index) {
     const TaskState& task = state->tasks[static_cast<size_t>(id.index)];
     if (task.progress.done || !task.runs.empty() || IsWithheld(*entry, task)) continue;
-    if (starts_in_flight_ >= limits_.max_starts_in_flight) return false;
-    if (PlaceTask(entry, id, now, orders)) continue;
+    if (starts_in_flight_ >= limits_.max_starts_in_flight) return;
+    const bool placed = PlaceTask(turn, id, shares_processor, now, orders);
+    // The job's other turn follows in this decision. In it, other tasks and preemption are tried.
+    if (IsFirstRun(turn) && (placed || !what.best_effort)) return;
+    if (placed) continue;
     // If the queue requires permits, the task may have failed for want of a permit, so tasks of
     // other steps may still find a worker.
-    if (!entry->job.rules.needs_permits) RecordUnplaceable(&unplaceable_, *entry, what);
-    return false;
+    if (entry->job.rules.needs_permits) return;
+    spare.wanted = spare.wanted || fixed_amount;
+    return RecordUnplaceable(&unplaceable_, *entry, what, shares_processor);
   }
-  return true;
 }
 
-bool Dispatcher::PlaceTask(JobEntry* entry, const jobs::TaskId& id, TimePoint now, Orders* orders) {
+bool Dispatcher::PlaceTask(const PlacementTurn& turn, const jobs::TaskId& id, bool shares_processor,
+                           TimePoint now, Orders* orders) {
+  JobEntry* entry = turn.entry;
   const TaskState* task = FindTask(entry, id);
   PlacementRequest request = RequestOf(entry, id);
   request.task = task;
+  request.shares_processor = shares_processor;
   WorkerState* worker = ChooseWorker(&workers_, request, now);
   if (worker == nullptr) {
     RequestPermits(entry, id, now, orders);
-    return PreemptFor(*entry, request, now);
+    return !IsFirstRun(turn) && PreemptFor(*entry, request, now);
   }
   StartRun(worker, entry, {id, NextRun(*task)}, now, orders);
   return true;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -100,6 +100,12 @@
   int64_t free_cpu = 0;
 };
 
+// Turn of a job in a placement. A turn for a first run ends when a task of the job has a run.
+struct PlacementTurn {
+  TurnRank rank;
+  JobEntry* entry = nullptr;
+};
+
 class Dispatcher {
  public:
   // `epoch` increases with each owner. Runs of earlier owners are adopted when workers report them.
@@ -195,11 +201,12 @@
   void RetryRuns(TimePoint now, Orders* orders);
   void PlaceTasks(TimePoint now, int64_t wall_ms, Orders* orders);
   void UpdateIdleTimes(TimePoint now, int64_t wall_ms);
-  std::vector<JobEntry*> JobsInOrder(TimePoint now, int64_t wall_ms);
-  void PlaceJob(JobEntry* entry, TimePoint now, int64_t wall_ms, Orders* orders);
-  bool PlaceStep(JobEntry* entry, int occurrence, int step, TimePoint now, int64_t wall_ms,
-                 Orders* orders);
-  bool PlaceTask(JobEntry* entry, const jobs::TaskId& id, TimePoint now, Orders* orders);
+  std::vector<PlacementTurn> TurnsInOrder(TimePoint now, int64_t wall_ms);
+  void PlaceJob(const PlacementTurn& turn, TimePoint now, int64_t wall_ms, Orders* orders);
+  void PlaceStep(const PlacementTurn& turn, int occurrence, int step, TimePoint now,
+                 int64_t wall_ms, Orders* orders);
+  bool PlaceTask(const PlacementTurn& turn, const jobs::TaskId& id, bool shares_processor,
+                 TimePoint now, Orders* orders);
   PlacementRequest RequestOf(JobEntry* entry, const jobs::TaskId& id) const;
   void RequestPermits(JobEntry* entry, const jobs::TaskId& id, TimePoint now, Orders* orders);
   bool PreemptFor(const JobEntry& entry, const PlacementRequest& request, TimePoint now);
@@ -239,12 +246,13 @@
   DurationModel durations_;
   int starts_in_flight_ = 0;
   int permit_orders_in_flight_ = 0;
-  bool capacity_changed_ = true;                // since the last placement
-  TimePoint placed_at_;                         // time of the last placement
-  ReservedCapacity reserved_capacity_;          // by preemptions of the current decision
-  UnplaceableRequests unplaceable_;             // in the current decision
-  std::map<std::string, JobEntry*> placeable_;  // jobs with waiting tasks, by id
-  std::set<std::string> unreconciled_;          // inherited workers that have not reported yet
+  bool capacity_changed_ = true;        // since the last placement
+  TimePoint placed_at_;                 // time of the last placement
+  ReservedCapacity reserved_capacity_;  // by preemptions of the current decision
+  UnplaceableRequests unplaceable_;     // in the current decision
+  std::map<std::string, SpareProcessor> spare_processors_;  // in the current decision
+  std::map<std::string, JobEntry*> placeable_;              // jobs with waiting tasks, by id
+  std::set<std::string> unreconciled_;  // inherited workers that have not reported yet
   bool reconciliation_logged_ = false;
   bool workers_changed_ = false;  // the durable list of workers in use is outdated
 
--- a/src/dispatch/job_rank.cc
+++ b/src/dispatch/job_rank.cc
@@ -27,6 +27,18 @@
   return longest;
 }
 
+TurnKind TurnKindOf(Lateness lateness) {
+  switch (lateness) {
+    case Lateness::kOnTime:
+      return TurnKind::kOnTime;
+    case Lateness::kLate:
+      return TurnKind::kLate;
+    case Lateness::kTooLate:
+      return TurnKind::kTooLate;
+  }
+  return TurnKind::kTooLate;
+}
+
 bool IsPerpetual(const jobs::Job& job) {
   return std::any_of(job.steps.begin(), job.steps.end(),
                      [](const jobs::Step& it) { return it.perpetual; });
@@ -79,10 +91,21 @@
   return end <= kLateFactor * estimates.objective_ms ? Lateness::kLate : Lateness::kTooLate;
 }
 
-JobRank RankOf(const Estimates& estimates, const JobEntry& entry, int64_t wall_ms) {
-  const bool fresh = entry.state == jobs::JobState::kPending;
-  const int64_t age_order = fresh ? -entry.job.accepted_ms : entry.job.accepted_ms;
-  return {entry.job.rules.priority, LatenessOf(estimates, entry, wall_ms), fresh, age_order};
+TurnRank RankOf(const Estimates& estimates, const JobEntry& entry, int64_t wall_ms) {
+  const bool pending = entry.state == jobs::JobState::kPending;
+  const TurnKind kind = TurnKindOf(LatenessOf(estimates, entry, wall_ms));
+  const bool newest_first = pending && kind != TurnKind::kTooLate;
+  const int64_t age_order = newest_first ? -entry.job.accepted_ms : entry.job.accepted_ms;
+  return {entry.job.rules.priority, kind, pending, age_order};
+}
+
+bool NeedsFirstRun(const Estimates& estimates, const JobEntry& entry, int64_t wall_ms) {
+  return entry.idle_since && LatenessOf(estimates, entry, wall_ms) != Lateness::kOnTime;
+}
+
+TurnRank FirstRunRank(const JobEntry& entry) {
+  return {entry.job.rules.priority, TurnKind::kFirstRun, false,
+          entry.idle_since.value_or(TimePoint{}).time_since_epoch().count()};
 }
 
 }  // namespace pomelopond::dispatch
--- a/src/dispatch/job_rank.h
+++ b/src/dispatch/job_rank.h
@@ -37,15 +37,30 @@
 };
 Lateness LatenessOf(const Estimates& estimates, const JobEntry& entry, int64_t wall_ms);
 
-// Jobs with the smaller rank come first. The rank compares, in this order:
+// What a job gets in its turn of a placement. The values are in the order of the turns.
+enum class TurnKind {
+  kOnTime,    // all that a job on time needs
+  kFirstRun,  // one run for a job that is late or too late and idle, so that it does not starve
+  kLate,      // all that a late job needs
+  kTooLate,   // all that a job that is too late needs
+};
+
+// Turns with the smaller rank come first. The rank compares, in this order:
 // - the priority of the queue;
-// - the lateness, so that no capacity goes to jobs that are late anyway while others become late;
+// - the kind of the turn, so that no capacity goes to jobs that are late anyway while others become
+//   late;
+// - among first runs, the job that has been idle for the longest time;
 // - started jobs before pending ones, oldest first, so that started work completes soon;
 // - among pending jobs the newest first. Under overload, oldest first would start each job just
-//   when any further delay makes it late, so that all jobs would be late in turn.
-// Jobs of equal rank are served in the order of their ids.
-using JobRank = std::tuple<int, Lateness, bool, int64_t>;
-JobRank RankOf(const Estimates& estimates, const JobEntry& entry, int64_t wall_ms);
+//   when any further delay makes it late, so that all jobs would be late in turn. Jobs that are too
+//   late have nothing to lose by a delay, so they come oldest first.
+// Turns of equal rank follow the order of the job ids.
+using TurnRank = std::tuple<int, TurnKind, bool, int64_t>;
+TurnRank RankOf(const Estimates& estimates, const JobEntry& entry, int64_t wall_ms);
+
+// True for a job that has a turn of the kind kFirstRun as well.
+bool NeedsFirstRun(const Estimates& estimates, const JobEntry& entry, int64_t wall_ms);
+TurnRank FirstRunRank(const JobEntry& entry);
 
 }  // namespace pomelopond::dispatch
 
