Let an idle job start where reported tails are short after 2 s

Callers saw accepted best-effort jobs that never start while a third of the pool's processor time is free. Cause: a best-effort task starts only where the expected tail stays below 0.8 of the target. Where every worker serves and an image counts as heavy for all services, no worker qualifies, and the estimate is never corrected, as the image does not run. Change: the first run of an idle job may use up the tails' margin to their targets. After 2 s without such a worker it starts where the reported tails are short, at the worker with the lowest expected tail; where it does lengthen a tail, it is slowed down and stopped as before. BacklogTest.TaskStartsWhereTailsAreShort... failed before and passes; SharingTest.DisturbingImageIsNotPlacedBesideTheServiceAgain passes unchanged.

--- a/src/dispatch/choose_worker.cc
+++ b/src/dispatch/choose_worker.cc
@@ -41,7 +41,8 @@
 double ExpectedTailRatio(const WorkerState& worker, const PlacementRequest& request) {
   if (worker.serving == 0) return 0;
   const double cores = static_cast<double>(request.step->request.cpu_milli) / 1000;
-  return dispatch::ExpectedTailRatio(*request.colocation, worker, request.step->image, cores);
+  return dispatch::ExpectedTailRatio(*request.colocation, worker, request.step->image, cores,
+                                     request.max_expected_tail);
 }
 
 // Best-effort tasks that share too little processor time all complete late, so later ones wait. One
@@ -55,7 +56,7 @@
 bool KeepsTailsShort(const WorkerState& worker, const PlacementRequest& request) {
   if (!request.step->best_effort || worker.serving == 0) return true;
   return WorstTailRatio(worker) <= kHighTailRatio &&
-         ExpectedTailRatio(worker, request) <= kMaxExpectedTailRatio;
+         ExpectedTailRatio(worker, request) <= request.max_expected_tail;
 }
 
 // Smaller scores are better.
@@ -69,7 +70,13 @@
   const bool outside_preferred_rack =
       !step.preferred_rack.empty() && worker.info.rack != step.preferred_rack;
   const int64_t spare_cpu = SpareCpu(worker);
-  if (step.best_effort) return {suspect, outside_preferred_rack, false, false, -spare_cpu};
+  if (step.best_effort) {
+    const double tail = request.shares_processor ? ExpectedTailRatio(worker, request) : 0;
+    const bool long_tail = tail > kMaxExpectedTailRatio;
+    const auto tail_permille = static_cast<int64_t>(std::min(tail, 1e6) * 1000);
+    return {suspect, outside_preferred_rack, long_tail, false,
+            long_tail ? tail_permille : -spare_cpu};
+  }
   if (step.target_tail_ms > 0) {
     return {suspect, outside_preferred_rack, ServesOthers(worker, step.image), worker.serving == 0,
             spare_cpu};
--- a/src/dispatch/choose_worker.h
+++ b/src/dispatch/choose_worker.h
@@ -25,6 +25,9 @@
   std::string rack;                      // if set, only workers of this rack are eligible
   // A best-effort task may start beside others with less processor time than it requests.
   bool shares_processor = false;
+  // A best-effort task starts on no worker where a higher ratio of tail latency to target is
+  // expected.
+  double max_expected_tail = kMaxExpectedTailRatio;
 };
 
 // True when the worker is registered and stays, so that it may get new tasks, now or later.
--- a/src/dispatch/colocation.cc
+++ b/src/dispatch/colocation.cc
@@ -90,7 +90,7 @@
 }
 
 double ExpectedTailRatio(const ColocationModel& model, const WorkerState& worker,
-                         const std::string& image, double cores) {
+                         const std::string& image, double cores, double limit) {
   double worst = 0;
   const std::string* served = nullptr;  // the image that `slowdown` is for
   double slowdown = 0;
@@ -102,7 +102,7 @@
     }
     const double tail = BaselineTailMs(model, it) * (1 + slowdown);
     worst = std::max(worst, tail / static_cast<double>(it.target_tail_ms));
-    if (worst > kMaxExpectedTailRatio) break;
+    if (worst > limit) break;
   }
   return worst;
 }
--- a/src/dispatch/colocation.h
+++ b/src/dispatch/colocation.h
@@ -35,10 +35,11 @@
                        const planning::BatchLoad& before);
 
 // Expected highest ratio of tail latency to target if a best-effort task of `image` with `cores`
-// joins the worker. Above kMaxExpectedTailRatio it is a lower bound of that ratio: the placement of
-// a waiting task asks for it on every worker.
+// joins the worker. Above `limit` it is a lower bound of that ratio: the placement of a waiting
+// task asks for it on every worker.
 double ExpectedTailRatio(const ColocationModel& model, const WorkerState& worker,
-                         const std::string& image, double cores);
+                         const std::string& image, double cores,
+                         double limit = kMaxExpectedTailRatio);
 
 // The best-effort run that is expected to slow down the latency-critical task with the highest tail
 // ratio most, if any.
--- a/src/dispatch/decide.cc
+++ b/src/dispatch/decide.cc
@@ -1,5 +1,6 @@
 // Decisions of the dispatcher: placement, leases, preemption, gangs and pace.
 #include <algorithm>
+#include <limits>
 
 #include "base/log.h"
 #include "dispatch/choose_worker.h"
@@ -20,11 +21,21 @@
 // Waiting tasks are placed again after this time even if no run has ended, since backoffs of
 // workers expire and expected tails fall.
 constexpr Duration kPlacementInterval = std::chrono::milliseconds(50);
+// An idle job waits for this time for a worker with short expected tails.
+constexpr Duration kTailPatience = std::chrono::seconds(2);
 // Number of workers in a permit order, unless many tasks wait.
 constexpr size_t kDefaultPermitWorkers = 30;
 // Minimum time between an order that changes the pace of a run and one that raises it.
 constexpr Duration kPaceInterval = std::chrono::milliseconds(800);
 
+// Limit of the expected tail for the first run of an idle job. After kTailPatience only reported
+// tails keep it off a worker, since an image that is expected to lengthen all of them would wait
+// forever. Where it does lengthen them, it is slowed down and stopped.
+double MaxExpectedTail(const JobEntry& entry, TimePoint now) {
+  const bool waits_long = entry.idle_since && now - *entry.idle_since >= kTailPatience;
+  return waits_long ? std::numeric_limits<double>::infinity() : 1.0;
+}
+
 bool IsFirstRun(const PlacementTurn& turn) {
   return std::get<TurnKind>(turn.rank) == TurnKind::kFirstRun;
 }
@@ -273,6 +284,7 @@
   PlacementRequest request = RequestOf(entry, id);
   request.task = task;
   request.shares_processor = shares_processor;
+  if (shares_processor) request.max_expected_tail = MaxExpectedTail(*entry, now);
   WorkerState* worker = ChooseWorker(&workers_, request, now);
   if (worker == nullptr) {
     RequestPermits(entry, id, now, orders);
