Pause between placements while many jobs wait

Callers saw jobs idle for up to 28 s although the jobs before them were done. Cause: after each end of a run the owner ranks and tries every waiting job. With 650 of them it used all of its tenth of a core (902 to 988 ms of processor time in 10.4 s) and started less than the pool could take: 90 to 200 cores were free, with 8,000 tasks waiting. Change: a placement follows the last one after 20 us for each waiting job beyond 50, and after 50 ms at most. BacklogTest.PlacementsPauseWhileManyJobsWait fails without the change.

--- a/src/dispatch/decide.cc
+++ b/src/dispatch/decide.cc
@@ -21,6 +21,10 @@
 // Waiting tasks are placed again after this time even if no run has ended, since backoffs of
 // workers expire and expected tails fall.
 constexpr Duration kPlacementInterval = std::chrono::milliseconds(50);
+// Minimum time between placements, for each waiting job beyond kJobsWithoutPause. A placement tries
+// them all, so without a pause an owner with many of them would do little else.
+constexpr Duration kPausePerJob = std::chrono::microseconds(20);
+constexpr size_t kJobsWithoutPause = 50;
 // An idle job waits for this time for a worker with short expected tails.
 constexpr Duration kTailPatience = std::chrono::seconds(2);
 // Number of workers in a permit order, unless many tasks wait.
@@ -28,6 +32,11 @@
 // Minimum time between an order that changes the pace of a run and one that raises it.
 constexpr Duration kPaceInterval = std::chrono::milliseconds(800);
 
+Duration PlacementPause(size_t waiting_jobs) {
+  if (waiting_jobs <= kJobsWithoutPause) return Duration::zero();
+  return std::min<Duration>(kPausePerJob * (waiting_jobs - kJobsWithoutPause), kPlacementInterval);
+}
+
 // Limit of the expected tail for the first run of an idle job. After kTailPatience only reported
 // tails keep it off a worker, since an image that is expected to lengthen all of them would wait
 // forever. Where it does lengthen them, it is slowed down and stopped.
@@ -194,7 +203,9 @@
   if (now >= last_proof_ + limits_.lease_horizon) return;
   if (starts_in_flight_ >= limits_.max_starts_in_flight) return;
   // Most decisions follow an answer that frees no capacity.
-  if (!capacity_changed_ && now < placed_at_ + kPlacementInterval) return;
+  const Duration interval =
+      capacity_changed_ ? PlacementPause(placeable_.size()) : kPlacementInterval;
+  if (now < placed_at_ + interval) return;
   placed_at_ = now;
   UpdateIdleTimes(now, wall_ms);
   reserved_capacity_.clear();
--- a/tests/dispatch/backlog_test.cc
+++ b/tests/dispatch/backlog_test.cc
@@ -138,7 +138,8 @@
   pool.Decide();
   pool.ConfirmStarts();
   const RunId serving_run = pool.orders.starts.at(0).run;
-  // The prior slowdown of 2% a core lets the expected tail with 12 more cores exceed 0.8 of the target.
+  // The prior slowdown of 2% a core lets the expected tail with 12 more cores exceed 0.8 of the
+  // target.
   for (int n = 0; n < 30; ++n) {
     pool.Advance(kStep);
     pool.Report("w1", {{serving_run, "", 100, 100}}, {});
@@ -155,5 +156,34 @@
   EXPECT_EQ(starts, 1U);
 }
 
+// Returns how soon after a placement the end of a run lets the next task start, if `jobs` jobs
+// wait.
+Duration TimeToNextStart(int jobs) {
+  Scenario it;
+  it.AddWorkers({MakeWorker("w1", 1000)});
+  for (int n = 0; n < jobs; ++n) {
+    it.dispatcher.AddJob(MakeJob(IdOf(n), {MakeStep(1)}), {}, false);
+  }
+  it.Advance(seconds(1));
+  it.Decide();
+  it.ConfirmStarts();
+  it.Report("w1", {}, {End(1, it.orders.starts.at(0).run, EndKind::kDone)});
+  Duration passed{};
+  for (; passed < seconds(1); passed += milliseconds(1)) {
+    it.Decide();
+    if (!it.orders.starts.empty()) return passed;
+    it.Advance(milliseconds(1));
+  }
+  return passed;
+}
+
+// Guards against an owner that spends its processor time on placements when many jobs wait, and
+// against one that lets free capacity wait when few do.
+TEST(BacklogTest, PlacementsPauseWhileManyJobsWait) {
+  EXPECT_EQ(TimeToNextStart(10), Duration::zero());
+  EXPECT_GE(TimeToNextStart(600), milliseconds(10));
+  EXPECT_LE(TimeToNextStart(6000), milliseconds(50));
+}
+
 }  // namespace
 }  // namespace pomelopond::dispatch
--- a/tests/dispatch/job_rank_test.cc
+++ b/tests/dispatch/job_rank_test.cc
@@ -48,6 +48,37 @@
             RankOf(EstimatesOf({}, older), older, kAccepted + 20));
 }
 
+// Guards against an old job that waits behind all later ones although it is no less late than they.
+TEST(OrderTest, OldestOfTheJobsThatAreTooLateComesFirst) {
+  const JobEntry older = MakeChainJobEntry("a", kAccepted);
+  const JobEntry newer = MakeChainJobEntry("b", kAccepted + 1000);
+  const int64_t now = kAccepted + 60000;
+  EXPECT_LT(RankOf(EstimatesOf({}, older), older, now), RankOf(EstimatesOf({}, newer), newer, now));
+}
+
+// Guards against late jobs that take all capacity while another one has nothing running, and
+// against a job on time that waits for a late one.
+TEST(OrderTest, FirstRunOfAnIdleJobComesAfterJobsOnTimeAndBeforeLateOnes) {
+  const JobEntry late = MakeChainJobEntry("a", kAccepted);
+  JobEntry idle = MakeChainJobEntry("b", kAccepted);
+  idle.idle_since = TimePoint(std::chrono::hours(1));
+  const JobEntry on_time = MakeChainJobEntry("c", kAccepted + 4000);
+  const int64_t now = kAccepted + 4000;
+  ASSERT_TRUE(NeedsFirstRun(EstimatesOf({}, idle), idle, now));
+  EXPECT_FALSE(NeedsFirstRun(EstimatesOf({}, late), late, now));
+  EXPECT_LT(FirstRunRank(idle), RankOf(EstimatesOf({}, late), late, now));
+  EXPECT_LT(RankOf(EstimatesOf({}, on_time), on_time, now), FirstRunRank(idle));
+}
+
+// Guards against a job that is overtaken again and again by others that became idle later.
+TEST(OrderTest, JobThatHasBeenIdleForLongestGetsTheFirstRun) {
+  JobEntry first = MakeChainJobEntry("a", kAccepted + 10);
+  JobEntry second = MakeChainJobEntry("b", kAccepted);
+  first.idle_since = TimePoint(std::chrono::hours(1));
+  second.idle_since = TimePoint(std::chrono::hours(2));
+  EXPECT_LT(FirstRunRank(first), FirstRunRank(second));
+}
+
 // Guards against an overload in which each job starts only when it can hardly complete on time any
 // more.
 TEST(OrderTest, NewestOfTheJobsThatHaveNotBegunComesFirst) {
