Refuse MessagePack that nests deeper than 128

What callers saw: nothing yet. A stored record or a message of another process that nests 100,000 levels deep ends each process that reads it, and the next owner reads the same bytes.

Cause: Json::from_msgpack calls itself for each level and has no bound.

Change: ParseMessagePack in src/base checks the depth first, as ParseJson does, and all eight stored records and the message use it. The bound is twice that of JSON, since a record or message may contain a document.

The second pass over the bytes was not measured.

--- a/src/base/json.h
+++ b/src/base/json.h
@@ -1,4 +1,4 @@
-// The JSON type, and a parser with limits for untrusted input.
+// The JSON type, and parsers with limits for untrusted input.
 #ifndef POMELOPOND_BASE_JSON_H_
 #define POMELOPOND_BASE_JSON_H_
 
@@ -19,6 +19,14 @@
 // and nesting deeper than kMaxJsonDepth.
 Result<Json> ParseJson(std::string_view text);
 
+// Largest nesting depth of MessagePack. Stored records and messages may contain documents of up to
+// kMaxJsonDepth.
+inline constexpr int kMaxMessagePackDepth = 2 * kMaxJsonDepth;
+
+// Parses one complete value in MessagePack. Returns a discarded value, whose members cannot be
+// accessed without an exception, on syntax errors and nesting deeper than kMaxMessagePackDepth.
+Json ParseMessagePack(std::string_view bytes);
+
 }  // namespace pomelopond
 
 #endif  // POMELOPOND_BASE_JSON_H_
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -27,7 +27,7 @@
 }
 
 Result<std::vector<WorkerInUse>> DecodeWorkersInUse(const std::string& bytes) {
-  const Json in = Json::from_msgpack(bytes, true, false);
+  const Json in = ParseMessagePack(bytes);
   std::vector<WorkerInUse> workers;
   try {
     for (const Json& it : in) {
@@ -48,7 +48,7 @@
 }
 
 Result<std::map<std::string, int>> DecodeWaiting(const std::string& bytes) {
-  const Json in = Json::from_msgpack(bytes, true, false);
+  const Json in = ParseMessagePack(bytes);
   try {
     return {{}, in.get<std::map<std::string, int>>()};
   } catch (const Json::exception&) {
--- a/src/dispatch/lease_bounds.cc
+++ b/src/dispatch/lease_bounds.cc
@@ -14,7 +14,7 @@
 }
 
 Result<LeaseBounds> DecodeLeaseBounds(const std::string& bytes) {
-  const Json in = Json::from_msgpack(bytes, true, false);
+  const Json in = ParseMessagePack(bytes);
   LeaseBounds bounds;
   try {
     in.at(0).get_to(bounds.epoch);
--- a/src/entry/term.cc
+++ b/src/entry/term.cc
@@ -14,7 +14,7 @@
 }
 
 Result<Term> DecodeTerm(const std::string& bytes) {
-  const Json in = Json::from_msgpack(bytes, true, false);
+  const Json in = ParseMessagePack(bytes);
   Term term;
   try {
     in.at(0).get_to(term.epoch);
--- a/src/jobs/job.cc
+++ b/src/jobs/job.cc
@@ -109,7 +109,7 @@
 }
 
 Result<Job> DecodeJob(const std::string& bytes) {
-  const Json in = Json::from_msgpack(bytes, true, false);
+  const Json in = ParseMessagePack(bytes);
   Job job;
   try {
     in.at("id").get_to(job.id);
--- a/src/jobs/progress.cc
+++ b/src/jobs/progress.cc
@@ -29,7 +29,7 @@
 }
 
 Result<JobProgress> DecodeProgress(const std::string& bytes) {
-  const Json in = Json::from_msgpack(bytes, true, false);
+  const Json in = ParseMessagePack(bytes);
   JobProgress progress;
   try {
     const int state = in.at("state").get<int>();
--- a/src/peer/message.cc
+++ b/src/peer/message.cc
@@ -17,7 +17,7 @@
 
 Result<Message> Decode(const std::string& bytes) {
   if (bytes.size() > kMaxMessageBytes) return {ResultCode::kPeerBadMessage, {}};
-  const Json envelope = Json::from_msgpack(bytes, true, false);
+  const Json envelope = ParseMessagePack(bytes);
   if (!envelope.is_object()) return {ResultCode::kPeerBadMessage, {}};
   FieldErrors errors;
   JsonReader reader(envelope, "", &errors);
--- a/src/planning/event.cc
+++ b/src/planning/event.cc
@@ -92,7 +92,7 @@
 }
 
 Result<std::vector<Event>> DecodeEvents(const std::string& bytes) {
-  const Json list = Json::from_msgpack(bytes, true, false);
+  const Json list = ParseMessagePack(bytes);
   if (!list.is_array()) return {ResultCode::kStoreBadAnswer, {}};
   std::vector<Event> events;
   for (const Json& it : list) {
--- a/src/planning/shard_state.cc
+++ b/src/planning/shard_state.cc
@@ -156,7 +156,7 @@
 
 Result<ShardState> DecodeSnapshot(const std::string& bytes) {
   const Result<ShardState> bad{ResultCode::kStoreBadAnswer, {}};
-  const Json document = Json::from_msgpack(bytes, true, false);
+  const Json document = ParseMessagePack(bytes);
   if (!document.is_object() || !document.contains("jobs") || !document.contains("tasks")) {
     return bad;
   }
--- a/tests/base/json_test.cc
+++ b/tests/base/json_test.cc
@@ -21,6 +21,17 @@
 
 TEST(JsonTest, RefusesInvalidUtf8) { EXPECT_FALSE(ParseJson("\"\xff\xfe\"").ok()); }
 
+// Guards against a bound that is off by one, and against input that is parsed in part.
+TEST(JsonTest, MessagePackIsParsedUpToItsDepth) {
+  const std::string deepest(kMaxMessagePackDepth, '\x91');
+  EXPECT_TRUE(ParseMessagePack(deepest + "\xc0").is_array());
+  EXPECT_TRUE(ParseMessagePack(deepest + "\x91\xc0").is_discarded());
+  EXPECT_EQ(ParseMessagePack("\x92\x91\x01\x91\x02"), Json::parse("[[1],[2]]"));
+  for (const char* it : {"", "\x91", "\xc0\xc0", "\xc1", "\x81\x01\x01"}) {
+    EXPECT_TRUE(ParseMessagePack(it).is_discarded());
+  }
+}
+
 // Guards against settings errors that are reported only one at a time, and against misspelt members
 // that are ignored.
 TEST(EntrySettingsTest, ReportsEveryErrorByPath) {
--- a/tests/peer/message_test.cc
+++ b/tests/peer/message_test.cc
@@ -29,6 +29,12 @@
   }
 }
 
+// Guards against a message whose nesting exhausts the stack of the process that receives it.
+TEST(MessageTest, DeepNestingIsRefused) {
+  constexpr size_t kDepth = 100000;
+  EXPECT_EQ(Decode(std::string(kDepth, '\x91') + "\xc0").ec, ResultCode::kPeerBadMessage);
+}
+
 TEST(PeerTest, AnswersAndTimesOut) {
   const Endpoint endpoint{"127.77.0.1", 7301};
   PeerClient client(endpoint);
--- a/tests/platform/hostile_input_test.cc
+++ b/tests/platform/hostile_input_test.cc
@@ -4,10 +4,14 @@
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
+#include "base/result_code.h"
 #include "dispatch/dispatcher.h"
+#include "dispatch/lease_bounds.h"
 #include "entry/term.h"
 #include "jobs/job.h"
 #include "jobs/progress.h"
+#include "planning/event.h"
+#include "planning/shard_state.h"
 #include "platform/decode.h"
 #include "platform/policy_api.h"
 #include "platform/worker_api.h"
@@ -138,6 +142,30 @@
   }));
 }
 
+// Returns whether the bytes are refused as a record of each kind.
+bool IsNoRecord(const std::string& bytes) {
+  return jobs::DecodeJob(bytes).ec == ResultCode::kStoreBadAnswer &&
+         jobs::DecodeProgress(bytes).ec == ResultCode::kStoreBadAnswer &&
+         entry::DecodeTerm(bytes).ec == ResultCode::kStoreBadAnswer &&
+         dispatch::DecodeLeaseBounds(bytes).ec == ResultCode::kStoreBadAnswer &&
+         dispatch::DecodeWorkersInUse(bytes).ec == ResultCode::kStoreBadAnswer &&
+         dispatch::DecodeWaiting(bytes).ec == ResultCode::kStoreBadAnswer &&
+         planning::DecodeEvents(bytes).ec == ResultCode::kStoreBadAnswer &&
+         planning::DecodeSnapshot(bytes).ec == ResultCode::kStoreBadAnswer;
+}
+
+// Guards against a stored record whose nesting exhausts the stack of each process that reads it.
+TEST(HostileInputTest, DeeplyNestedRecordsAreRefused) {
+  constexpr size_t kDepth = 100000;
+  const std::string arrays(kDepth, '\x91');  // each has one element
+  EXPECT_TRUE(IsNoRecord(arrays));
+  EXPECT_TRUE(IsNoRecord(arrays + "\xc0"));
+  std::string objects;  // each has one member
+  for (size_t n = 0; n < kDepth; ++n) objects.append("\x81\xa1k");
+  EXPECT_TRUE(IsNoRecord(objects));
+  EXPECT_TRUE(IsNoRecord(objects + "\xc0"));
+}
+
 // Guards against a submission that terminates the process, or that is accepted but cannot be run.
 TEST(HostileInputTest, SubmissionsAreRefusedOrUsable) {
   EXPECT_TRUE(rc::check([] {
