Check the range of every number in stored records, submissions and queues

What callers saw: a submission of 4,294,967,297 replicas ran one; one of 2,000,000,000 times was accepted and exhausts the owner's memory, and the next owner's; a fraction of a replica was dropped without an error.

Cause: get_to converts numbers unchecked; a float out of range has no defined result. The number of tasks was bounded for each occurrence only.

Change: Require* in src/base/integer.h throw with the member's name and range. Job, progress, term, lease bounds, counts of waiting jobs, submissions and queues use them with the bounds of src/jobs/limits.h. A submission is refused with bad_field (101), a stored record with store_bad_answer (503). A job has at most 200,000 tasks in all its occurrences; the bound of 50,000 in one occurrence stays.

Counts (replicas, times, after, limits per worker) must be whole; 4.0 is. Stored records must hold whole numbers. Negative durations and a job of an earlier version above the new bounds are refused now.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 
+#include "base/integer.h"
 #include "base/log.h"
 #include "base/result_code.h"
 #include "dispatch/choose_worker.h"
+#include "jobs/limits.h"
 
 namespace pomelopond::dispatch {
 namespace {
@@ -30,7 +32,7 @@
   const Json in = ParseMessagePack(bytes);
   std::vector<WorkerInUse> workers;
   try {
-    for (const Json& it : in) {
+    for (const Json& it : in.get_ref<const Json::array_t&>()) {
       const Result<Endpoint> endpoint = ParseEndpoint(it.at(2).get<std::string>());
       if (!endpoint.ok()) return {ResultCode::kStoreBadAnswer, {}};
       workers.push_back({it.at(0).get<std::string>(), it.at(1).get<std::string>(), endpoint.value});
@@ -49,11 +51,15 @@
 
 Result<std::map<std::string, int>> DecodeWaiting(const std::string& bytes) {
   const Json in = ParseMessagePack(bytes);
+  std::map<std::string, int> counts;
   try {
-    return {{}, in.get<std::map<std::string, int>>()};
+    for (const auto& [queue, n] : in.get_ref<const Json::object_t&>()) {
+      counts[queue] = static_cast<int>(RequireWholeNumber(n, queue, 0, jobs::kMaxInt));
+    }
   } catch (const Json::exception&) {
     return {ResultCode::kStoreBadAnswer, {}};
   }
+  return {{}, std::move(counts)};
 }
 
 Dispatcher::Dispatcher(const DispatchLimits& limits, int64_t epoch, TimePoint now)
--- a/src/dispatch/lease_bounds.cc
+++ b/src/dispatch/lease_bounds.cc
@@ -2,10 +2,18 @@
 
 #include <utility>
 
+#include "base/integer.h"
 #include "base/json.h"
 #include "base/result_code.h"
+#include "jobs/limits.h"
 
 namespace pomelopond::dispatch {
+namespace {
+
+// Longest lease in ms, a day. Sums with a point in time stay within their type.
+constexpr int64_t kMaxLeaseMs = 86400000;
+
+}  // namespace
 
 std::string Encode(const LeaseBounds& bounds) {
   std::string bytes;
@@ -17,14 +25,13 @@
   const Json in = ParseMessagePack(bytes);
   LeaseBounds bounds;
   try {
-    in.at(0).get_to(bounds.epoch);
-    in.at(1).get_to(bounds.left_ms);
+    bounds.epoch = RequireWholeNumber(in.at(0), "epoch", 0, jobs::kMaxEpoch);
+    for (const auto& [id, left_ms] : in.at(1).get_ref<const Json::object_t&>()) {
+      bounds.left_ms[id] = RequireWholeNumber(left_ms, id, 0, kMaxLeaseMs);
+    }
   } catch (const Json::exception&) {
     return {ResultCode::kStoreBadAnswer, {}};
   }
-  for (const auto& [id, left_ms] : bounds.left_ms) {
-    if (left_ms < 0) return {ResultCode::kStoreBadAnswer, {}};
-  }
   return {{}, std::move(bounds)};
 }
 
--- a/src/entry/term.cc
+++ b/src/entry/term.cc
@@ -1,10 +1,18 @@
 #include "entry/term.h"
 
+#include "base/integer.h"
 #include "base/json.h"
 #include "base/result_code.h"
 #include "entry/keys.h"
+#include "jobs/limits.h"
 
 namespace pomelopond::entry {
+namespace {
+
+// Largest number of a commit, which no owner reaches.
+constexpr int64_t kMaxCommit = 1000000000000000;
+
+}  // namespace
 
 std::string Encode(const Term& term) {
   std::string bytes;
@@ -17,11 +25,13 @@
   const Json in = ParseMessagePack(bytes);
   Term term;
   try {
-    in.at(0).get_to(term.epoch);
+    term.epoch = RequireWholeNumber(in.at(0), "epoch", 0, jobs::kMaxEpoch);
     in.at(1).get_to(term.owner);
-    in.at(2).get_to(term.last_commit);
+    term.last_commit = RequireWholeNumber(in.at(2), "last_commit", 0, kMaxCommit);
     // Terms of versions before the member was added lack it.
-    if (in.size() > 3) in.at(3).get_to(term.fastest_milli);
+    if (in.size() > 3) {
+      term.fastest_milli = RequireWholeNumber(in.at(3), "fastest_milli", 0, kMaxResourceAmount);
+    }
   } catch (const Json::exception&) {
     return {ResultCode::kStoreBadAnswer, {}};
   }
--- a/src/jobs/job.cc
+++ b/src/jobs/job.cc
@@ -1,6 +1,8 @@
 #include "jobs/job.h"
 
+#include "base/integer.h"
 #include "base/result_code.h"
+#include "jobs/limits.h"
 
 namespace pomelopond::jobs {
 namespace {
@@ -8,8 +10,14 @@
 constexpr int kMaxReplicas = 10000;
 constexpr int kMaxSteps = 1000;
 constexpr size_t kMaxSpecBytes = 4000;
-// Limit over all steps of a job. Each task takes some hundred bytes of the owner's memory.
-constexpr int64_t kMaxTasks = 50000;
+
+int64_t NumberAt(const Json& in, const char* key, int64_t min, int64_t max) {
+  return RequireWholeNumber(in.at(key), key, min, max);
+}
+
+int CountAt(const Json& in, const char* key) {
+  return static_cast<int>(NumberAt(in, key, 0, kMaxInt));
+}
 
 Json ToJson(const Step& step) {
   return {{"replicas", step.replicas},
@@ -34,24 +42,26 @@
 
 Step StepFromJson(const Json& in) {
   Step step;
-  in.at("replicas").get_to(step.replicas);
-  in.at("cpu").get_to(step.request.cpu_milli);
-  in.at("memory").get_to(step.request.memory_mb);
-  in.at("accelerators").get_to(step.request.accelerators);
-  in.at("estimate_ms").get_to(step.estimate_ms);
-  in.at("after").get_to(step.after);
+  step.replicas = CountAt(in, "replicas");
+  step.request.cpu_milli = NumberAt(in, "cpu", 0, kMaxResourceAmount);
+  step.request.memory_mb = NumberAt(in, "memory", 0, kMaxResourceAmount);
+  step.request.accelerators = NumberAt(in, "accelerators", 0, kMaxResourceAmount);
+  step.estimate_ms = NumberAt(in, "estimate_ms", 0, kMaxDurationMs);
+  for (const Json& it : in.at("after")) {
+    step.after.push_back(static_cast<int>(RequireWholeNumber(it, "after", 0, kMaxSteps)));
+  }
   in.at("checkpoint").get_to(step.checkpoint);
   in.at("gang").get_to(step.gang);
   in.at("same_rack").get_to(step.same_rack);
   in.at("label").get_to(step.required_label);
   in.at("rack").get_to(step.preferred_rack);
-  in.at("max_per_worker").get_to(step.max_per_worker);
+  step.max_per_worker = CountAt(in, "max_per_worker");
   in.at("speculative").get_to(step.speculative);
   in.at("perpetual").get_to(step.perpetual);
   in.at("image").get_to(step.image);
-  in.at("target_tail_ms").get_to(step.target_tail_ms);
+  step.target_tail_ms = NumberAt(in, "target_tail_ms", 0, kMaxDurationMs);
   in.at("fills").get_to(step.best_effort);
-  in.at("max_unavailable").get_to(step.max_unavailable);
+  step.max_unavailable = CountAt(in, "max_unavailable");
   return step;
 }
 
@@ -69,10 +79,10 @@
   QueueRules rules;
   in.at("queue").get_to(rules.queue);
   in.at("service").get_to(rules.service);
-  in.at("priority").get_to(rules.priority);
-  in.at("max_attempts").get_to(rules.max_attempts);
-  in.at("stretch").get_to(rules.stretch);
-  in.at("target_duration_ms").get_to(rules.target_duration_ms);
+  rules.priority = static_cast<int>(NumberAt(in, "priority", kMinInt, kMaxInt));
+  rules.max_attempts = CountAt(in, "max_attempts");
+  rules.stretch = RequireNumber(in.at("stretch"), "stretch", 0, kMaxStretch);
+  rules.target_duration_ms = NumberAt(in, "target_duration_ms", 0, kMaxDurationMs);
   // Absent from jobs that earlier versions stored.
   rules.needs_permits = in.value("needs_permits", false);
   return rules;
@@ -116,10 +126,10 @@
     in.at("spec").get_to(job.spec);
     job.rules = RulesFromJson(in.at("rules"));
     for (const Json& it : in.at("steps")) job.steps.push_back(StepFromJson(it));
-    in.at("occurrences").get_to(job.occurrences);
-    in.at("first_ms").get_to(job.first_ms);
-    in.at("interval_ms").get_to(job.interval_ms);
-    in.at("accepted_ms").get_to(job.accepted_ms);
+    job.occurrences = CountAt(in, "occurrences");
+    job.first_ms = NumberAt(in, "first_ms", -kMaxTimeMs, kMaxTimeMs);
+    job.interval_ms = NumberAt(in, "interval_ms", 0, kMaxDurationMs);
+    job.accepted_ms = NumberAt(in, "accepted_ms", 0, kMaxTimeMs);
     // Throws for text that is not valid UTF-8, as it could not be passed on to a worker.
     static_cast<void>(in.dump());
   } catch (const Json::exception&) {
@@ -141,6 +151,9 @@
   }
   if (tasks > kMaxTasks) return "there are more than 50000 tasks";
   if (job.occurrences < 0 || job.interval_ms < 0) return "times or interval is negative";
+  if (tasks * Occurrences(job) > kMaxTasksOfAllOccurrences) {
+    return "there are more than 200000 tasks in all times";
+  }
   return {};
 }
 
--- /dev/null
+++ b/src/jobs/limits.h
@@ -0,0 +1,30 @@
+// Bounds of the numbers in jobs and stored records. Sums and products of numbers within them stay
+// within their types.
+#ifndef POMELOPOND_JOBS_LIMITS_H_
+#define POMELOPOND_JOBS_LIMITS_H_
+
+#include <cstdint>
+#include <limits>
+
+namespace pomelopond::jobs {
+
+inline constexpr int64_t kMaxInt = std::numeric_limits<int>::max();
+inline constexpr int64_t kMinInt = std::numeric_limits<int>::min();
+// Tasks of one occurrence, over all steps. Each takes some hundred bytes of the owner's memory.
+inline constexpr int64_t kMaxTasks = 50000;
+// Tasks of all occurrences of a job, all of which the owner holds in memory.
+inline constexpr int64_t kMaxTasksOfAllOccurrences = 200000;
+// Largest duration in ms, over 300 years. Its product with the number of occurrences fits.
+inline constexpr int64_t kMaxDurationMs = 10000000000000;
+// Largest distance of a point in time from the Unix epoch, in ms.
+inline constexpr int64_t kMaxTimeMs = 1000000000000000;
+// Largest factor of a queue's objective.
+inline constexpr double kMaxStretch = 1000000;
+// Largest number of a run, which no worker reaches, and largest epoch. An epoch has 100,000 runs of
+// a task.
+inline constexpr int64_t kMaxRun = 1000000000000000;
+inline constexpr int64_t kMaxEpoch = 1000000000;
+
+}  // namespace pomelopond::jobs
+
+#endif  // POMELOPOND_JOBS_LIMITS_H_
--- a/src/jobs/progress.cc
+++ b/src/jobs/progress.cc
@@ -1,6 +1,8 @@
 #include "jobs/progress.h"
 
+#include "base/integer.h"
 #include "base/result_code.h"
+#include "jobs/limits.h"
 
 namespace pomelopond::jobs {
 namespace {
@@ -9,6 +11,21 @@
 constexpr const char* kStateNames[kJobStateCount] = {"pending", "running", "completed", "failed",
                                                      "cancelled"};
 
+int IndexAt(const Json& row, size_t position) {
+  return static_cast<int>(RequireWholeNumber(row.at(position), "index", 0, kMaxInt));
+}
+
+TaskProgress TaskFromJson(const Json& row) {
+  TaskProgress task;
+  row.at(3).get_to(task.done);
+  for (const Json& it : row.at(4)) {
+    task.failed_runs.push_back(RequireWholeNumber(it, "failed run", 0, kMaxRun));
+  }
+  row.at(5).get_to(task.checkpoint);
+  task.checkpoint_run = RequireWholeNumber(row.at(6), "checkpoint run", 0, kMaxRun);
+  return task;
+}
+
 }  // namespace
 
 const char* JobStateName(JobState state) { return kStateNames[static_cast<int>(state)]; }
@@ -32,18 +49,11 @@
   const Json in = ParseMessagePack(bytes);
   JobProgress progress;
   try {
-    const int state = in.at("state").get<int>();
-    if (state < 0 || state >= kJobStateCount) return {ResultCode::kStoreBadAnswer, {}};
-    progress.state = static_cast<JobState>(state);
-    in.at("finished_ms").get_to(progress.finished_ms);
+    progress.state =
+        static_cast<JobState>(RequireWholeNumber(in.at("state"), "state", 0, kJobStateCount - 1));
+    progress.finished_ms = RequireWholeNumber(in.at("finished_ms"), "finished_ms", 0, kMaxTimeMs);
     for (const Json& it : in.at("tasks")) {
-      TaskProgress task;
-      it.at(3).get_to(task.done);
-      it.at(4).get_to(task.failed_runs);
-      it.at(5).get_to(task.checkpoint);
-      it.at(6).get_to(task.checkpoint_run);
-      progress.tasks[{it.at(0).get<int>(), it.at(1).get<int>(), it.at(2).get<int>()}] =
-          std::move(task);
+      progress.tasks[{IndexAt(it, 0), IndexAt(it, 1), IndexAt(it, 2)}] = TaskFromJson(it);
     }
   } catch (const Json::exception&) {
     return {ResultCode::kStoreBadAnswer, {}};
--- a/tests/platform/decode_test.cc
+++ b/tests/platform/decode_test.cc
@@ -168,6 +168,104 @@
   }
 }
 
+std::string SubmissionWith(const std::string& member, const std::string& value) {
+  return R"({"steps":[{"replicas":1}],")" + member + R"(":)" + value + "}";
+}
+
+std::string StepWith(const std::string& member, const std::string& value) {
+  return R"({"steps":[{},{")" + member + R"(":)" + value + "}]}";
+}
+
+const std::vector<std::string>& StepCounts() {
+  static const std::vector<std::string> members = {"replicas", "max_per_server", "max_missing"};
+  return members;
+}
+
+// Returns whether the submission is refused with kBadField and a fault that names the member.
+bool IsRefusedFor(const std::string& member, const std::string& body) {
+  std::string fault;
+  const Result<jobs::Job> job = ReadSubmission(body, &fault);
+  return job.ec == ResultCode::kBadField && fault.find(member) != std::string::npos;
+}
+
+// Guards against a caller's number that is converted to another one without an error: 2^32 + 1
+// replicas that become 1, or an estimate whose sums overflow.
+TEST(DecodeTest, SubmissionsWithNumbersOutOfRangeAreRefused) {
+  std::vector<std::string> numbers = NumbersOutOfRange();
+  numbers.insert(numbers.end(), {R"("1")", "{}", "4611686018427387904"});
+  std::vector<std::string> members = StepCounts();
+  members.insert(members.end(), {"cpu", "mem_mb", "gpu", "estimate_ms", "target_ms"});
+  for (const std::string& number : numbers) {
+    for (const std::string& it : members) {
+      EXPECT_TRUE(IsRefusedFor(it, StepWith(it, number))) << it << " " << number;
+    }
+    EXPECT_TRUE(IsRefusedFor("after", StepWith("after", "[" + number + "]"))) << number;
+    for (const char* it : {"times", "interval_ms"}) {
+      EXPECT_TRUE(IsRefusedFor(it, SubmissionWith(it, number))) << it << " " << number;
+    }
+    if (number == "-5") continue;
+    EXPECT_TRUE(IsRefusedFor("first_ms", SubmissionWith("first_ms", number))) << number;
+  }
+  EXPECT_TRUE(IsRefusedFor("replicas", StepWith("replicas", "4294967297")));
+  EXPECT_TRUE(IsRefusedFor("times", SubmissionWith("times", "4294967297")));
+}
+
+// Guards against a count that is rounded: half a replica is an error of the caller.
+TEST(DecodeTest, CountsWithAFractionAreRefused) {
+  std::string fault;
+  for (const std::string& it : StepCounts()) {
+    EXPECT_TRUE(IsRefusedFor(it, StepWith(it, "1.5"))) << it;
+    EXPECT_TRUE(ReadSubmission(StepWith(it, "2.0"), &fault).ok()) << it << ": " << fault;
+  }
+  EXPECT_TRUE(IsRefusedFor("after", StepWith("after", "[0.5]")));
+  EXPECT_TRUE(IsRefusedFor("times", SubmissionWith("times", "1.5")));
+  EXPECT_TRUE(ReadSubmission(SubmissionWith("times", "2.0"), &fault).ok()) << fault;
+}
+
+// Guards against refusing amounts and times with a fraction, which were always accepted without it.
+TEST(DecodeTest, AmountsAndTimesMayHaveAFraction) {
+  std::string fault;
+  const Result<jobs::Job> job = ReadSubmission(
+      R"({"steps":[{"cpu":500.5,"estimate_ms":812.75,"target_ms":2.5,"image":null}],"times":2,)"
+      R"("first_ms":1796500000000.25,"interval_ms":10.5})",
+      &fault);
+  ASSERT_TRUE(job.ok()) << fault;
+  EXPECT_EQ(job.value.steps[0].request.cpu_milli, 500);
+  EXPECT_EQ(job.value.steps[0].estimate_ms, 812);
+  EXPECT_EQ(job.value.steps[0].target_tail_ms, 2);
+  EXPECT_EQ(job.value.first_ms, 1796500000000);
+  EXPECT_EQ(job.value.interval_ms, 10);
+}
+
+// Guards against one submission whose occurrences exhaust the owner's memory.
+TEST(DecodeTest, TasksOfAllOccurrencesTogetherAreBounded) {
+  EXPECT_TRUE(IsRefusedFor("times", SubmissionWith("times", "2000000000")));
+  EXPECT_TRUE(IsRefusedFor("times", R"({"steps":[{"replicas":10000}],"times":21})"));
+  std::string fault;
+  EXPECT_TRUE(ReadSubmission(R"({"steps":[{"replicas":10000}],"times":20})", &fault).ok()) << fault;
+}
+
+// Guards against a configuration whose numbers are converted to other ones.
+TEST(DecodeTest, QueuesWithNumbersOutOfRangeAreRefused) {
+  const auto config_with = [](const std::string& member, const std::string& value) {
+    return ItemOf(kConfigKey, R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/",")" +
+                                  member + R"(":)" + value + "}]}");
+  };
+  for (const std::string& number : NumbersOutOfRange()) {
+    for (const char* it : {"max_attempts", "stretch", "target_duration_ms", "priority"}) {
+      if (std::string_view(it) == "priority" && number == "-5") continue;
+      EXPECT_FALSE(ReadConfig(config_with(it, number)).ok()) << it << " " << number;
+    }
+  }
+  for (const char* it : {"1e300", "18446744073709551615", "true"}) {
+    const std::string config = R"({"version":)" + std::string(it) + R"(,"routes":[]})";
+    EXPECT_FALSE(ReadConfig(ItemOf(kConfigKey, config)).ok()) << config;
+  }
+  const Result<jobs::Catalog> catalog = ReadConfig(config_with("target_duration_ms", "2.5"));
+  ASSERT_TRUE(catalog.ok());
+  EXPECT_EQ(catalog.value.queues[0].rules.target_duration_ms, 2);
+}
+
 TEST(WorkerApiTest, TaskNamesRoundTrip) {
   const jobs::TaskId id{"5c0e7a21d94b36f8", 2, 1, 17};
   EXPECT_EQ(TaskName(id), "5c0e7a21d94b36f8.2.1.17");
--- a/tests/platform/hostile_input_test.cc
+++ b/tests/platform/hostile_input_test.cc
@@ -4,6 +4,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
+#include <cmath>
+
 #include "base/result_code.h"
 #include "dispatch/dispatcher.h"
 #include "dispatch/lease_bounds.h"
@@ -166,6 +168,53 @@
   EXPECT_TRUE(IsNoRecord(objects + "\xc0"));
 }
 
+// Replaces each number of `record` in turn by each of `values` and returns the changed records.
+std::vector<Json> WithEachNumberReplaced(const Json& record, const std::vector<Json>& values) {
+  std::vector<Json> changed;
+  const Json flat = record.flatten();
+  for (const auto& [path, it] : flat.items()) {
+    if (!it.is_number()) continue;
+    for (const Json& value : values) {
+      changed.push_back(record);
+      changed.back()[Json::json_pointer(path)] = value;
+    }
+  }
+  return changed;
+}
+
+std::string PackedForm(const Json& in) {
+  std::string bytes;
+  Json::to_msgpack(in, bytes);
+  return bytes;
+}
+
+const std::vector<Json>& NumbersOutOfRange() {
+  static const std::vector<Json> values = {1e300,        -1e300,   INT64_MAX, INT64_MIN, UINT64_MAX,
+                                           std::nan(""), HUGE_VAL, true,      "1",       nullptr};
+  return values;
+}
+
+// Guards against stored numbers that another type cannot hold. Their conversion is undefined, and
+// sums and products with them overflow.
+TEST(HostileInputTest, StoredNumbersOutOfRangeAreRefused) {
+  jobs::Job job;
+  job.steps.resize(2);
+  job.steps[1].after = {0};
+  jobs::JobProgress progress;
+  progress.tasks[{0, 0, 0}] = {false, {100001}, "c", 100001};
+  const auto check = [](const Json& record, const auto& decode) {
+    ASSERT_TRUE(decode(PackedForm(record)).ok()) << record;
+    for (const Json& it : WithEachNumberReplaced(record, NumbersOutOfRange())) {
+      EXPECT_EQ(decode(PackedForm(it)).ec, ResultCode::kStoreBadAnswer) << it;
+    }
+  };
+  check(Json::from_msgpack(jobs::Encode(job)), jobs::DecodeJob);
+  check(Json::from_msgpack(jobs::Encode(progress)), jobs::DecodeProgress);
+  check(Json::array({2, "owner", 7, 500}), entry::DecodeTerm);
+  check(Json::array({2, {{"w", 30}}}), dispatch::DecodeLeaseBounds);
+  check({{"queue", 3}}, dispatch::DecodeWaiting);
+}
+
 // Guards against a submission that terminates the process, or that is accepted but cannot be run.
 TEST(HostileInputTest, SubmissionsAreRefusedOrUsable) {
   EXPECT_TRUE(rc::check([] {
