Use BindToGeneration for all callbacks of the pool's owner

Callers see no change. 21 callbacks of the store and of workers repeated the same two steps: post to the event loop, and do nothing if the ownership has changed since.

Change: BindToGeneration takes work with arguments and is used by all of them. Changes of jobs are now filtered on the loop's thread instead of the watcher's.

--- a/src/entry/pool_owner.cc
+++ b/src/entry/pool_owner.cc
@@ -34,15 +34,6 @@
 
 PoolOwner::~PoolOwner() { Stop(); }
 
-template <class F>
-std::function<void()> PoolOwner::BindToGeneration(F work) {
-  return [this, generation = generation_, work = std::move(work)]() mutable {
-    loop_->Post([this, generation, work = std::move(work)]() mutable {
-      if (generation == generation_) work();
-    });
-  };
-}
-
 void PoolOwner::After(Duration delay, std::function<void()> work) {
   timer_(delay, BindToGeneration(std::move(work)));
 }
@@ -104,71 +95,57 @@
     return;
   }
   const TimePoint began = Now();
-  store_->Get(kTermKey, [this, began, generation = generation_](const Result<store::Item>& item) {
-    loop_->Post([this, began, generation, item] {
-      if (generation != generation_) return;
-      const auto again = [this] { Campaign(); };
-      if (!item.ok()) return After(kRetryDelay, again);
-      Term current;
-      if (item.value.revision != 0) {
-        const Result<Term> read = DecodeTerm(item.value.value);
-        if (!read.ok()) Log(LogLevel::kError, "owner", "bad_term");
-        if (!read.ok()) return After(kRetryDelay, again);
-        current = read.value;
-      }
-      if (YieldToFaster(current)) return;
-      store_->GrantLease(options_.lease,
-                         [this, began, generation, current,
-                          revision = item.value.revision](const Result<store::Lease>& lease) {
-                           loop_->Post([this, began, generation, current, revision, lease] {
-                             if (generation != generation_) return;
-                             if (!lease.ok()) return After(kRetryDelay, [this] { Campaign(); });
-                             TakeOver(current, revision, lease.value.id, began);
-                           });
-                         });
-    });
-  });
+  store_->Get(kTermKey, BindToGeneration([this, began](const Result<store::Item>& item) {
+                const auto again = [this] { Campaign(); };
+                if (!item.ok()) return After(kRetryDelay, again);
+                Term current;
+                if (item.value.revision != 0) {
+                  const Result<Term> read = DecodeTerm(item.value.value);
+                  if (!read.ok()) Log(LogLevel::kError, "owner", "bad_term");
+                  if (!read.ok()) return After(kRetryDelay, again);
+                  current = read.value;
+                }
+                if (YieldToFaster(current)) return;
+                store_->GrantLease(
+                    options_.lease,
+                    BindToGeneration([this, began, current, revision = item.value.revision](
+                                         const Result<store::Lease>& lease) {
+                      if (!lease.ok()) return After(kRetryDelay, [this] { Campaign(); });
+                      TakeOver(current, revision, lease.value.id, began);
+                    }));
+              }));
 }
 
 void PoolOwner::TakeOver(const Term& current, int64_t revision, int64_t lease, TimePoint began) {
   const Term mine{current.epoch + 1, options_.process, 0,
                   std::max(current.fastest_milli, options_.processor_milli)};
-  store_->Commit(entry::TakeOver(mine, revision, lease), kCommitTimeout,
-                 [this, mine, lease, began,
-                  generation = generation_](const Result<store::CommitResult>& result) {
-                   loop_->Post([this, mine, lease, began, generation, result] {
-                     if (generation != generation_) return;
-                     if (result.ok() && result.value.committed) {
-                       return BecomeOwner(mine, result.value.revision, lease, began);
-                     }
-                     // The response to the commit was lost. The stored term shows which candidate
-                     // won.
-                     if (!result.ok() && result.ec != ResultCode::kStoreUnavailable) {
-                       return ResolveTakeOver(mine, lease, began);
-                     }
-                     store_->EndLease(lease, [](const Result<store::Lease>&) {});
-                     CampaignLater();
-                   });
-                 });
+  store_->Commit(
+      entry::TakeOver(mine, revision, lease), kCommitTimeout,
+      BindToGeneration([this, mine, lease, began](const Result<store::CommitResult>& result) {
+        if (result.ok() && result.value.committed) {
+          return BecomeOwner(mine, result.value.revision, lease, began);
+        }
+        // The response to the commit was lost. The stored term shows which candidate won.
+        if (!result.ok() && result.ec != ResultCode::kStoreUnavailable) {
+          return ResolveTakeOver(mine, lease, began);
+        }
+        store_->EndLease(lease, [](const Result<store::Lease>&) {});
+        CampaignLater();
+      }));
 }
 
 void PoolOwner::ResolveTakeOver(const Term& mine, int64_t lease, TimePoint began) {
-  store_->Get(kTermKey,
-              [this, mine, lease, began, generation = generation_](const Result<store::Item>& it) {
-                loop_->Post([this, mine, lease, began, generation, it] {
-                  if (generation != generation_) return;
-                  if (!it.ok()) {
-                    return After(kRetryDelay, [this, mine, lease, began] {
-                      ResolveTakeOver(mine, lease, began);
-                    });
-                  }
-                  const Result<Term> read = DecodeTerm(it.value.value);
-                  if (it.value.revision != 0 && read.ok() && read.value == mine) {
-                    return BecomeOwner(mine, it.value.revision, lease, began);
-                  }
-                  CampaignLater();
-                });
-              });
+  store_->Get(kTermKey, BindToGeneration([this, mine, lease, began](const Result<store::Item>& it) {
+                if (!it.ok()) {
+                  return After(kRetryDelay,
+                               [this, mine, lease, began] { ResolveTakeOver(mine, lease, began); });
+                }
+                const Result<Term> read = DecodeTerm(it.value.value);
+                if (it.value.revision != 0 && read.ok() && read.value == mine) {
+                  return BecomeOwner(mine, it.value.revision, lease, began);
+                }
+                CampaignLater();
+              }));
 }
 
 void PoolOwner::BecomeOwner(const Term& mine, int64_t revision, int64_t lease, TimePoint began) {
@@ -262,50 +239,37 @@
          {"index", it.run.task.index},
          {"run", it.run.run},
          {"worker", it.to.worker}});
-    worker_calls_->Start(it, [this, it, generation = generation_](const dispatch::Answer& answer) {
-      loop_->Post([this, it, generation, answer] {
-        if (generation == generation_) dispatcher_->OnStarted(it, answer, Now());
-      });
-    });
+    worker_calls_->Start(it, BindToGeneration([this, it](const dispatch::Answer& answer) {
+                           dispatcher_->OnStarted(it, answer, Now());
+                         }));
   }
   for (const dispatch::StopOrder& it : orders.stops) {
     metrics_->Count("stops_total");
-    worker_calls_->Stop(it, [this, it, generation = generation_](const dispatch::Answer& answer) {
-      loop_->Post([this, it, generation, answer] {
-        if (generation == generation_) dispatcher_->OnStopped(it, answer, Now());
-      });
-    });
+    worker_calls_->Stop(it, BindToGeneration([this, it](const dispatch::Answer& answer) {
+                          dispatcher_->OnStopped(it, answer, Now());
+                        }));
   }
   for (const dispatch::PaceOrder& it : orders.paces) {
     metrics_->Count("paces_total");
-    worker_calls_->Pace(it, [this, it, generation = generation_](const dispatch::Answer& answer) {
-      loop_->Post([this, it, generation, answer] {
-        if (generation == generation_) dispatcher_->OnPaced(it, answer, Now());
-      });
-    });
+    worker_calls_->Pace(it, BindToGeneration([this, it](const dispatch::Answer& answer) {
+                          dispatcher_->OnPaced(it, answer, Now());
+                        }));
   }
   for (const dispatch::PermitOrder& it : orders.permits) SendPermitOrder(it);
   for (const dispatch::HeartbeatOrder& it : orders.heartbeats) {
-    worker_calls_->Heartbeat(it,
-                             [this, it, generation = generation_](const dispatch::Report& report) {
-                               loop_->Post([this, it, generation, report] {
-                                 if (generation == generation_)
-                                   dispatcher_->OnReport(it, report, Now(), WallClockMs());
-                               });
-                             });
+    worker_calls_->Heartbeat(it, BindToGeneration([this, it](const dispatch::Report& report) {
+                               dispatcher_->OnReport(it, report, Now(), WallClockMs());
+                             }));
   }
 }
 
 void PoolOwner::SendPermitOrder(const dispatch::PermitOrder& order) {
-  const auto on_answer = [this, order,
-                          generation = generation_](const dispatch::PermitAnswer& answer) {
-    loop_->Post([this, order, generation, answer] {
-      if (generation == generation_) dispatcher_->OnPermits(order, answer, Now());
-    });
-  };
+  const auto on_answer = BindToGeneration([this, order](const dispatch::PermitAnswer& answer) {
+    dispatcher_->OnPermits(order, answer, Now());
+  });
   if (options_.permits != nullptr) return options_.permits->RequestPermits(order, on_answer);
   Log(LogLevel::kError, "owner", "no_policy_service", {{"job", order.step.job}});
-  on_answer({});
+  on_answer(dispatch::PermitAnswer{});
 }
 
 }  // namespace pomelopond::entry
--- a/src/entry/pool_owner.h
+++ b/src/entry/pool_owner.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/event_loop.h"
@@ -92,10 +93,16 @@
   void OnCommitAnswer(const Result<store::CommitResult>& result, TimePoint began);
   void FinishCommit(int64_t revision, TimePoint began);
   void After(Duration delay, std::function<void()> work);
-  // Returns a function that runs `work` on the thread of the event loop, unless the ownership has
-  // changed since the call to BindToGeneration().
+  // Returns a function that calls `work` with copies of its arguments on the thread of the event
+  // loop, unless the ownership has changed since the call to BindToGeneration().
   template <class F>
-  std::function<void()> BindToGeneration(F work);
+  auto BindToGeneration(F work) {
+    return [this, generation = generation_, work = std::move(work)](const auto&... args) {
+      loop_->Post([this, generation, work, args...] {
+        if (generation == generation_) work(args...);
+      });
+    };
+  }
 
   OwnerOptions options_;
   store::KeyStore* const store_;
--- a/src/entry/pool_owner_commits.cc
+++ b/src/entry/pool_owner_commits.cc
@@ -17,13 +17,10 @@
 }  // namespace
 
 void PoolOwner::RenewOwnerLease() {
-  store_->RenewLease(lease_, [this, generation = generation_](const Result<store::Lease>& result) {
-    loop_->Post([this, generation, result] {
-      if (generation != generation_) return;
-      After(options_.lease / kRenewalsPerLease, [this] { RenewOwnerLease(); });
-      if (result.ec == ResultCode::kNotFound) RestoreOwnerKey();
-    });
-  });
+  store_->RenewLease(lease_, BindToGeneration([this](const Result<store::Lease>& result) {
+                       After(options_.lease / kRenewalsPerLease, [this] { RenewOwnerLease(); });
+                       if (result.ec == ResultCode::kNotFound) RestoreOwnerKey();
+                     }));
 }
 
 // Called when the store has dropped the lease. As long as no other process has taken over, the
@@ -32,29 +29,23 @@
   if (lease_restoring_) return;
   lease_restoring_ = true;
   Log(LogLevel::kInfo, "owner", "lease_lost", {{"epoch", term_.epoch}});
-  store_->GrantLease(
-      options_.lease, [this, generation = generation_](const Result<store::Lease>& lease) {
-        loop_->Post([this, generation, lease] {
-          if (generation != generation_) return;
-          lease_restoring_ = false;
-          if (!lease.ok()) return After(kRetryDelay, [this] { RestoreOwnerKey(); });
-          lease_ = lease.value.id;
-          store::Transaction restore;
-          restore.conditions = {{kOwnerKey, 0}};
-          restore.writes = {{kOwnerKey, options_.process, lease_}};
-          store_->Commit(restore, kCommitTimeout,
-                         [this, generation](const Result<store::CommitResult>& result) {
-                           loop_->Post([this, generation, result] {
-                             if (generation != generation_) return;
+  store_->GrantLease(options_.lease, BindToGeneration([this](const Result<store::Lease>& lease) {
+                       lease_restoring_ = false;
+                       if (!lease.ok()) return After(kRetryDelay, [this] { RestoreOwnerKey(); });
+                       lease_ = lease.value.id;
+                       store::Transaction restore;
+                       restore.conditions = {{kOwnerKey, 0}};
+                       restore.writes = {{kOwnerKey, options_.process, lease_}};
+                       store_->Commit(
+                           restore, kCommitTimeout,
+                           BindToGeneration([this](const Result<store::CommitResult>& result) {
                              if (!result.ok())
                                return After(kRetryDelay, [this] { RestoreOwnerKey(); });
                              // The key exists, written by this process or by another one. The next
                              // commit shows by which, so it is due at once.
                              next_commit_ = TimePoint{};
-                           });
-                         });
-        });
-      });
+                           }));
+                     }));
 }
 
 void PoolOwner::WriteCommit() {
@@ -71,11 +62,9 @@
   // No other commit starts until the response arrives.
   next_commit_ = TimePoint::max();
   store_->Commit(CommitOf(term_, term_revision_, *commit_), kCommitTimeout,
-                 [this, now, generation = generation_](const Result<store::CommitResult>& result) {
-                   loop_->Post([this, now, generation, result] {
-                     if (generation == generation_) OnCommitAnswer(result, now);
-                   });
-                 });
+                 BindToGeneration([this, now](const Result<store::CommitResult>& result) {
+                   OnCommitAnswer(result, now);
+                 }));
 }
 
 void PoolOwner::VerifyTermForNewJobs() {
@@ -85,12 +74,9 @@
   next_term_read_ = TimePoint::max();
   // The response reflects the store at a time after this call, when the store already contains the
   // revision of these jobs.
-  store_->Get(kTermKey,
-              [this, revision, generation = generation_](const Result<store::Item>& item) {
-                loop_->Post([this, revision, generation, item] {
-                  if (generation == generation_) OnTermRead(item, revision);
-                });
-              });
+  store_->Get(kTermKey, BindToGeneration([this, revision](const Result<store::Item>& item) {
+                OnTermRead(item, revision);
+              }));
 }
 
 void PoolOwner::OnTermRead(const Result<store::Item>& item, int64_t revision) {
--- a/src/entry/pool_owner_watchers.cc
+++ b/src/entry/pool_owner_watchers.cc
@@ -12,98 +12,75 @@
 namespace pomelopond::entry {
 
 void PoolOwner::Load() {
-  store_->Get(kWorkersKey, [this, generation = generation_](const Result<store::Item>& item) {
-    loop_->Post([this, generation, item] {
-      if (generation != generation_) return;
-      if (!item.ok()) return After(kRetryDelay, [this] { Load(); });
-      const auto workers = dispatch::DecodeWorkersInUse(item.value.value);
-      if (item.value.revision != 0 && !workers.ok()) {
-        Log(LogLevel::kError, "owner", "bad_worker_list");
-      }
-      LoadLeaseBounds(workers.value);
-    });
-  });
+  store_->Get(kWorkersKey, BindToGeneration([this](const Result<store::Item>& item) {
+                if (!item.ok()) return After(kRetryDelay, [this] { Load(); });
+                const auto workers = dispatch::DecodeWorkersInUse(item.value.value);
+                if (item.value.revision != 0 && !workers.ok()) {
+                  Log(LogLevel::kError, "owner", "bad_worker_list");
+                }
+                LoadLeaseBounds(workers.value);
+              }));
 }
 
 void PoolOwner::LoadLeaseBounds(const std::vector<dispatch::WorkerInUse>& workers) {
-  store_->Get(kLeaseBoundsKey,
-              [this, workers, generation = generation_](const Result<store::Item>& item) {
-                loop_->Post([this, workers, generation, item] {
-                  if (generation != generation_) return;
-                  if (!item.ok())
-                    return After(kRetryDelay, [this, workers] { LoadLeaseBounds(workers); });
-                  const auto bounds = dispatch::DecodeLeaseBounds(item.value.value);
-                  // Without bounds the owner waits for the longest lease that may have been
-                  // granted.
-                  if (item.value.revision != 0 && !bounds.ok()) {
-                    Log(LogLevel::kError, "owner", "bad_lease_bounds");
-                  }
-                  for (const dispatch::WorkerInUse& it : workers) {
-                    dispatcher_->InheritWorker(it, bounds.value, owner_since_);
-                  }
-                  LoadProgress({});
-                });
-              });
+  store_->Get(kLeaseBoundsKey, BindToGeneration([this, workers](const Result<store::Item>& item) {
+                if (!item.ok())
+                  return After(kRetryDelay, [this, workers] { LoadLeaseBounds(workers); });
+                const auto bounds = dispatch::DecodeLeaseBounds(item.value.value);
+                // Without bounds the owner waits for the longest lease that may have been granted.
+                if (item.value.revision != 0 && !bounds.ok()) {
+                  Log(LogLevel::kError, "owner", "bad_lease_bounds");
+                }
+                for (const dispatch::WorkerInUse& it : workers) {
+                  dispatcher_->InheritWorker(it, bounds.value, owner_since_);
+                }
+                LoadProgress({});
+              }));
 }
 
 void PoolOwner::LoadProgress(const std::string& after) {
   store_->List(kProgressPrefix, after,
-               [this, after, generation = generation_](const Result<store::Page>& page) {
-                 loop_->Post([this, after, generation, page] {
-                   if (generation != generation_) return;
-                   if (!page.ok())
-                     return After(kRetryDelay, [this, after] { LoadProgress(after); });
-                   const size_t skip = std::string(kProgressPrefix).size();
-                   for (const store::Item& it : page.value.items) {
-                     const Result<jobs::JobProgress> read = jobs::DecodeProgress(it.value);
-                     if (!read.ok())
-                       Log(LogLevel::kError, "owner", "bad_progress", {{"key", it.key}});
-                     if (read.ok()) progress_[it.key.substr(skip)] = read.value;
-                   }
-                   if (page.value.has_more && !page.value.items.empty()) {
-                     return LoadProgress(page.value.items.back().key);
-                   }
-                   StartWatchers();
-                 });
-               });
+               BindToGeneration([this, after](const Result<store::Page>& page) {
+                 if (!page.ok()) return After(kRetryDelay, [this, after] { LoadProgress(after); });
+                 const size_t skip = std::string(kProgressPrefix).size();
+                 for (const store::Item& it : page.value.items) {
+                   const Result<jobs::JobProgress> read = jobs::DecodeProgress(it.value);
+                   if (!read.ok())
+                     Log(LogLevel::kError, "owner", "bad_progress", {{"key", it.key}});
+                   if (read.ok()) progress_[it.key.substr(skip)] = read.value;
+                 }
+                 if (page.value.has_more && !page.value.items.empty()) {
+                   return LoadProgress(page.value.items.back().key);
+                 }
+                 StartWatchers();
+               }));
 }
 
 void PoolOwner::StartWatchers() {
   WatchHandlers jobs;
-  jobs.on_list = [this, generation = generation_](const std::vector<store::Item>& items) {
-    loop_->Post([this, generation, items] {
-      if (generation != generation_) return;
-      ApplyJobItems(items, !jobs_loaded_);
-      jobs_loaded_ = true;
-    });
-  };
-  jobs.on_changes = [this, generation = generation_](const std::vector<store::Change>& changes) {
+  jobs.on_list = BindToGeneration([this](const std::vector<store::Item>& items) {
+    ApplyJobItems(items, !jobs_loaded_);
+    jobs_loaded_ = true;
+  });
+  jobs.on_changes = BindToGeneration([this](const std::vector<store::Change>& changes) {
     std::vector<store::Item> items;
     for (const store::Change& it : changes) {
       if (!it.deleted) items.push_back(it.item);
     }
-    loop_->Post([this, generation, items = std::move(items)] {
-      if (generation == generation_) ApplyJobItems(items, false);
-    });
-  };
+    ApplyJobItems(items, false);
+  });
   WatchHandlers workers;
-  workers.on_list = [this, generation = generation_](const std::vector<store::Item>& items) {
-    loop_->Post([this, generation, items] {
-      if (generation == generation_) ApplyWorkerList(items);
-    });
-  };
-  workers.on_changes = [this, generation = generation_](const std::vector<store::Change>& changes) {
-    loop_->Post([this, generation, changes] {
-      if (generation != generation_) return;
-      for (const store::Change& it : changes) {
-        if (it.deleted) {
-          dispatcher_->DeregisterWorker(WorkerIdOf(it.item.key), Now());
-        } else {
-          ApplyWorkerEntry(it.item);
-        }
+  workers.on_list =
+      BindToGeneration([this](const std::vector<store::Item>& items) { ApplyWorkerList(items); });
+  workers.on_changes = BindToGeneration([this](const std::vector<store::Change>& changes) {
+    for (const store::Change& it : changes) {
+      if (it.deleted) {
+        dispatcher_->DeregisterWorker(WorkerIdOf(it.item.key), Now());
+      } else {
+        ApplyWorkerEntry(it.item);
       }
-    });
-  };
+    }
+  });
   job_watcher_ =
       std::make_shared<PrefixWatcher>(store_, timer_, kJobPrefix, kWatchWait, std::move(jobs));
   worker_watcher_ = std::make_shared<PrefixWatcher>(store_, timer_, options_.worker_prefix,
