Share the job of two planning tests

placement_test and shard_state_test defined the same function Job; both use MakeJob of tests/planning/make_job.h now. No check has changed.

--- a/tests/planning/placement_test.cc
+++ b/tests/planning/placement_test.cc
@@ -3,21 +3,13 @@
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
+#include "tests/planning/make_job.h"
+
 namespace pomelopond::planning {
 namespace {
 
 constexpr size_t kAll = 1000000;
 
-JobSpec Job(const std::string& id, int64_t count, Resources need) {
-  JobSpec spec;
-  spec.id = id;
-  spec.team = "team";
-  spec.count = count;
-  spec.need = need;
-  spec.run_time = std::chrono::seconds(1);
-  return spec;
-}
-
 PlacementHost Host(const std::string& id, Resources capacity, const std::string& rack = "r") {
   return {id, capacity, true, rack, "fd", false};
 }
@@ -110,7 +102,7 @@
     for (int n = 0; n < count; ++n) {
       const int step = *rc::gen::inRange(0, 12);
       if (step < 4) {
-        JobSpec spec = Job(
+        JobSpec spec = MakeJob(
             "job-" + std::to_string(*rc::gen::inRange(0, 8)), 4,
             {*rc::gen::inRange<int64_t>(1, 5) * 1000, *rc::gen::inRange<int64_t>(0, 5) * 250, 0});
         spec.team = *rc::gen::element<std::string>("a", "b");
@@ -165,13 +157,13 @@
   Shard shard = MakeShard(Hosts(20, {4000, 1000, 0}, 5));
   for (int n = 0; n < 50; ++n) {
     Apply(&shard.state, &shard.planner,
-          AcceptEvent(Job("job-" + std::to_string(n), 40, {1000, 100, 0})));
+          AcceptEvent(MakeJob("job-" + std::to_string(n), 40, {1000, 100, 0})));
   }
   EXPECT_EQ(Place(&shard).size(), 80u);
   EXPECT_EQ(WaitReasonOf(shard.planner, "job-49"), WaitReason::kNoCapacity);
   const int64_t searches = shard.planner.searches;
   for (int n = 0; n < 10; ++n) EXPECT_TRUE(Place(&shard).empty());
-  Apply(&shard.state, &shard.planner, AcceptEvent(Job("late", 40, {1000, 100, 0})));
+  Apply(&shard.state, &shard.planner, AcceptEvent(MakeJob("late", 40, {1000, 100, 0})));
   EXPECT_TRUE(Place(&shard).empty());
   EXPECT_EQ(shard.planner.searches, searches);
   Apply(&shard.state, &shard.planner, TaskEvent(EventType::kFinished, "job-0/0", 1));
@@ -182,8 +174,8 @@
 // job when a larger host is added.
 TEST(PlacementTest, UnschedulableJobWaitsForTheHostList) {
   Shard shard = MakeShard(Hosts(3, {4000, 1000, 0}, 1));
-  Apply(&shard.state, &shard.planner, AcceptEvent(Job("large", 1, {8000, 100, 0})));
-  Apply(&shard.state, &shard.planner, AcceptEvent(Job("small", 1, {1000, 100, 0})));
+  Apply(&shard.state, &shard.planner, AcceptEvent(MakeJob("large", 1, {8000, 100, 0})));
+  Apply(&shard.state, &shard.planner, AcceptEvent(MakeJob("small", 1, {1000, 100, 0})));
   EXPECT_EQ(Place(&shard).size(), 1u);
   EXPECT_EQ(WaitReasonOf(shard.planner, "large"), WaitReason::kNeverFits);
   const int64_t searches = shard.planner.searches;
@@ -198,7 +190,7 @@
 // Guards against granting a host's capacity twice, or losing it, when a record is not journalled.
 TEST(PlacementTest, GrantsThatAreNotAppliedAreDecidedAgain) {
   Shard shard = MakeShard(Hosts(1, {2000, 1000, 0}, 1));
-  Apply(&shard.state, &shard.planner, AcceptEvent(Job("job", 3, {1000, 100, 0})));
+  Apply(&shard.state, &shard.planner, AcceptEvent(MakeJob("job", 3, {1000, 100, 0})));
   for (int n = 0; n < 3; ++n) {
     EXPECT_EQ(PlaceTasks(shard.state, &shard.planner, kAll, TimePoint{}).size(), 2u);
   }
@@ -209,9 +201,9 @@
 // Guards against placing tasks of low rank before tasks of high rank.
 TEST(PlacementTest, HigherRankGoesFirst) {
   Shard shard = MakeShard(Hosts(1, {2000, 1000, 0}, 1));
-  JobSpec urgent = Job("urgent", 1, {1000, 100, 0});
+  JobSpec urgent = MakeJob("urgent", 1, {1000, 100, 0});
   urgent.rank = 5;
-  Apply(&shard.state, &shard.planner, AcceptEvent(Job("job", 5, {1000, 100, 0})));
+  Apply(&shard.state, &shard.planner, AcceptEvent(MakeJob("job", 5, {1000, 100, 0})));
   Apply(&shard.state, &shard.planner, AcceptEvent(urgent));
   const auto grants = Place(&shard);
   ASSERT_EQ(grants.size(), 2u);
@@ -225,7 +217,7 @@
   settings.quotas["a"].weight = 3;
   Shard shard = MakeShard(Hosts(10, {4000, 1000, 0}, 5), settings);
   for (const char* it : {"b", "a"}) {
-    JobSpec spec = Job(it, 100, {1000, 100, 0});
+    JobSpec spec = MakeJob(it, 100, {1000, 100, 0});
     spec.team = it;
     Apply(&shard.state, &shard.planner, AcceptEvent(spec));
   }
@@ -241,7 +233,7 @@
   settings.quotas["a"].limit = {2000, 10000, 0};
   Shard shard = MakeShard(Hosts(2, {4000, 1000, 0}, 1), settings);
   for (const char* it : {"a", "b"}) {
-    JobSpec spec = Job(it, 4, {1000, 100, 0});
+    JobSpec spec = MakeJob(it, 4, {1000, 100, 0});
     spec.team = it;
     Apply(&shard.state, &shard.planner, AcceptEvent(spec));
   }
@@ -260,12 +252,12 @@
 // lost. Batch tasks may use that capacity.
 TEST(PlacementTest, ServicesLeaveTheLargestRackFree) {
   Shard shard = MakeShard(Hosts(6, {4000, 1000, 0}, 2));
-  JobSpec service = Job("service", 24, {1000, 100, 0});
+  JobSpec service = MakeJob("service", 24, {1000, 100, 0});
   service.kind = JobKind::kService;
   Apply(&shard.state, &shard.planner, AcceptEvent(service));
   EXPECT_EQ(Place(&shard).size(), 16u);
   EXPECT_EQ(WaitReasonOf(shard.planner, "service"), WaitReason::kHeadroom);
-  Apply(&shard.state, &shard.planner, AcceptEvent(Job("batch", 24, {1000, 100, 0})));
+  Apply(&shard.state, &shard.planner, AcceptEvent(MakeJob("batch", 24, {1000, 100, 0})));
   EXPECT_EQ(Place(&shard).size(), 8u);
   Apply(&shard.state, &shard.planner, TaskEvent(EventType::kFinished, "service/0", 1));
   EXPECT_EQ(Place(&shard).size(), 1u);
@@ -276,7 +268,7 @@
   PlacementSettings settings;
   settings.headroom_share = 0.25;
   Shard shard = MakeShard(Hosts(4, {4000, 1000, 0}, 4), settings);
-  Apply(&shard.state, &shard.planner, AcceptEvent(Job("batch", 24, {1000, 100, 0})));
+  Apply(&shard.state, &shard.planner, AcceptEvent(MakeJob("batch", 24, {1000, 100, 0})));
   EXPECT_EQ(Place(&shard).size(), 12u);
 }
 
@@ -284,7 +276,7 @@
 // and against never placing it again when no other host has.
 TEST(PlacementTest, TaskAvoidsTheHostWhereItFailed) {
   Shard shard = MakeShard(Hosts(2, {4000, 1000, 0}, 1));
-  Apply(&shard.state, &shard.planner, AcceptEvent(Job("job", 1, {1000, 100, 0})));
+  Apply(&shard.state, &shard.planner, AcceptEvent(MakeJob("job", 1, {1000, 100, 0})));
   const std::string first = Place(&shard).at(0).host;
   Apply(&shard.state, &shard.planner, TaskEvent(EventType::kFailed, "job/0", 1));
   AvoidHost(&shard.planner, "job/0", first);
@@ -300,7 +292,7 @@
   PlacementHost host = Host("w", {4000, 1000, 0});
   host.probing = true;
   Shard shard = MakeShard({host});
-  Apply(&shard.state, &shard.planner, AcceptEvent(Job("job", 4, {1000, 100, 0})));
+  Apply(&shard.state, &shard.planner, AcceptEvent(MakeJob("job", 4, {1000, 100, 0})));
   EXPECT_EQ(PlaceTasks(shard.state, &shard.planner, kAll, TimePoint{}).size(), 1u);
   EXPECT_EQ(Place(&shard).size(), 1u);
   EXPECT_TRUE(Place(&shard).empty());
@@ -312,7 +304,7 @@
 // Guards against a delayed task that is placed before its delay is over, or never.
 TEST(PlacementTest, DelayedTaskWaitsUntilItsTime) {
   Shard shard = MakeShard(Hosts(2, {4000, 1000, 0}, 1));
-  Apply(&shard.state, &shard.planner, AcceptEvent(Job("job", 1, {1000, 100, 0})));
+  Apply(&shard.state, &shard.planner, AcceptEvent(MakeJob("job", 1, {1000, 100, 0})));
   const TimePoint until = TimePoint{} + std::chrono::seconds(10);
   DelayTask(shard.state, &shard.planner, "job/0", until);
   EXPECT_TRUE(Place(&shard).empty());
@@ -323,7 +315,7 @@
 // Guards against placing all tasks of a service in one rack, whose loss would end the service.
 TEST(PlacementTest, TasksOfAServiceSpreadOverRacks) {
   Shard shard = MakeShard(Hosts(12, {32000, 10000, 0}, 3));
-  JobSpec service = Job("service", 8, {1000, 100, 0});
+  JobSpec service = MakeJob("service", 8, {1000, 100, 0});
   service.kind = JobKind::kService;
   Apply(&shard.state, &shard.planner, AcceptEvent(service));
   std::map<int32_t, int> racks;
--- a/tests/planning/shard_state_test.cc
+++ b/tests/planning/shard_state_test.cc
@@ -4,25 +4,16 @@
 #include <rapidcheck.h>
 
 #include "planning/placement.h"
+#include "tests/planning/make_job.h"
 
 namespace pomelopond::planning {
 namespace {
 
-JobSpec Job(const std::string& id, int64_t count, Resources need) {
-  JobSpec spec;
-  spec.id = id;
-  spec.team = "team";
-  spec.count = count;
-  spec.need = need;
-  spec.run_time = std::chrono::seconds(1);
-  return spec;
-}
-
 // Returns a random event, which may or may not fit the state.
 Event AnyEvent(const std::vector<PlacementHost>& hosts, const ShardState& state) {
   const auto type = static_cast<EventType>(*rc::gen::inRange(0, 8));
   const std::string job = "job-" + std::to_string(*rc::gen::inRange(0, 5));
-  if (type == EventType::kAccept) return AcceptEvent(Job(job, 3, {1000, 100, 0}));
+  if (type == EventType::kAccept) return AcceptEvent(MakeJob(job, 3, {1000, 100, 0}));
   if (type == EventType::kCancel) return CancelEvent(job);
   if (type == EventType::kGrant) {
     const std::vector<Event> grants = PlaceTasks(state, hosts, 1);
@@ -58,7 +49,7 @@
 // Guards against resuming an evicted task from an older checkpoint than the one it reached.
 TEST(ShardStateTest, EvictedTaskResumesFromItsCheckpointWithANewAttempt) {
   ShardState state;
-  Apply(&state, AcceptEvent(Job("job", 1, {1000, 100, 0})));
+  Apply(&state, AcceptEvent(MakeJob("job", 1, {1000, 100, 0})));
   Event event = TaskEvent(EventType::kGrant, "job/0", 1);
   event.host = "w1";
   ASSERT_TRUE(Apply(&state, event));
