Wait for a restarted worker that may still carry out a start order

Callers saw: a task could run twice after a worker had started again under its id. Cause: start orders name the worker's id and address, which the new incarnation has too, so it carries out an order that was sent before the restart. The owner took all runs of the worker for lost as soon as it learned of the restart, even from the answer that accepted the start, and started the task elsewhere. Change: a run whose start order is in flight or got no answer is kept as one to stop. It ends once the new incarnation has confirmed the stop and reports it no more, or after the lease horizon.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -175,7 +175,7 @@
   const bool moved = state.info.endpoint != info.endpoint;
   state.info = info;
   if ((!state.recorded && !info.draining) || moved) workers_changed_ = true;
-  if (restarted) MarkRunsLost(&state, now);
+  if (restarted) HandleRestart(&state, now);
 }
 
 void Dispatcher::DeregisterWorker(const std::string& id, TimePoint now) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -164,7 +164,11 @@
 
   // Runs.
   void EndRun(WorkerState* worker, const RunId& id);
+  void LoseRun(WorkerState* worker, const RunId& id);
   void MarkRunsLost(WorkerState* worker, TimePoint now);
+  // The worker has started again under its id.
+  void HandleRestart(WorkerState* worker, TimePoint now);
+  void ForgetIncarnation(WorkerState* worker, TimePoint now);
   void RequestStop(WorkerState* worker, const RunId& id);
   void StopAllRuns(JobEntry* entry);
   void StopRuns(const jobs::TaskId& id);
--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -64,6 +64,11 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
+// True when a start order for the run has no answer, so that it may be carried out later.
+bool MayStillStart(const RunState& run) {
+  return run.outcome_unknown || (run.call_in_flight && run.confirmed_at == TimePoint{});
+}
+
 void UpdateCheckpoint(TaskState* task, const RunId& id, const std::string& checkpoint) {
   if (checkpoint.empty() || task->progress.done || id.run < task->progress.checkpoint_run) return;
   task->progress.checkpoint = checkpoint;
@@ -92,14 +97,40 @@
   UpdatePlaceable(entry);
 }
 
+void Dispatcher::LoseRun(WorkerState* worker, const RunId& id) {
+  Log(LogLevel::kInfo, "dispatch", "run_lost",
+      {{"job", id.task.job}, {"run", id.run}, {"worker", worker->info.id}});
+  EndRun(worker, id);
+}
+
 void Dispatcher::MarkRunsLost(WorkerState* worker, TimePoint now) {
   std::vector<RunId> lost;
   for (const auto& [id, it] : worker->runs) lost.push_back(id);
-  for (const RunId& it : lost) {
-    Log(LogLevel::kInfo, "dispatch", "run_lost",
-        {{"job", it.task.job}, {"run", it.run}, {"worker", worker->info.id}});
-    EndRun(worker, it);
+  for (const RunId& it : lost) LoseRun(worker, it);
+  ForgetIncarnation(worker, now);
+}
+
+// The new incarnation has the address and the id of the earlier one, so it may still carry out a
+// start order that was sent to that one. Such a run ends once the new incarnation has stopped it.
+void Dispatcher::HandleRestart(WorkerState* worker, TimePoint now) {
+  std::vector<RunId> lost;
+  for (auto& [id, it] : worker->runs) {
+    if (!MayStillStart(it)) lost.push_back(id);
+    it.stop_confirmed = false;
   }
+  for (const RunId& it : lost) LoseRun(worker, it);
+  ForgetIncarnation(worker, now);
+  if (worker->runs.empty()) return;
+  // The lease in such an order refers to the clock of the earlier incarnation.
+  const auto horizon = std::chrono::duration_cast<Duration>(limits_.lease_horizon / kMinClockRate);
+  worker->lease_ends = std::max(worker->lease_ends, now + horizon);
+  for (auto& [id, it] : worker->runs) {
+    it.phase = RunPhase::kStopping;
+    it.next_call = TimePoint{};
+  }
+}
+
+void Dispatcher::ForgetIncarnation(WorkerState* worker, TimePoint now) {
   worker->processed = 0;
   worker->acknowledged = 0;
   worker->contacted = false;
@@ -328,12 +359,13 @@
     Log(LogLevel::kInfo, "dispatch", "worker_restarted", {{"worker", worker->info.id}});
     if (newer) {
       worker->info.incarnation = answer.incarnation;
+      HandleRestart(worker, now);
     } else {
       // Another worker has taken the address, so no owner can start a run of this one there.
       unreconciled_.erase(worker->info.id);
+      MarkRunsLost(worker, now);
+      worker->next_heartbeat = now + kHeartbeatRetry;
     }
-    MarkRunsLost(worker, now);
-    if (!newer) worker->next_heartbeat = now + kHeartbeatRetry;
     worker->unanswered_calls += 1;
     return false;
   }
@@ -391,11 +423,14 @@
   starts_in_flight_ -= 1;
   WorkerState* worker = FindWorker(order.to.worker);
   if (worker == nullptr) return;
+  if (worker->runs.count(order.run) == 0) return;
+  // The start may have been carried out by a new incarnation, so it is in flight until then.
+  const bool usable = HandleAnswer(worker, answer, now);
   const auto found = worker->runs.find(order.run);
   if (found == worker->runs.end()) return;
-  found->second.call_in_flight = false;
-  if (!HandleAnswer(worker, answer, now)) return;
   RunState& run = found->second;
+  run.call_in_flight = false;
+  if (!usable) return;
   if (answer.status == OrderStatus::kAccepted) {
     run.confirmed_at = now;
     if (run.phase == RunPhase::kStarting) run.phase = RunPhase::kRunning;
