Start nothing on a restarted worker before it is registered again

Callers saw: a task could start on a worker without the label that it requires, or beyond the worker's capacity. Cause: a worker that starts again under its id may be of another kind. An answer told the owner of the new incarnation before the registry did. The owner took over the incarnation but kept labels and capacity, and started tasks by them. Change: such a worker accepts no task until its registration is of the incarnation that answers.

--- a/src/dispatch/choose_worker.cc
+++ b/src/dispatch/choose_worker.cc
@@ -89,8 +89,8 @@
 }
 
 bool AcceptsTasks(const WorkerState& worker, TimePoint now) {
-  return IsMember(worker, now) && worker.recorded && worker.contacted && !worker.lease_bounded &&
-         worker.unanswered_calls == 0 && now >= worker.backoff_until;
+  return IsMember(worker, now) && worker.recorded && worker.contacted && !worker.info_outdated &&
+         !worker.lease_bounded && worker.unanswered_calls == 0 && now >= worker.backoff_until;
 }
 
 bool IsEligible(const WorkerState& worker, const PlacementRequest& request, TimePoint now) {
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -175,6 +175,7 @@
   const bool moved = state.info.endpoint != info.endpoint;
   state.info = info;
   if ((!state.recorded && !info.draining) || moved) workers_changed_ = true;
+  state.info_outdated = false;
   if (restarted) HandleRestart(&state, now);
 }
 
--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -359,6 +359,7 @@
     Log(LogLevel::kInfo, "dispatch", "worker_restarted", {{"worker", worker->info.id}});
     if (newer) {
       worker->info.incarnation = answer.incarnation;
+      worker->info_outdated = true;
       HandleRestart(worker, now);
     } else {
       // Another worker has taken the address, so no owner can start a run of this one there.
--- a/src/dispatch/worker_table.h
+++ b/src/dispatch/worker_table.h
@@ -46,10 +46,13 @@
   WorkerInfo info;
   bool registered = false;      // present in the registry at the last update
   TimePoint deregistered_at{};  // when the registration was last found missing
-  bool recorded = false;        // contained in the durable list of workers in use
-  bool inherited = false;       // an earlier owner may have started runs that are not known yet
-  bool contacted = false;       // has answered this owner and so obeys no earlier one
-  TimePoint contacted_at{};     // when `contacted` was set
+  // The worker has answered as an incarnation that is not registered yet, so it may have another
+  // capacity and other labels than `info`.
+  bool info_outdated = false;
+  bool recorded = false;     // contained in the durable list of workers in use
+  bool inherited = false;    // an earlier owner may have started runs that are not known yet
+  bool contacted = false;    // has answered this owner and so obeys no earlier one
+  TimePoint contacted_at{};  // when `contacted` was set
 
   // The worker's clock showed `clock_ms` at or before `clock_at`.
   int64_t clock_ms = 0;
