Let simulated workers move when they restart, and add failing tests of two faults

A worker of the random simulation may now start again at another address, which another worker may take over at once.

--- a/tests/dispatch/restart_test.cc
+++ b/tests/dispatch/restart_test.cc
@@ -109,5 +109,54 @@
   EXPECT_EQ(it.orders.starts[0].to.worker, "w1");
 }
 
+// Worker w1 starts again at another address.
+class MovedWorkerTest : public ::testing::Test {
+ protected:
+  MovedWorkerTest() : moved(MakeWorker("w1")) {
+    it.AddWorkers({MakeWorker("w1")});
+    moved.endpoint.port += 1;
+    moved.incarnation = 2;
+  }
+
+  // The worker answers at its new address.
+  void Report() {
+    const HeartbeatOrder order{{"w1", moved.endpoint}, 1, 0, 0, {}};
+    it.dispatcher.OnReport(order, {{OrderStatus::kAccepted, 100, 2}, {}, {}}, it.now, it.WallMs());
+  }
+  size_t Starts() {
+    it.Advance(milliseconds(100));
+    it.Decide();
+    return it.orders.starts.size();
+  }
+
+  Scenario it;
+  WorkerInfo moved;
+};
+
+// Guards against a run that the next owner does not learn of: it would call the worker at the old
+// address (seed 112 of RandomFleetTest).
+TEST_F(MovedWorkerTest, GetsNoTaskBeforeItsNewAddressIsDurable) {
+  it.dispatcher.UpdateWorker(moved, it.now);
+  Report();
+  it.dispatcher.AddJob(MakeJob(kJob, {MakeStep(1)}), {}, false);
+  EXPECT_EQ(Starts(), 0U);
+  it.CommitAll();
+  EXPECT_EQ(Starts(), 1U);
+}
+
+// Guards against a worker that never gets a task again: another worker at its old address answers,
+// and names its own incarnation (seed 3 of RandomFleetTest).
+TEST_F(MovedWorkerTest, IncarnationOfTheWorkerAtTheOldAddressIsNotTakenForItsOwn) {
+  it.TimeOut("w1");
+  const HeartbeatOrder order{{"w1", MakeWorker("w1").endpoint}, 1, 0, 0, {}};
+  it.dispatcher.OnReport(order, {{OrderStatus::kWrongIncarnation, 100, 3}, {}, {}}, it.now,
+                         it.WallMs());
+  it.dispatcher.UpdateWorker(moved, it.now);
+  Report();
+  it.CommitAll();
+  it.dispatcher.AddJob(MakeJob(kJob, {MakeStep(1)}), {}, false);
+  EXPECT_EQ(Starts(), 1U);
+}
+
 }  // namespace
 }  // namespace pomelopond::dispatch
--- a/tests/dispatch/simulated_fleet.cc
+++ b/tests/dispatch/simulated_fleet.cc
@@ -220,10 +220,12 @@
 }
 
 void SimulatedFleet::AddWorker() {
-  const int n = next_worker_++;
-  const Endpoint endpoint{"10.0.0.1", static_cast<uint16_t>(1000 + n)};
+  AddWorkerAt({"10.0.0.1", static_cast<uint16_t>(1000 + next_worker_)});
+}
+
+void SimulatedFleet::AddWorkerAt(const Endpoint& endpoint) {
   SimulatedWorker& it = workers_[endpoint];
-  it.info = DrawInfo("w" + std::to_string(n), endpoint);
+  it.info = DrawInfo("w" + std::to_string(next_worker_++), endpoint);
   it.booted = now_;
   it.clock_rate = 1 - 0.0001 * static_cast<double>(Between(0, 200));
   it.enforces_capacity = Chance(0.5);
@@ -254,7 +256,8 @@
   });
 }
 
-// The worker starts again under its id, as another kind.
+// The worker starts again under its id, as another kind and maybe at another address, which may be
+// that of an earlier worker.
 void SimulatedFleet::Restart(SimulatedWorker* worker) {
   SimulatedWorker next;
   next.info = DrawInfo(worker->info.id, worker->info.endpoint);
@@ -263,8 +266,18 @@
   next.clock_rate = worker->clock_rate;
   next.enforces_capacity = worker->enforces_capacity;
   next.silent_until = now_ + MsBetween(0, 1500);
-  *worker = std::move(next);
-  Register(worker->info, MsBetween(0, 2000));
+  const bool moves = Chance(0.3);
+  if (!moves) {
+    *worker = std::move(next);
+    Register(worker->info, MsBetween(0, 2000));
+    return;
+  }
+  const Endpoint earlier = worker->info.endpoint;
+  next.info.endpoint = {"10.0.0.2", static_cast<uint16_t>(1000 + next_worker_++)};
+  workers_.erase(earlier);
+  Register(next.info, MsBetween(0, 2000));
+  workers_[next.info.endpoint] = std::move(next);
+  if (Chance(0.5)) AddWorkerAt(earlier);
 }
 
 SimulatedWorker* SimulatedFleet::AnyWorker() {
--- a/tests/dispatch/simulated_fleet.h
+++ b/tests/dispatch/simulated_fleet.h
@@ -149,6 +149,7 @@
   void Register(const WorkerInfo& info, Duration delay);
   void Deregister(const std::string& id, Duration delay);
   void Restart(SimulatedWorker* worker);
+  void AddWorkerAt(const Endpoint& endpoint);
   void AdvanceWorkers();
   void AdvanceGangs();
   SimulatedWorker* AnyWorker();
