Take no incarnation from another worker at the address

Callers saw: tasks that fit on a worker did not start, as the worker got no task any more. Cause: a worker starts again at another address and another worker takes the old one. It refuses the calls to the first worker (421), and its answer may name its own incarnation. The owner took that for the incarnation of the first worker, and if it was higher, ignored all later registrations of that worker as older ones, until a takeover. Whether workers name their incarnation in such an answer is not said in the protocol; the client reads it there. Change: the incarnation in an answer of another worker is ignored.

--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -354,8 +354,10 @@
     return true;
   }
   const int64_t known = worker->info.incarnation;
-  const bool newer = answer.incarnation != 0 && known != 0 && answer.incarnation > known;
-  if (newer || answer.status == OrderStatus::kWrongIncarnation) {
+  const bool other = answer.status == OrderStatus::kWrongIncarnation;
+  // Another worker at the address answers with an incarnation of its own.
+  const bool newer = !other && answer.incarnation != 0 && known != 0 && answer.incarnation > known;
+  if (newer || other) {
     Log(LogLevel::kInfo, "dispatch", "worker_restarted", {{"worker", worker->info.id}});
     if (newer) {
       worker->info.incarnation = answer.incarnation;
