Start nothing at a new address of a worker before it is durable

Callers could see: a task that runs twice. After a takeover the next owner calls the worker at the recorded address, where another worker answers that it is not the one; the next owner concludes that no run is left there, although one was started at the new address. Cause: a worker that was recorded as in use stayed so when it registered another address, so starts went there before the commit with that address. The double run itself was not seen, only the start that the next owner does not know of. Change: a new address makes the worker one that is not recorded until the commit is durable. The listed tests of the simulation pass.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -174,6 +174,8 @@
   state.registered = true;
   const bool moved = state.info.endpoint != info.endpoint;
   state.info = info;
+  // The next owner would not find the worker under the recorded endpoint.
+  if (moved) state.recorded = false;
   if ((!state.recorded && !info.draining) || moved) workers_changed_ = true;
   state.info_outdated = false;
   if (restarted) HandleRestart(&state, now);
