Simulate serving tasks, slow commits, and starts that outlive a restart

The random simulation now has tasks with tail targets whose tails rise with the best-effort tasks beside them, commits that take up to 3 s, and lost start orders that the next incarnation of a worker carries out.

--- a/tests/dispatch/random_fleet_test.cc
+++ b/tests/dispatch/random_fleet_test.cc
@@ -56,6 +56,8 @@
       step.best_effort = false;
       step.speculative = false;
     }
+    // Serves users, beside whom best-effort tasks may interfere.
+    if (!step.best_effort && !step.gang && fleet_.Chance(0.15)) step.target_tail_ms = 100;
     if (fleet_.Chance(0.03)) step.request.cpu_milli = 100000;  // fits no worker
     return step;
   }
@@ -102,6 +104,7 @@
     int64_t spare = free.cpu_milli;
     for (const auto& [id, it] : worker.active) {
       if (it.step.best_effort) spare -= it.step.request.cpu_milli;
+      if (it.step.target_tail_ms > 0) return 0;  // whether it fits depends on tails
     }
     slots = std::max<int64_t>(0, spare) / step.request.cpu_milli;
   }
@@ -214,6 +217,7 @@
   Troubles out;
   out.lost_call = rate(0.1);
   out.lost_commit = rate(0.3);
+  out.slow_store = rate(0.2);
   out.restarts = rate(0.5);
   out.leaves = rate(0.5);
   out.silences = rate(0.5);
--- a/tests/dispatch/simulated_fleet.cc
+++ b/tests/dispatch/simulated_fleet.cc
@@ -145,7 +145,8 @@
   owner->next_commit = TimePoint::max();
   const bool lost = Chance(troubles_.lost_commit);
   const bool lands = !lost || Chance(0.5);
-  const TimePoint landing = now_ + MsBetween(4, 30);
+  const bool slow = Chance(troubles_.slow_store);
+  const TimePoint landing = now_ + (slow ? MsBetween(30, 3000) : MsBetween(4, 30));
   At(landing, [this, owner_epoch = owner->epoch, began = now_, lost, lands] {
     ForOwners([&](SimulatedOwner* it) {
       if (it->epoch != owner_epoch) return;
--- a/tests/dispatch/simulated_fleet.h
+++ b/tests/dispatch/simulated_fleet.h
@@ -24,6 +24,7 @@
 struct Troubles {
   double lost_call = 0;
   double lost_commit = 0;
+  double slow_store = 0;
   double restarts = 0;
   double leaves = 0;
   double silences = 0;
@@ -130,7 +131,8 @@
   void SendStart(SimulatedOwner* owner, const StartOrder& order);
   void SendPermits(SimulatedOwner* owner, const PermitOrder& order);
   void SendHeartbeat(SimulatedOwner* owner, const HeartbeatOrder& order);
-  void Call(const WorkerAddress& to, const Execute& execute, const Finish& finish);
+  void Call(const WorkerAddress& to, const Execute& execute, const Finish& finish,
+            bool outlives_restart = false);
   void Deliver(const WorkerAddress& to, const Execute& execute, const Finish& finish);
   void AwaitEnd(const HeartbeatOrder& order, int64_t incarnation, TimePoint until,
                 const Finish& finish);
--- a/tests/dispatch/simulated_fleet_calls.cc
+++ b/tests/dispatch/simulated_fleet_calls.cc
@@ -98,7 +98,7 @@
     if (status == OrderStatus::kAccepted && !known) CheckExecution(*worker, order.run, same_kind);
     return ReportOf(*worker, status, now_);
   };
-  Call(order.to, execute, [this, order, epoch = owner->epoch](const Report& report) {
+  const Finish finish = [this, order, epoch = owner->epoch](const Report& report) {
     ForOwners([&](SimulatedOwner* owner) {
       if (owner->epoch != epoch) return;
       EraseOne(&owner->orders, {order.to.worker, order.run});
@@ -106,7 +106,8 @@
       owner->dispatcher.OnStarted(order, report.answer, now_);
       Check(owner);
     });
-  });
+  };
+  Call(order.to, execute, finish, true);
 }
 
 void SimulatedFleet::SendPermits(SimulatedOwner* owner, const PermitOrder& order) {
@@ -166,7 +167,8 @@
 }
 
 // Delivers a call, or loses it or its answer. A lost call may be carried out seconds later.
-void SimulatedFleet::Call(const WorkerAddress& to, const Execute& execute, const Finish& finish) {
+void SimulatedFleet::Call(const WorkerAddress& to, const Execute& execute, const Finish& finish,
+                          bool outlives_restart) {
   if (!Chance(troubles_.lost_call)) {
     At(now_ + MsBetween(1, 15), [=] { Deliver(to, execute, finish); });
     return;
@@ -174,13 +176,13 @@
   const SimulatedWorker* target = WorkerAt(to.endpoint);
   At(now_ + kCallTimeout, [finish] { finish(NoAnswer()); });
   if (target == nullptr || Chance(0.4)) return;
-  // A call does not outlive the incarnation that it was sent to: an acknowledgement of ended runs
-  // that reaches another one would delete ends that no one has seen.
+  // A late heartbeat does not reach another incarnation: its acknowledgement of ended runs would
+  // delete ends there that no owner has seen.
   const int64_t delay = Chance(0.5) ? Between(1, 20) : Between(20, kLatestCallMs);
   At(now_ + milliseconds(delay), [=, incarnation = target->info.incarnation] {
     SimulatedWorker* worker = WorkerAt(to.endpoint);
-    if (worker == nullptr || worker->info.incarnation != incarnation) return;
-    if (worker->info.id != to.worker) return;
+    if (worker == nullptr || worker->info.id != to.worker || now_ < worker->silent_until) return;
+    if (!outlives_restart && worker->info.incarnation != incarnation) return;
     Advance(worker, now_);
     execute(worker);
   });
--- a/tests/dispatch/simulated_worker.h
+++ b/tests/dispatch/simulated_worker.h
@@ -145,8 +145,13 @@
   Report report;
   report.answer = AnswerOf(worker, status, now);
   if (status != OrderStatus::kAccepted) return report;
+  const auto best_effort = std::count_if(worker.active.begin(), worker.active.end(),
+                                         [](const auto& it) { return it.second.step.best_effort; });
   for (const auto& [id, it] : worker.active) {
-    report.active.push_back({id, "", static_cast<int>(Ms(now - it.began) / 100 % 100), 0});
+    // Tails rise with the number of best-effort runs beside them.
+    const int64_t tail = 20 + 12 * best_effort + Ms(now - it.began) / 100 % 5;
+    const int64_t load = it.step.target_tail_ms > 0 ? tail : it.step.request.cpu_milli / 2;
+    report.active.push_back({id, "", static_cast<int>(Ms(now - it.began) / 100 % 100), load});
   }
   report.ended = worker.ended;
   if (report.ended.size() > kMaxReportedEnds) report.ended.resize(kMaxReportedEnds);
