--- a/tests/dispatch/random_fleet_test.cc
+++ b/tests/dispatch/random_fleet_test.cc
@@ -83,6 +83,7 @@
     job.rules.stretch = 3;
     job.rules.target_duration_ms = fleet_.Between(0, 5000);
     job.rules.needs_permits = fleet_.Chance(0.15);
+    if (fleet_.Chance(0.05)) job.spec = kFailingSpec;
     if (!perpetual && fleet_.Chance(0.1)) {
       job.occurrences = static_cast<int>(fleet_.Between(1, 4));
       job.first_ms = fleet_.WallMs() + fleet_.Between(-1000, 5000);
--- a/tests/dispatch/simulated_fleet.h
+++ b/tests/dispatch/simulated_fleet.h
@@ -20,6 +20,9 @@
 
 namespace pomelopond::dispatch {
 
+// The tasks of a job with this spec fail wherever they run.
+inline constexpr const char* kFailingSpec = "fails";
+
 // Rates of the troubles; shares of 1, and events per second for the whole fleet.
 struct Troubles {
   double lost_call = 0;
--- a/tests/dispatch/simulated_fleet_calls.cc
+++ b/tests/dispatch/simulated_fleet_calls.cc
@@ -90,7 +90,7 @@
       return ReportOf(*worker, OrderStatus::kNoPermit, now_);
     }
     run.began = now_;
-    run.fails = now_ < worker->poisoned_until;
+    run.fails = now_ < worker->poisoned_until || order.spec == kFailingSpec;
     if (run.fails) run.work = milliseconds(100);
     const bool known = worker->active.count(order.run) > 0;
     const OrderStatus status = StartOn(worker, order, run, now_);
