Count failed runs of a step against the first workers only

Callers saw: with one perpetual task that fails wherever it runs, tasks of other jobs did not start on an empty pool. Cause: two failed runs in a row make a worker suspect for 2 to 8 s, and only perpetual tasks start on a suspect worker. A task that always fails moves from worker to worker and makes all of them suspect, again and again. Evidence: FailingTaskTest: four workers of 16 cores, a job of one core does not start in 60 s. RandomFleetTest.KeepsItsPromisesBesideTasksThatAlwaysFail. Change: once runs of a step have failed on two other workers, with none that ended as done or worked for 10 s since, its failures count against no further worker. Failures and suspicion have a file of their own. Two cases are not covered: a step that can run on two workers or fewer, where DoubtfulWorkerTest.OtherTasksWait asks for suspicion, and several such steps at once.

--- /dev/null
+++ b/src/dispatch/failures.cc
@@ -0,0 +1,43 @@
+#include "dispatch/failures.h"
+
+#include <algorithm>
+
+namespace pomelopond::dispatch {
+namespace {
+
+// After this many consecutive failed runs a worker is suspect. The time starts at kFailureBackoff
+// and doubles with each further failure up to kMaxFailureBackoff.
+constexpr int kFailuresBeforeBackoff = 2;
+constexpr Duration kFailureBackoff = std::chrono::seconds(2);
+constexpr Duration kMaxFailureBackoff = std::chrono::seconds(8);
+// Minimum time between perpetual tasks that are tried on a suspect worker for lack of another one.
+constexpr Duration kSuspectRetryInterval = std::chrono::seconds(1);
+
+// Failed runs of a step say nothing more of a worker once runs of the step have failed on this many
+// other workers: the task itself is at fault.
+constexpr size_t kWorkersThatClearOthers = 2;
+// A run that fails after this time has worked until then.
+constexpr Duration kWorkingTime = std::chrono::seconds(10);
+
+}  // namespace
+
+bool RecordStepFailure(StepState* step, const std::string& worker, Duration took) {
+  if (took >= kWorkingTime) step->failed_on.clear();
+  const size_t others = step->failed_on.size() - step->failed_on.count(worker);
+  step->failed_on.insert(worker);
+  return others < kWorkersThatClearOthers;
+}
+
+void CountFailure(WorkerState* worker, TimePoint now) {
+  worker->failures += 1;
+  if (worker->failures < kFailuresBeforeBackoff) return;
+  Duration backoff = kFailureBackoff;
+  for (int n = kFailuresBeforeBackoff; n < worker->failures && backoff < kMaxFailureBackoff; ++n) {
+    backoff *= 2;
+  }
+  worker->backoff_until = std::max(worker->backoff_until, now + kSuspectRetryInterval);
+  worker->suspect_until =
+      std::max(worker->suspect_until, now + std::min(backoff, kMaxFailureBackoff));
+}
+
+}  // namespace pomelopond::dispatch
--- a/src/dispatch/job_table.h
+++ b/src/dispatch/job_table.h
@@ -36,8 +36,10 @@
 
 struct StepState {
   std::vector<TaskState> tasks;
-  int done = 0;         // number of tasks that are done
-  int waiting = 0;      // number of tasks that are not done and have no active run
+  int done = 0;     // number of tasks that are done
+  int waiting = 0;  // number of tasks that are not done and have no active run
+  // Workers on which runs failed since a run of the step was last seen to work.
+  std::set<std::string> failed_on;
   StepPermits permits;  // used only if the queue requires permits
 };
 
--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -3,6 +3,7 @@
 
 #include "base/log.h"
 #include "dispatch/dispatcher.h"
+#include "dispatch/failures.h"
 
 namespace pomelopond::dispatch {
 namespace {
@@ -22,26 +23,6 @@
 constexpr Duration kUncommittedRetry = std::chrono::milliseconds(500);
 // A worker that refused a task is offered no task for this time.
 constexpr Duration kRefusalBackoff = std::chrono::milliseconds(300);
-// After this many consecutive failed runs a worker is suspect. The time starts at kFailureBackoff
-// and doubles with each further failure up to kMaxFailureBackoff.
-constexpr int kFailuresBeforeBackoff = 2;
-constexpr Duration kFailureBackoff = std::chrono::seconds(2);
-constexpr Duration kMaxFailureBackoff = std::chrono::seconds(8);
-// Minimum time between perpetual tasks that are tried on a suspect worker for lack of another one.
-constexpr Duration kSuspectRetryInterval = std::chrono::seconds(1);
-
-void CountFailure(WorkerState* worker, TimePoint now) {
-  worker->failures += 1;
-  if (worker->failures < kFailuresBeforeBackoff) return;
-  Duration backoff = kFailureBackoff;
-  for (int n = kFailuresBeforeBackoff; n < worker->failures && backoff < kMaxFailureBackoff; ++n) {
-    backoff *= 2;
-  }
-  worker->backoff_until = std::max(worker->backoff_until, now + kSuspectRetryInterval);
-  worker->suspect_until =
-      std::max(worker->suspect_until, now + std::min(backoff, kMaxFailureBackoff));
-}
-
 const char* EndName(EndKind kind) {
   switch (kind) {
     case EndKind::kDone:
@@ -207,7 +188,12 @@
   JobEntry* entry = FindEntry(end.id.task.job);
   TaskState* task = entry == nullptr ? nullptr : FindTask(entry, end.id.task);
   if (end.kind == EndKind::kDone) worker->failures = 0;
-  if (end.kind == EndKind::kFailed) CountFailure(worker, now);
+  StepState* state = task == nullptr ? nullptr : StepStateOf(entry, end.id.task);
+  if (state != nullptr && end.kind == EndKind::kDone) state->failed_on.clear();
+  if (end.kind == EndKind::kFailed &&
+      (state == nullptr || RecordStepFailure(state, worker->info.id, took))) {
+    CountFailure(worker, now);
+  }
   if (task == nullptr || jobs::IsFinal(entry->state)) return false;
   task->last_run = std::max(task->last_run, end.id.run);
   const jobs::Step& step = StepOf(*entry, end.id.task);
