--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -3,6 +3,7 @@
 
 #include "base/log.h"
 #include "dispatch/dispatcher.h"
+#include "dispatch/failures.h"
 
 namespace pomelopond::dispatch {
 namespace {
@@ -22,26 +23,6 @@
 constexpr Duration kUncommittedRetry = std::chrono::milliseconds(500);
 // A worker that refused a task is offered no task for this time.
 constexpr Duration kRefusalBackoff = std::chrono::milliseconds(300);
-// After this many consecutive failed runs a worker is suspect. The time starts at kFailureBackoff
-// and doubles with each further failure up to kMaxFailureBackoff.
-constexpr int kFailuresBeforeBackoff = 2;
-constexpr Duration kFailureBackoff = std::chrono::seconds(2);
-constexpr Duration kMaxFailureBackoff = std::chrono::seconds(8);
-// Minimum time between perpetual tasks that are tried on a suspect worker for lack of another one.
-constexpr Duration kSuspectRetryInterval = std::chrono::seconds(1);
-
-void CountFailure(WorkerState* worker, TimePoint now) {
-  worker->failures += 1;
-  if (worker->failures < kFailuresBeforeBackoff) return;
-  Duration backoff = kFailureBackoff;
-  for (int n = kFailuresBeforeBackoff; n < worker->failures && backoff < kMaxFailureBackoff; ++n) {
-    backoff *= 2;
-  }
-  worker->backoff_until = std::max(worker->backoff_until, now + kSuspectRetryInterval);
-  worker->suspect_until =
-      std::max(worker->suspect_until, now + std::min(backoff, kMaxFailureBackoff));
-}
-
 const char* EndName(EndKind kind) {
   switch (kind) {
     case EndKind::kDone:
@@ -64,6 +45,11 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
+// True when a start order for the run has no answer, so that it may be carried out later.
+bool MayStillStart(const RunState& run) {
+  return run.outcome_unknown || (run.call_in_flight && run.confirmed_at == TimePoint{});
+}
+
 void UpdateCheckpoint(TaskState* task, const RunId& id, const std::string& checkpoint) {
   if (checkpoint.empty() || task->progress.done || id.run < task->progress.checkpoint_run) return;
   task->progress.checkpoint = checkpoint;
@@ -92,14 +78,40 @@
   UpdatePlaceable(entry);
 }
 
+void Dispatcher::LoseRun(WorkerState* worker, const RunId& id) {
+  Log(LogLevel::kInfo, "dispatch", "run_lost",
+      {{"job", id.task.job}, {"run", id.run}, {"worker", worker->info.id}});
+  EndRun(worker, id);
+}
+
 void Dispatcher::MarkRunsLost(WorkerState* worker, TimePoint now) {
   std::vector<RunId> lost;
   for (const auto& [id, it] : worker->runs) lost.push_back(id);
-  for (const RunId& it : lost) {
-    Log(LogLevel::kInfo, "dispatch", "run_lost",
-        {{"job", it.task.job}, {"run", it.run}, {"worker", worker->info.id}});
-    EndRun(worker, it);
+  for (const RunId& it : lost) LoseRun(worker, it);
+  ForgetIncarnation(worker, now);
+}
+
+// The new incarnation has the address and the id of the earlier one, so it may still carry out a
+// start order that was sent to that one. Such a run ends once the new incarnation has stopped it.
+void Dispatcher::HandleRestart(WorkerState* worker, TimePoint now) {
+  std::vector<RunId> lost;
+  for (auto& [id, it] : worker->runs) {
+    if (!MayStillStart(it)) lost.push_back(id);
+    it.stop_confirmed = false;
   }
+  for (const RunId& it : lost) LoseRun(worker, it);
+  ForgetIncarnation(worker, now);
+  if (worker->runs.empty()) return;
+  // The lease in such an order refers to the clock of the earlier incarnation.
+  const auto horizon = std::chrono::duration_cast<Duration>(limits_.lease_horizon / kMinClockRate);
+  worker->lease_ends = std::max(worker->lease_ends, now + horizon);
+  for (auto& [id, it] : worker->runs) {
+    it.phase = RunPhase::kStopping;
+    it.next_call = TimePoint{};
+  }
+}
+
+void Dispatcher::ForgetIncarnation(WorkerState* worker, TimePoint now) {
   worker->processed = 0;
   worker->acknowledged = 0;
   worker->contacted = false;
@@ -176,7 +188,12 @@
   JobEntry* entry = FindEntry(end.id.task.job);
   TaskState* task = entry == nullptr ? nullptr : FindTask(entry, end.id.task);
   if (end.kind == EndKind::kDone) worker->failures = 0;
-  if (end.kind == EndKind::kFailed) CountFailure(worker, now);
+  StepState* state = task == nullptr ? nullptr : StepStateOf(entry, end.id.task);
+  if (state != nullptr && end.kind == EndKind::kDone) state->failed_on.clear();
+  if (end.kind == EndKind::kFailed &&
+      (state == nullptr || RecordStepFailure(state, worker->info.id, took))) {
+    CountFailure(worker, now);
+  }
   if (task == nullptr || jobs::IsFinal(entry->state)) return false;
   task->last_run = std::max(task->last_run, end.id.run);
   const jobs::Step& step = StepOf(*entry, end.id.task);
@@ -323,17 +340,21 @@
     return true;
   }
   const int64_t known = worker->info.incarnation;
-  const bool newer = answer.incarnation != 0 && known != 0 && answer.incarnation > known;
-  if (newer || answer.status == OrderStatus::kWrongIncarnation) {
+  const bool other = answer.status == OrderStatus::kWrongIncarnation;
+  // Another worker at the address answers with an incarnation of its own.
+  const bool newer = !other && answer.incarnation != 0 && known != 0 && answer.incarnation > known;
+  if (newer || other) {
     Log(LogLevel::kInfo, "dispatch", "worker_restarted", {{"worker", worker->info.id}});
     if (newer) {
       worker->info.incarnation = answer.incarnation;
+      worker->info_outdated = true;
+      HandleRestart(worker, now);
     } else {
       // Another worker has taken the address, so no owner can start a run of this one there.
       unreconciled_.erase(worker->info.id);
+      MarkRunsLost(worker, now);
+      worker->next_heartbeat = now + kHeartbeatRetry;
     }
-    MarkRunsLost(worker, now);
-    if (!newer) worker->next_heartbeat = now + kHeartbeatRetry;
     worker->unanswered_calls += 1;
     return false;
   }
@@ -391,11 +412,14 @@
   starts_in_flight_ -= 1;
   WorkerState* worker = FindWorker(order.to.worker);
   if (worker == nullptr) return;
+  if (worker->runs.count(order.run) == 0) return;
+  // The start may have been carried out by a new incarnation, so it is in flight until then.
+  const bool usable = HandleAnswer(worker, answer, now);
   const auto found = worker->runs.find(order.run);
   if (found == worker->runs.end()) return;
-  found->second.call_in_flight = false;
-  if (!HandleAnswer(worker, answer, now)) return;
   RunState& run = found->second;
+  run.call_in_flight = false;
+  if (!usable) return;
   if (answer.status == OrderStatus::kAccepted) {
     run.confirmed_at = now;
     if (run.phase == RunPhase::kStarting) run.phase = RunPhase::kRunning;
