Take an answer from a worker's old address for no news of its new one

Cause: since starts in flight outlive a restart, a 421 from another worker at the old address of a worker that has moved dropped the runs at the new address, and they were started again elsewhere. Change: answers to starts, stops and paces count only from the endpoint that the worker has; the outcome of such a start is unknown. MovedWorkerAnswerTest.AnswerFromTheOldAddressLosesNoRunAtTheNewOne failed before and passes.

--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -91,8 +91,8 @@
   ForgetIncarnation(worker, now);
 }
 
-// The new incarnation has the address and the id of the earlier one, so it may still carry out a
-// start order that was sent to that one. Such a run ends once the new incarnation has stopped it.
+// A new incarnation at the address of the earlier one may still carry out a start order that was
+// sent to that one. Such a run ends once the new incarnation has stopped it.
 void Dispatcher::HandleRestart(WorkerState* worker, TimePoint now) {
   std::vector<RunId> lost;
   for (auto& [id, it] : worker->runs) {
@@ -413,6 +413,13 @@
   WorkerState* worker = FindWorker(order.to.worker);
   if (worker == nullptr) return;
   if (worker->runs.count(order.run) == 0) return;
+  if (worker->info.endpoint != order.to.endpoint) {
+    RunState& run = worker->runs.at(order.run);
+    run.call_in_flight = false;
+    run.outcome_unknown = true;
+    run.next_call = now + kCallRetry;
+    return;
+  }
   // The start may have been carried out by a new incarnation, so it is in flight until then.
   const bool usable = HandleAnswer(worker, answer, now);
   const auto found = worker->runs.find(order.run);
@@ -460,6 +467,7 @@
   if (found == worker->runs.end()) return;
   found->second.call_in_flight = false;
   found->second.next_call = now + kCallRetry;
+  if (worker->info.endpoint != order.to.endpoint) return;
   if (!HandleAnswer(worker, answer, now)) return;
   if (answer.status != OrderStatus::kAccepted) return;
   found->second.stop_confirmed = true;
@@ -471,9 +479,12 @@
   if (worker == nullptr) return;
   const auto found = worker->runs.find(order.run);
   if (found != worker->runs.end()) found->second.call_in_flight = false;
-  if (!HandleAnswer(worker, answer, now)) return;
-  if (found == worker->runs.end() || answer.status == OrderStatus::kAccepted) return;
-  found->second.pace = -1;  // ordered again by the next decision
+  const bool usable =
+      worker->info.endpoint == order.to.endpoint && HandleAnswer(worker, answer, now);
+  if (!usable || answer.status == OrderStatus::kAccepted) return;
+  // HandleAnswer() may have removed the run.
+  const auto it = worker->runs.find(order.run);
+  if (it != worker->runs.end()) it->second.pace = -1;  // ordered again by the next decision
 }
 
 }  // namespace pomelopond::dispatch
--- a/tests/dispatch/restart_test.cc
+++ b/tests/dispatch/restart_test.cc
@@ -158,5 +158,32 @@
   EXPECT_EQ(Starts(), 1U);
 }
 
+// Guards against a second run of a task: an answer from the old address of a moved worker says
+// nothing about the runs at its new address.
+TEST(MovedWorkerAnswerTest, AnswerFromTheOldAddressLosesNoRunAtTheNewOne) {
+  Scenario it;
+  it.AddWorkers({MakeWorker("w1"), MakeWorker("w2", 4000)});
+  it.dispatcher.AddJob(MakeJob("00000000000000aa", {MakeStep(1)}), {}, false);
+  it.Advance(std::chrono::milliseconds(100));
+  it.Decide();
+  const StartOrder first = it.orders.starts.at(0);
+  ASSERT_EQ(first.to.worker, "w1");
+  WorkerInfo moved = MakeWorker("w1");
+  moved.endpoint.port += 500;
+  moved.incarnation = 2;
+  it.dispatcher.UpdateWorker(moved, it.now);
+  it.CommitAll();
+  const HeartbeatOrder order{{"w1", moved.endpoint}, 1, 0, 0, {}};
+  it.dispatcher.OnReport(order, {{OrderStatus::kAccepted, 100, 2}, {}, {}}, it.now, it.WallMs());
+  it.dispatcher.AddJob(MakeJob("00000000000000bb", {MakeStep(1)}), {}, false);
+  it.Advance(std::chrono::milliseconds(100));
+  it.Decide();
+  const StartOrder second = it.orders.starts.at(0);
+  ASSERT_EQ(second.to.worker, "w1");
+  it.dispatcher.OnStarted(second, {OrderStatus::kAccepted, 200, 2}, it.now);
+  it.dispatcher.OnStarted(first, {OrderStatus::kWrongIncarnation, 100, 7}, it.now);
+  EXPECT_EQ(it.dispatcher.workers().at("w1").runs.count(second.run), 1U);
+}
+
 }  // namespace
 }  // namespace pomelopond::dispatch
