Share processor time with first runs only while the pool is underused

Cause: the first run of an idle job ignored expected tails after 2 s, and took a share of processor time at any load. On a busy pool such runs lengthen tails, are stopped, start again, and take what jobs on time need. Change: first runs exist only while less than 0.6 of a service's processor time is reserved, where a job is owed a run; there they may share processor time that others have requested in full. An idle job waits 0.5 s for one, on time or not. Tests: BacklogTest.BestEffortTasksShareNoProcessorTime... and ExpectedTailsCountWhile... fail before. EachLateJobKeepsARunBeside... and IdleJobStartsWhile... pass before and guard the new rules.

--- a/src/dispatch/choose_worker.cc
+++ b/src/dispatch/choose_worker.cc
@@ -13,6 +13,10 @@
 // Fraction of its reservation that a latency-critical task leaves unused on average.
 constexpr double kServingIdleFraction = 0.4;
 
+// Each idle job is owed a run while under half of the pool is in use. The margin covers workers
+// that have just left and runs that have just ended.
+constexpr double kUnderusedFraction = 0.6;
+
 // True when the worker runs a latency-critical task of another image. Images differ in the
 // best-effort tasks that interfere with them, so a worker with a single image can take more
 // best-effort tasks.
@@ -45,12 +49,11 @@
                                      request.max_expected_tail);
 }
 
-// Best-effort tasks that share too little processor time all complete late, so later ones wait. One
-// that may share exceeds the spare processor time by less than its request.
+// Best-effort tasks that share too little processor time all complete late, so later ones wait.
 bool HasCapacityFor(const WorkerState& worker, const PlacementRequest& request) {
   if (!Fits(StepReservation(*request.step), FreeCapacity(worker))) return false;
   if (!request.step->best_effort) return true;
-  return SpareCpu(worker) >= (request.shares_processor ? 1 : request.step->request.cpu_milli);
+  return request.shares_processor || SpareCpu(worker) >= request.step->request.cpu_milli;
 }
 
 bool KeepsTailsShort(const WorkerState& worker, const PlacementRequest& request) {
@@ -182,13 +185,20 @@
   return need;
 }
 
+bool IsUnderused(const SpareProcessor& spare) {
+  return static_cast<double>(spare.reserved) <
+         kUnderusedFraction * static_cast<double>(spare.capacity);
+}
+
 std::map<std::string, SpareProcessor> SpareProcessors(
     const std::map<std::string, WorkerState>& workers, TimePoint now) {
   std::map<std::string, SpareProcessor> spare;
   for (const auto& [id, it] : workers) {
-    if (!AcceptsTasks(it, now)) continue;
-    int64_t& most = spare[it.info.service].most;
-    most = std::max(most, SpareCpu(it));
+    if (!IsMember(it, now)) continue;
+    SpareProcessor& of_service = spare[it.info.service];
+    of_service.capacity += it.info.capacity.cpu_milli;
+    of_service.reserved += it.used.cpu_milli;
+    if (AcceptsTasks(it, now)) of_service.most = std::max(of_service.most, SpareCpu(it));
   }
   return spare;
 }
--- a/src/dispatch/choose_worker.h
+++ b/src/dispatch/choose_worker.h
@@ -23,7 +23,7 @@
   const ColocationModel* colocation = nullptr;
   const StepPermits* permits = nullptr;  // if set, only workers with a valid permit are eligible
   std::string rack;                      // if set, only workers of this rack are eligible
-  // A best-effort task may start beside others with less processor time than it requests.
+  // A best-effort task may start where others have requested all processor time.
   bool shares_processor = false;
   // A best-effort task starts on no worker where a higher ratio of tail latency to target is
   // expected.
@@ -45,7 +45,9 @@
 
 // Processor time of a service's workers, in thousandths of a core, that best-effort tasks may use.
 struct SpareProcessor {
-  int64_t most = 0;  // on one worker, at the begin of the decision
+  int64_t most = 0;      // on one worker, at the begin of the decision
+  int64_t capacity = 0;  // of the members
+  int64_t reserved = 0;  // on the members
   // A task of a job on time that some worker could run when it is empty has found no worker.
   bool wanted = false;
 };
@@ -54,6 +56,10 @@
 bool FitsEmptyWorker(const std::map<std::string, WorkerState>& workers, const std::string& service,
                      const jobs::Step& step, TimePoint now);
 
+// True while so little of the service's processor time is reserved that each idle job is to get a
+// run, even if best-effort tasks have requested the rest.
+bool IsUnderused(const SpareProcessor& spare);
+
 // By service. In a decision spare processor time only shrinks.
 std::map<std::string, SpareProcessor> SpareProcessors(
     const std::map<std::string, WorkerState>& workers, TimePoint now);
--- a/src/dispatch/decide.cc
+++ b/src/dispatch/decide.cc
@@ -35,15 +35,6 @@
   return std::min<Duration>(kPausePerJob * (waiting_jobs - kJobsWithoutPause), kPlacementInterval);
 }
 
-// Limit of the expected tail for the first run of an idle job: the target at first. After
-// kIdlePatience only reported tails count. Otherwise an image that is expected to exceed the
-// targets on all workers would wait forever. Where it does exceed them, it is slowed down and
-// stopped.
-double MaxExpectedTail(const JobEntry& entry, TimePoint now) {
-  constexpr double kTarget = 1;
-  return IsIdleForLong(entry, now) ? std::numeric_limits<double>::infinity() : kTarget;
-}
-
 bool IsFirstRun(const PlacementTurn& turn) {
   return std::get<TurnKind>(turn.rank) == TurnKind::kFirstRun;
 }
@@ -233,7 +224,8 @@
       entry->estimates_valid_until = now + kEstimateInterval;
     }
     turns.push_back({RankOf(entry->estimates, *entry, wall_ms), entry});
-    if (!NeedsFirstRun(entry->estimates, *entry, now, wall_ms)) continue;
+    if (!IsIdleForLong(*entry, now)) continue;
+    if (!IsUnderused(spare_processors_[entry->job.rules.service])) continue;
     turns.push_back({FirstRunRank(*entry), entry});
   }
   std::stable_sort(turns.begin(), turns.end(),
@@ -281,7 +273,6 @@
   }
 }
 
-// Until every job on time has got its processor time, first runs share none of it.
 void Dispatcher::RecordWanted(const PlacementTurn& turn, const jobs::Step& step, TimePoint now) {
   const std::string& service = turn.entry->job.rules.service;
   bool& wanted = spare_processors_[service].wanted;
@@ -296,8 +287,11 @@
   PlacementRequest request = RequestOf(entry, id);
   request.task = task;
   if (IsFirstRun(turn)) {
+    // Until every job on time has got its processor time, first runs share none of it.
     request.shares_processor = !spare_processors_[request.service].wanted;
-    request.max_expected_tail = MaxExpectedTail(*entry, now);
+    // Only reported tails count. Otherwise an image that is expected to exceed the targets on all
+    // workers would wait forever. Where it does exceed them, it is slowed down and stopped.
+    request.max_expected_tail = std::numeric_limits<double>::infinity();
   }
   WorkerState* worker = ChooseWorker(&workers_, request, now);
   if (worker == nullptr) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -180,6 +180,7 @@
   void StopRuns(const jobs::TaskId& id);
   void Adopt(WorkerState* worker, const ActiveRun& active, TimePoint now);
   void UpdateLoads(WorkerState* worker);
+  void StopIfStalled(WorkerState* worker, const RunId& id, TimePoint now);
   // True when no report to an earlier owner can follow one that was requested at `sent`.
   bool IsAfterEarlierReports(const WorkerState& worker, TimePoint sent) const;
   void ApplyActiveRuns(WorkerState* worker, const Report& report, TimePoint sent, TimePoint now);
--- a/src/dispatch/failures.cc
+++ b/src/dispatch/failures.cc
@@ -19,6 +19,14 @@
 // A run that fails after this time has worked until then.
 constexpr Duration kWorkingTime = std::chrono::seconds(10);
 
+// A run whose progress doesn't change for this time is stalled.
+constexpr Duration kStallLimit = std::chrono::seconds(3);
+// The same for a run that the owner has paused: its worker may need the processor time for long.
+constexpr Duration kPausedLimit = std::chrono::seconds(1);
+// A task that takes this many times its expected duration still progresses by a percent in time.
+constexpr double kSlowestTask = 10;
+constexpr double kFullPercent = 100;
+
 }  // namespace
 
 bool RecordStepFailure(StepState* step, const std::string& worker, Duration took) {
@@ -40,4 +48,18 @@
       std::max(worker->suspect_until, now + std::min(backoff, kMaxFailureBackoff));
 }
 
+void UpdateProgress(RunState* run, int percent, Duration covered) {
+  run->without_progress = percent == run->percent ? run->without_progress + covered : Duration{};
+  run->percent = percent;
+}
+
+bool IsStalled(const RunState& run, const jobs::Step& step, double expected_ms) {
+  // A perpetual run reports no progress while it works, nor does a gang that waits for a member.
+  if (run.phase != RunPhase::kRunning || step.perpetual || step.gang) return false;
+  if (run.best_effort && run.pace == 0) return run.without_progress >= kPausedLimit;
+  const auto per_percent = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(kSlowestTask * expected_ms / kFullPercent));
+  return run.without_progress >= std::max(kStallLimit, per_percent);
+}
+
 }  // namespace pomelopond::dispatch
--- a/src/dispatch/failures.h
+++ b/src/dispatch/failures.h
@@ -1,4 +1,4 @@
-// Failed runs: whether the task or the worker is at fault, and which workers are suspect.
+// Failed and stalled runs: whether the task or the worker is at fault, and which workers are suspect.
 #ifndef POMELOPOND_DISPATCH_FAILURES_H_
 #define POMELOPOND_DISPATCH_FAILURES_H_
 
@@ -17,6 +17,14 @@
 // Counts a failed run against the worker, which may make it suspect.
 void CountFailure(WorkerState* worker, TimePoint now);
 
+// Updates the progress of a run from a report that covers at most `covered`. A silent worker may
+// have gone on with its runs, so the time before a late report doesn't count in full.
+void UpdateProgress(RunState* run, int percent, Duration covered);
+
+// True when the run has made no progress for so long that its task does better on another worker.
+// `expected_ms` is the expected duration of the task.
+bool IsStalled(const RunState& run, const jobs::Step& step, double expected_ms);
+
 }  // namespace pomelopond::dispatch
 
 #endif  // POMELOPOND_DISPATCH_FAILURES_H_
--- a/src/dispatch/job_rank.cc
+++ b/src/dispatch/job_rank.cc
@@ -103,12 +103,6 @@
   return entry.idle_since && now - *entry.idle_since >= kIdlePatience;
 }
 
-bool NeedsFirstRun(const Estimates& estimates, const JobEntry& entry, TimePoint now,
-                   int64_t wall_ms) {
-  if (!entry.idle_since) return false;
-  return IsIdleForLong(entry, now) || LatenessOf(estimates, entry, wall_ms) != Lateness::kOnTime;
-}
-
 TurnRank FirstRunRank(const JobEntry& entry) {
   return {entry.job.rules.priority, TurnKind::kFirstRun, false,
           entry.idle_since.value_or(TimePoint{}).time_since_epoch().count()};
--- a/src/dispatch/job_rank.h
+++ b/src/dispatch/job_rank.h
@@ -40,7 +40,7 @@
 // What a job gets in its turn of a placement. The values are in the order of the turns.
 enum class TurnKind {
   kOnTime,    // all that a job on time needs
-  kFirstRun,  // one run for a job that is idle and late or idle for long, so that it doesn't starve
+  kFirstRun,  // one run for a job that is idle for long in an underused pool
   kLate,      // all that a late job needs
   kTooLate,   // all that a job that is too late needs
 };
@@ -48,7 +48,7 @@
 // Turns with the smaller rank come first. The rank compares, in this order:
 // - the priority of the queue;
 // - the kind of the turn, so that no capacity goes to jobs that are late anyway while others become
-//   late;
+//   late. First runs come before late jobs, which would use up the start orders in flight;
 // - among first runs, the job that has been idle for the longest time;
 // - started jobs before pending ones, oldest first, so that started work completes soon;
 // - among pending jobs the newest first. Under overload, oldest first would start each job just
@@ -59,12 +59,10 @@
 TurnRank RankOf(const Estimates& estimates, const JobEntry& entry, int64_t wall_ms);
 
 // True for a job that has been idle for kIdlePatience.
-inline constexpr Duration kIdlePatience = std::chrono::seconds(2);
+inline constexpr Duration kIdlePatience = std::chrono::milliseconds(500);
 bool IsIdleForLong(const JobEntry& entry, TimePoint now);
 
-// True for a job that has a turn of the kind kFirstRun as well.
-bool NeedsFirstRun(const Estimates& estimates, const JobEntry& entry, TimePoint now,
-                   int64_t wall_ms);
+// Rank of the turn for a first run.
 TurnRank FirstRunRank(const JobEntry& entry);
 
 }  // namespace pomelopond::dispatch
--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -282,6 +282,23 @@
   LearnInterference(&colocation_, *worker, before);
 }
 
+// Stops a run that gets nowhere, so that its task goes on elsewhere from its checkpoint.
+void Dispatcher::StopIfStalled(WorkerState* worker, const RunId& id, TimePoint now) {
+  JobEntry* entry = FindEntry(id.task.job);
+  const jobs::Step& step = StepOf(*entry, id.task);
+  const RunState& run = worker->runs.at(id);
+  if (!IsStalled(run, step, ExpectedMs(durations_, step))) return;
+  Log(LogLevel::kInfo, "dispatch", "run_stalled",
+      {{"job", id.task.job}, {"run", id.run}, {"worker", worker->info.id}, {"pace", run.pace}});
+  RequestStop(worker, id);
+  // Best-effort runs also stall for want of processor time, which is no fault of the worker.
+  if (run.best_effort) return;
+  FindTask(entry, id.task)->failed_on.insert(worker->info.id);
+  if (RecordStepFailure(StepStateOf(entry, id.task), worker->info.id, now - run.ordered_at)) {
+    CountFailure(worker, now);
+  }
+}
+
 // A worker answers a call of an earlier owner that it took before this owner's first one when a run
 // ends, or after the longest report wait.
 bool Dispatcher::IsAfterEarlierReports(const WorkerState& worker, TimePoint sent) const {
@@ -292,6 +309,8 @@
 void Dispatcher::ApplyActiveRuns(WorkerState* worker, const Report& report, TimePoint sent,
                                  TimePoint now) {
   std::set<RunId> seen;
+  const Duration covered = std::min<Duration>(now - worker->reported_at, limits_.report_wait);
+  worker->reported_at = now;
   for (const ActiveRun& it : report.active) {
     seen.insert(it.id);
     if (worker->runs.count(it.id) == 0) Adopt(worker, it, now);
@@ -300,13 +319,13 @@
       run.phase = RunPhase::kRunning;
       run.confirmed_at = now;
     }
-    if (it.percent != run.percent) run.progressed_at = now;
-    run.percent = it.percent;
+    UpdateProgress(&run, it.percent, covered);
     run.load = it.load;
     JobEntry* entry = FindEntry(it.id.task.job);
     TaskState* task = entry == nullptr ? nullptr : FindTask(entry, it.id.task);
     if (task == nullptr) continue;
     UpdateCheckpoint(task, it.id, it.checkpoint);
+    StopIfStalled(worker, it.id, now);
     const bool wanted = run.phase == RunPhase::kRunning && run.perpetual;
     task->adopted = task->adopted || (wanted && IsAfterEarlierReports(*worker, sent));
   }
--- a/src/dispatch/worker_table.cc
+++ b/src/dispatch/worker_table.cc
@@ -37,7 +37,6 @@
   run.target_tail_ms = step.target_tail_ms;
   run.image = step.image;
   run.ordered_at = now;
-  run.progressed_at = now;
   if (!worker->runs.emplace(id, run).second) return;
   worker->used = worker->used + RunReservation(run);
   if (run.best_effort) worker->best_effort_cpu += run.request.cpu_milli;
--- a/src/dispatch/worker_table.h
+++ b/src/dispatch/worker_table.h
@@ -36,7 +36,8 @@
   bool stop_confirmed = false;   // the worker accepted the stop order
   TimePoint next_call;           // earliest time of the next order for the run
   int percent = 0;               // progress, as last reported
-  TimePoint progressed_at;       // when the reported progress last changed
+  // Time that reports cover without a change of the progress.
+  Duration without_progress{};
   int64_t load = 0;              // as last reported; see ActiveRun
   int pace = 100;  // processor share ordered last, in percent; -1: unknown, order it again
 };
@@ -64,6 +65,7 @@
 
   bool heartbeat_in_flight = false;  // a heartbeat awaits its answer
   TimePoint heartbeat_sent_at;       // when the last heartbeat was sent
+  TimePoint reported_at;             // when the last usable report arrived
   TimePoint next_heartbeat;          // earliest time of the next heartbeat
   int64_t processed = 0;             // highest position of an ended run that has been applied
   int64_t acknowledged = 0;          // highest position of an ended run that is durable
