Stop runs that make no progress, so that their tasks go on elsewhere

Cause: a best-effort run is paused when the tail beside it exceeds its target, and gets its processor time back below 0.75 of it. Between the two it stayed paused for as long as the service was that busy, and its job counted as running. The same holds for a run that its worker has stopped working on. Change: a run without progress in the reports of 3 s, or of 1 s while it is paused, is stopped. Only reports count: a silent worker's runs go on. Tests: StalledRunTest.*; TaskStartsOnAnotherWorker and PausedRunGivesUpItsPlace fail before.

--- /dev/null
+++ b/tests/dispatch/stalled_run_test.cc
@@ -0,0 +1,149 @@
+// Runs that their workers list without any progress.
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "tests/dispatch/scenario.h"
+
+namespace pomelopond::dispatch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kReportInterval = milliseconds(500);
+const std::string kJob = "0000000000000001";
+const std::string kService = "0000000000000002";
+
+// A job of one task that runs on one of two workers.
+class OneRun {
+ public:
+  explicit OneRun(const jobs::Step& step) {
+    it.AddWorkers({MakeWorker("w1"), MakeWorker("w2")});
+    it.dispatcher.AddJob(MakeJob(kJob, {step}), {}, false);
+    it.Decide();
+    it.ConfirmStarts();
+    run = it.orders.starts.at(0).run;
+    worker = it.orders.starts.at(0).to.worker;
+  }
+
+  // Reports the run each kReportInterval for `duration`, with a progress that rises by `percent` a
+  // second. Returns the number of orders that stop it.
+  size_t ReportFor(Duration duration, double percent_per_second) {
+    size_t stops = 0;
+    for (Duration passed{}; passed < duration; passed += kReportInterval) {
+      it.Advance(kReportInterval);
+      progress_ += percent_per_second * std::chrono::duration<double>(kReportInterval).count();
+      it.Report(worker, {{run, "", static_cast<int>(progress_), 0}}, {});
+      it.Decide();
+      stops += it.orders.stops.size();
+    }
+    return stops;
+  }
+
+  Scenario it;
+  RunId run;
+  std::string worker;
+
+ private:
+  double progress_ = 1;
+};
+
+jobs::Step ShortStep() {
+  jobs::Step step = MakeStep(1);
+  step.estimate_ms = 2000;
+  return step;
+}
+
+// Guards against a task that waits for ever for a worker that has stopped working on it.
+TEST(StalledRunTest, TaskStartsOnAnotherWorker) {
+  OneRun one(ShortStep());
+  EXPECT_GE(one.ReportFor(seconds(4), 0), 1U);
+  one.it.Report(one.worker, {}, {End(1, one.run, EndKind::kStopped)});
+  one.it.Decide();
+  ASSERT_EQ(one.it.orders.starts.size(), 1U);
+  EXPECT_NE(one.it.orders.starts[0].to.worker, one.worker);
+}
+
+// Guards against giving up a run that is slow but gets on.
+TEST(StalledRunTest, SlowRunGoesOn) {
+  OneRun one(ShortStep());
+  EXPECT_EQ(one.ReportFor(seconds(30), 0.5), 0U);
+}
+
+// Guards against giving up a long task between two percents of its progress.
+TEST(StalledRunTest, LongTaskGoesOn) {
+  jobs::Step step = ShortStep();
+  step.estimate_ms = 600000;
+  OneRun one(step);
+  EXPECT_EQ(one.ReportFor(seconds(30), 0.05), 0U);
+}
+
+// Guards against giving up the run of a worker that was only silent for a while.
+TEST(StalledRunTest, RunOfASilentWorkerGoesOn) {
+  OneRun one(ShortStep());
+  one.ReportFor(seconds(1), 20);
+  for (int n = 0; n < 4; ++n) {
+    one.it.Advance(seconds(1));
+    one.it.TimeOut(one.worker);
+    one.it.Decide();
+    EXPECT_TRUE(one.it.orders.stops.empty());
+  }
+  EXPECT_EQ(one.ReportFor(seconds(1), 0), 0U);
+}
+
+// Guards against perpetual tasks that are stopped because their progress stays at its end.
+TEST(StalledRunTest, PerpetualRunGoesOn) {
+  jobs::Step step = ShortStep();
+  step.perpetual = true;
+  OneRun one(step);
+  EXPECT_EQ(one.ReportFor(seconds(30), 0), 0U);
+}
+
+// Guards against a job whose only run stays paused: the tail of the service beside it is neither so
+// long that the run is stopped for it nor so short that the run gets its processor time back.
+TEST(StalledRunTest, PausedRunGivesUpItsPlace) {
+  Scenario it;
+  it.AddWorkers({MakeWorker("w1")});
+  jobs::Step serving = MakeStep(1, 4000);
+  serving.perpetual = true;
+  serving.image = "service";
+  serving.target_tail_ms = 100;
+  jobs::Step batch = ShortStep();
+  batch.replicas = 2;
+  batch.best_effort = true;
+  batch.image = "batch";
+  it.dispatcher.AddJob(MakeJob(kService, {serving}), {}, false);
+  it.Decide();
+  it.ConfirmStarts();
+  const RunId service = it.orders.starts.at(0).run;
+  it.dispatcher.AddJob(MakeJob(kJob, {batch}), {}, false);
+  it.Decide();
+  it.ConfirmStarts();
+  ASSERT_EQ(it.orders.starts.size(), 2U);
+  const RunId first = it.orders.starts[0].run;
+  const RunId second = it.orders.starts[1].run;
+  // One run is stopped for the tail, the other one is paused.
+  it.Advance(kReportInterval);
+  it.Report("w1", {{service, "", 100, 200}, {first, "", 10, 0}, {second, "", 10, 0}}, {});
+  it.Decide();
+  ASSERT_EQ(it.orders.stops.size(), 1U);
+  ASSERT_EQ(it.orders.paces.size(), 1U);
+  EXPECT_EQ(it.orders.paces[0].percent, 0);
+  it.dispatcher.OnPaced(it.orders.paces[0], it.Accepted(), it.now);
+  const RunId paused = it.orders.paces[0].run;
+  const RunId stopped = it.orders.stops[0].run;
+  it.Report("w1", {{service, "", 100, 95}, {paused, "", 10, 0}},
+            {End(1, stopped, EndKind::kStopped)});
+  bool gave_up = false;
+  for (int n = 0; n < 4; ++n) {
+    it.Advance(kReportInterval);
+    it.Report("w1", {{service, "", 100, 95}, {paused, "", 10, 0}}, {});
+    it.Decide();
+    for (const StopOrder& order : it.orders.stops) gave_up = gave_up || order.run == paused;
+  }
+  EXPECT_TRUE(gave_up);
+}
+
+}  // namespace
+}  // namespace pomelopond::dispatch
