Don't count paused, stopping and unconfirmed runs as work for their job

Cause: a job with one run that is paused, being stopped, or without an answer to its start counted as running, so no other task of it started meanwhile. StalledRunTest.JobWhoseOnlyRunDoesNothingGetsAnotherRun fails before. Change: such a job is idle. Only while the pool is underused, when it gets a run for that.

--- a/src/dispatch/decide.cc
+++ b/src/dispatch/decide.cc
@@ -35,6 +35,14 @@
   return std::min<Duration>(kPausePerJob * (waiting_jobs - kJobsWithoutPause), kPlacementInterval);
 }
 
+// Time within which a worker confirms the start of a run, unless its answers get lost.
+constexpr Duration kConfirmationTime = std::chrono::seconds(1);
+
+bool IsWorking(const RunState& run, TimePoint now) {
+  if (run.phase == RunPhase::kStopping || (run.best_effort && run.pace == 0)) return false;
+  return run.phase == RunPhase::kRunning || now < run.ordered_at + kConfirmationTime;
+}
+
 bool IsFirstRun(const PlacementTurn& turn) {
   return std::get<TurnKind>(turn.rank) == TurnKind::kFirstRun;
 }
@@ -197,18 +205,45 @@
       capacity_changed_ ? PlacementPause(placeable_.size()) : kPlacementInterval;
   if (now < placed_at_ + interval) return;
   placed_at_ = now;
-  UpdateIdleTimes(now, wall_ms);
   reserved_capacity_.clear();
   unplaceable_.clear();
   spare_processors_ = SpareProcessors(workers_, now);
+  UpdateIdleTimes(now, wall_ms);
   for (const PlacementTurn& it : TurnsInOrder(now, wall_ms)) PlaceJob(it, now, wall_ms, orders);
   // At the limit of starts in flight, more tasks may be placeable once some starts are answered.
   capacity_changed_ = starts_in_flight_ >= limits_.max_starts_in_flight;
 }
 
+// A run that is paused, being stopped or not confirmed in time does nothing for its job.
+bool Dispatcher::HasWorkingRun(const JobEntry& entry, TimePoint now) const {
+  if (!HasActiveTask(entry)) return false;
+  // While most of the pool is in use no first run follows, so the cheap answer is enough.
+  const auto spare = spare_processors_.find(entry.job.rules.service);
+  if (spare == spare_processors_.end() || !IsUnderused(spare->second)) return true;
+  jobs::TaskId id{entry.job.id, 0, 0, 0};
+  for (const std::vector<StepState>& steps : entry.steps) {
+    id.step = 0;
+    for (const StepState& step : steps) {
+      id.index = 0;
+      for (const TaskState& task : step.tasks) {
+        for (const RunLocation& it : task.runs) {
+          const auto worker = workers_.find(it.worker);
+          if (worker == workers_.end()) continue;
+          const auto run = worker->second.runs.find({id, it.run});
+          if (run != worker->second.runs.end() && IsWorking(run->second, now)) return true;
+        }
+        id.index += 1;
+      }
+      id.step += 1;
+    }
+    id.occurrence += 1;
+  }
+  return false;
+}
+
 void Dispatcher::UpdateIdleTimes(TimePoint now, int64_t wall_ms) {
   for (const auto& [id, entry] : placeable_) {
-    const bool idle = !HasActiveTask(*entry) && HasReadyTask(*entry, wall_ms);
+    const bool idle = !HasWorkingRun(*entry, now) && HasReadyTask(*entry, wall_ms);
     if (!idle) entry->idle_since.reset();
     if (idle && !entry->idle_since) entry->idle_since = now;
   }
@@ -241,7 +276,7 @@
     for (int s = 0; s < static_cast<int>(entry.job.steps.size()); ++s) {
       if (entry.steps[static_cast<size_t>(k)][static_cast<size_t>(s)].waiting == 0) continue;
       if (IsReady(entry, k, s)) PlaceStep(turn, k, s, now, wall_ms, orders);
-      if (IsFirstRun(turn) && HasActiveTask(entry)) return;
+      if (IsFirstRun(turn) && !entry.idle_since) return;
     }
   }
 }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -205,6 +205,7 @@
   void DecideHeartbeats(TimePoint now, Orders* orders);
   void RetryRuns(TimePoint now, Orders* orders);
   void PlaceTasks(TimePoint now, int64_t wall_ms, Orders* orders);
+  bool HasWorkingRun(const JobEntry& entry, TimePoint now) const;
   void UpdateIdleTimes(TimePoint now, int64_t wall_ms);
   std::vector<PlacementTurn> TurnsInOrder(TimePoint now, int64_t wall_ms);
   void PlaceJob(const PlacementTurn& turn, TimePoint now, int64_t wall_ms, Orders* orders);
--- a/src/dispatch/job_table.h
+++ b/src/dispatch/job_table.h
@@ -58,7 +58,7 @@
   int64_t revision = 0;     // store revision of the job's record; 0: precedes this owner
   Estimates estimates;
   TimePoint estimates_valid_until;  // the estimates are computed again after this time
-  // Since when a task could start while no task of the job had a run; unset if that is not so.
+  // Since when a task could start while no run worked for the job; unset if that is not so.
   std::optional<TimePoint> idle_since;
   // Indexed by occurrence, then step.
   std::vector<std::vector<StepState>> steps;
--- a/tests/dispatch/stalled_run_test.cc
+++ b/tests/dispatch/stalled_run_test.cc
@@ -145,5 +145,31 @@
   EXPECT_TRUE(gave_up);
 }
 
+// Guards against a job that counts as running while its only run gets no answer to its start:
+// another task of the job starts instead, though all processor time is requested.
+TEST(StalledRunTest, JobWhoseOnlyRunDoesNothingGetsAnotherRun) {
+  Scenario it;
+  it.AddWorkers({MakeWorker("w1"), MakeWorker("w2")});
+  jobs::Step whole_worker = MakeStep(1, 16000);
+  whole_worker.best_effort = true;
+  it.dispatcher.AddJob(MakeJob(kService, {whole_worker}), {}, false);
+  it.Decide();
+  it.ConfirmStarts();
+  whole_worker.replicas = 2;
+  it.dispatcher.AddJob(MakeJob(kJob, {whole_worker}), {}, false);
+  it.Decide();
+  ASSERT_EQ(it.orders.starts.size(), 1U);
+  const RunId unanswered = it.orders.starts[0].run;
+  bool started = false;
+  for (int n = 0; n < 25; ++n) {
+    it.Advance(milliseconds(100));
+    it.Decide();
+    for (const StartOrder& order : it.orders.starts) {
+      started = started || (order.run.task.job == kJob && !(order.run == unanswered));
+    }
+  }
+  EXPECT_TRUE(started);
+}
+
 }  // namespace
 }  // namespace pomelopond::dispatch
