--- a/src/base/time.h
+++ b/src/base/time.h
@@ -11,6 +11,11 @@
 // A point on the process's monotonic clock. Points from different processes are not comparable.
 using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 
+// Whole milliseconds of the duration.
+constexpr int64_t Milliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 // Reads the monotonic clock. Decision functions do not call it but take the time as an argument.
 TimePoint Now();
 
--- a/src/dispatch/failures.h
+++ b/src/dispatch/failures.h
@@ -1,4 +1,5 @@
-// Failed and stalled runs: whether the task or the worker is at fault, and which workers are suspect.
+// Failed and stalled runs: whether the task or the worker is at fault, and which workers are
+// suspect.
 #ifndef POMELOPOND_DISPATCH_FAILURES_H_
 #define POMELOPOND_DISPATCH_FAILURES_H_
 
--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -1,4 +1,4 @@
-// Processing of reports and answers from workers.
+// Processing of reports from workers.
 #include <algorithm>
 
 #include "base/log.h"
@@ -12,17 +12,11 @@
 // needs no record of the runs that earlier owners started.
 constexpr int64_t kRunsPerEpoch = 100000;
 
-// Start and stop orders are repeated after this time.
-constexpr Duration kCallRetry = std::chrono::milliseconds(200);
-// A heartbeat without a usable answer is repeated after this time.
-constexpr Duration kHeartbeatRetry = std::chrono::milliseconds(300);
 // Allowance for timers of a worker that answers a delayed report late.
 constexpr Duration kReportSlack = std::chrono::milliseconds(50);
 // Interval of heartbeats while the ended runs of the last report are not durable, or the worker's
 // lease is bounded.
 constexpr Duration kUncommittedRetry = std::chrono::milliseconds(500);
-// A worker that refused a task is offered no task for this time.
-constexpr Duration kRefusalBackoff = std::chrono::milliseconds(300);
 const char* EndName(EndKind kind) {
   switch (kind) {
     case EndKind::kDone:
@@ -41,10 +35,6 @@
   return "unknown";
 }
 
-int64_t Milliseconds(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 // True when a start order for the run has no answer, so that it may be carried out later.
 bool MayStillStart(const RunState& run) {
   return run.outcome_unknown || (run.call_in_flight && run.confirmed_at == TimePoint{});
@@ -344,55 +334,6 @@
   }
 }
 
-void Dispatcher::RecordNoAnswer(WorkerState* worker, TimePoint now) {
-  worker->unanswered_calls += 1;
-  if (worker->unanswered_calls > 1) return;
-  Log(LogLevel::kInfo, "dispatch", "worker_silent",
-      {{"worker", worker->info.id},
-       {"lease_left_ms", Milliseconds(std::max(worker->lease_ends - now, Duration{}))}});
-}
-
-// Returns false when the answer comes from another incarnation of the worker or refuses the epoch.
-bool Dispatcher::HandleAnswer(WorkerState* worker, const Answer& answer, TimePoint now) {
-  if (answer.status == OrderStatus::kUnreachable || answer.status == OrderStatus::kNoAnswer) {
-    RecordNoAnswer(worker, now);
-    return true;
-  }
-  const int64_t known = worker->info.incarnation;
-  const bool other = answer.status == OrderStatus::kWrongIncarnation;
-  // Another worker at the address answers with an incarnation of its own.
-  const bool newer = !other && answer.incarnation != 0 && known != 0 && answer.incarnation > known;
-  if (newer || other) {
-    Log(LogLevel::kInfo, "dispatch", "worker_restarted", {{"worker", worker->info.id}});
-    if (newer) {
-      worker->info.incarnation = answer.incarnation;
-      worker->info_outdated = true;
-      HandleRestart(worker, now);
-    } else {
-      // Another worker has taken the address, so no owner can start a run of this one there.
-      unreconciled_.erase(worker->info.id);
-      MarkRunsLost(worker, now);
-      worker->next_heartbeat = now + kHeartbeatRetry;
-    }
-    worker->unanswered_calls += 1;
-    return false;
-  }
-  if (answer.incarnation != 0 && answer.incarnation < known) return false;
-  if (answer.incarnation != 0) worker->info.incarnation = answer.incarnation;
-  if (answer.status == OrderStatus::kStaleEpoch) {
-    superseded_ = true;
-    return false;
-  }
-  worker->unanswered_calls = 0;
-  worker->unanswered_heartbeats = 0;
-  if (worker->lease_bounded) lease_bounds_due_ = now;
-  if (answer.clock_ms > 0) {
-    worker->clock_ms = answer.clock_ms;
-    worker->clock_at = now;
-  }
-  return true;
-}
-
 void Dispatcher::OnReport(const HeartbeatOrder& order, const Report& report, TimePoint now,
                           int64_t wall_ms) {
   WorkerState* worker = FindWorker(order.to.worker);
@@ -427,83 +368,4 @@
   worker->next_heartbeat = settled ? now : now + kUncommittedRetry;
 }
 
-void Dispatcher::OnStarted(const StartOrder& order, const Answer& answer, TimePoint now) {
-  starts_in_flight_ -= 1;
-  WorkerState* worker = FindWorker(order.to.worker);
-  if (worker == nullptr) return;
-  if (worker->runs.count(order.run) == 0) return;
-  if (worker->info.endpoint != order.to.endpoint) {
-    RunState& run = worker->runs.at(order.run);
-    run.call_in_flight = false;
-    run.outcome_unknown = true;
-    run.next_call = now + kCallRetry;
-    return;
-  }
-  // The start may have been carried out by a new incarnation, so it is in flight until then.
-  const bool usable = HandleAnswer(worker, answer, now);
-  const auto found = worker->runs.find(order.run);
-  if (found == worker->runs.end()) return;
-  RunState& run = found->second;
-  run.call_in_flight = false;
-  if (!usable) return;
-  if (answer.status == OrderStatus::kAccepted) {
-    run.confirmed_at = now;
-    if (run.phase == RunPhase::kStarting) run.phase = RunPhase::kRunning;
-    return;
-  }
-  if (answer.status == OrderStatus::kNoAnswer) {
-    run.outcome_unknown = true;
-    run.next_call = now + kCallRetry;
-    return;
-  }
-  if (answer.status == OrderStatus::kNoPermit) DropPermit(order);
-  if (answer.status == OrderStatus::kNoCapacity || answer.status == OrderStatus::kUnhealthy) {
-    worker->backoff_until = std::max(worker->backoff_until, now + kRefusalBackoff);
-  }
-  Log(LogLevel::kInfo, "dispatch", "start_refused",
-      {{"job", order.run.task.job},
-       {"run", order.run.run},
-       {"worker", worker->info.id},
-       {"status", static_cast<int>(answer.status)}});
-  if (run.phase == RunPhase::kRunning) return;
-  // An earlier order without an answer may still take effect unless the run is stopped on the
-  // worker.
-  if (run.outcome_unknown) return RequestStop(worker, order.run);
-  EndRun(worker, order.run);
-}
-
-// The worker's verdict on the validity of a permit takes precedence over the stored expiry.
-void Dispatcher::DropPermit(const StartOrder& order) {
-  JobEntry* entry = FindEntry(order.run.task.job);
-  StepState* step = entry == nullptr ? nullptr : StepStateOf(entry, order.run.task);
-  if (step != nullptr) step->permits.granted.erase(order.to.worker);
-}
-
-void Dispatcher::OnStopped(const StopOrder& order, const Answer& answer, TimePoint now) {
-  WorkerState* worker = FindWorker(order.to.worker);
-  if (worker == nullptr) return;
-  const auto found = worker->runs.find(order.run);
-  if (found == worker->runs.end()) return;
-  found->second.call_in_flight = false;
-  found->second.next_call = now + kCallRetry;
-  if (worker->info.endpoint != order.to.endpoint) return;
-  if (!HandleAnswer(worker, answer, now)) return;
-  if (answer.status != OrderStatus::kAccepted) return;
-  found->second.stop_confirmed = true;
-  found->second.confirmed_at = now;
-}
-
-void Dispatcher::OnPaced(const PaceOrder& order, const Answer& answer, TimePoint now) {
-  WorkerState* worker = FindWorker(order.to.worker);
-  if (worker == nullptr) return;
-  const auto found = worker->runs.find(order.run);
-  if (found != worker->runs.end()) found->second.call_in_flight = false;
-  const bool usable =
-      worker->info.endpoint == order.to.endpoint && HandleAnswer(worker, answer, now);
-  if (!usable || answer.status == OrderStatus::kAccepted) return;
-  // HandleAnswer() may have removed the run.
-  const auto it = worker->runs.find(order.run);
-  if (it != worker->runs.end()) it->second.pace = -1;  // ordered again by the next decision
-}
-
 }  // namespace pomelopond::dispatch
--- a/src/dispatch/worker_table.h
+++ b/src/dispatch/worker_table.h
@@ -38,8 +38,8 @@
   int percent = 0;               // progress, as last reported
   // Time that reports cover without a change of the progress.
   Duration without_progress{};
-  int64_t load = 0;              // as last reported; see ActiveRun
-  int pace = 100;  // processor share ordered last, in percent; -1: unknown, order it again
+  int64_t load = 0;  // as last reported; see ActiveRun
+  int pace = 100;    // processor share ordered last, in percent; -1: unknown, order it again
 };
 
 // A worker and its runs. Processor time is in thousandths of a core.
@@ -87,6 +87,8 @@
   std::map<RunId, RunState> runs;
 };
 
+// A heartbeat without a usable answer is repeated after this time.
+inline constexpr Duration kHeartbeatRetry = std::chrono::milliseconds(300);
 // Lowest rate of a worker's clock relative to the local clock.
 inline constexpr double kMinClockRate = 0.98;
 
