--- a/review/stand_in/cluster.h
+++ b/review/stand_in/cluster.h
@@ -21,6 +21,10 @@
 inline constexpr int kCouldNotRun = 2;
 
 inline constexpr const char* kService = "towpath-reports";
+inline constexpr const char* kPrefix = "/lohu930/";
+
+// A configuration with one queue for each prefix, all of kService.
+std::string Config(int version, int max_attempts, const std::vector<std::string>& prefixes);
 
 // One process of the role `entry` of the deploy file.
 class EntryHost {
@@ -59,6 +63,8 @@
 
   Answer Submit(const EntryHost& host, const std::string& id, const std::string& steps);
   Answer StateOf(const EntryHost& host, const std::string& id);
+  // Asks for the number of waiting jobs of a queue.
+  Answer CountOf(const EntryHost& host, const std::string& prefix);
 
   Ledger ledger;
   Store store;
--- a/review/stand_in/http.h
+++ b/review/stand_in/http.h
@@ -37,11 +37,13 @@
   void Reset();
   // Goes silent like a host without power: connections stay open without an answer.
   void GoDark();
-  // Ends the silence. Bytes on a connection from before are answered by a reset.
+  // Open connections go silent for good, and new ones work.
+  void SilenceOpenConnections();
+  // Ends the darkness. Bytes on a connection from before are answered by a reset.
   void EndDark();
 
   bool Serving() const { return open_.load() && !dark_.load(); }
-  // Incremented by Reset() and GoDark(). Handlers that wait stop when it changes.
+  // Changes when the open connections come to their end. Handlers that wait stop when it changes.
   int Life() const { return life_.load(); }
   std::string Endpoint() const { return address_ + ":" + std::to_string(port_); }
 
@@ -56,6 +58,7 @@
   std::atomic<bool> open_{false};
   std::atomic<bool> dark_{false};
   std::atomic<int> life_{0};
+  std::atomic<int> silent_life_{-1};  // connections of this life and earlier ones are silent
 };
 
 // Returns a free TCP port of the address.
--- a/review/stand_in/store.h
+++ b/review/stand_in/store.h
@@ -24,6 +24,7 @@
   // The store's process ends and keeps its data: connections are reset and new ones refused.
   void GoDown() { server_.Reset(); }
   void Return() { server_.Open(); }
+  void SilenceOpenConnections() { server_.SilenceOpenConnections(); }
   std::string Endpoint() const { return server_.Endpoint(); }
 
   // Writes as the operator and the workers do.
