--- a/review/stand_in/http.cc
+++ b/review/stand_in/http.cc
@@ -14,6 +14,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <optional>
+#include <set>
 #include <thread>
 
 namespace review {
@@ -220,16 +221,18 @@
 }
 
 int FreePort(const std::string& address) {
-  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in own = AddressOf(address, 0);
-  socklen_t size = sizeof(own);
-  int port = 0;
-  if (bind(fd, reinterpret_cast<sockaddr*>(&own), sizeof(own)) == 0 &&
-      getsockname(fd, reinterpret_cast<sockaddr*>(&own), &size) == 0) {
-    port = ntohs(own.sin_port);
+  // A port is free again once its socket is closed, and may be offered a second time.
+  static std::set<int> offered;
+  for (;;) {
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in own = AddressOf(address, 0);
+    socklen_t size = sizeof(own);
+    const bool bound = bind(fd, reinterpret_cast<sockaddr*>(&own), sizeof(own)) == 0 &&
+                       getsockname(fd, reinterpret_cast<sockaddr*>(&own), &size) == 0;
+    close(fd);
+    const int port = ntohs(own.sin_port);
+    if (!bound || offered.insert(port).second) return bound ? port : 0;
   }
-  close(fd);
-  return port;
 }
 
 Answer Call(const std::string& endpoint, const std::string& method, const std::string& path,
