--- a/review/stand_in/cluster.cc
+++ b/review/stand_in/cluster.cc
@@ -129,6 +129,11 @@
   });
 }
 
+void Cluster::AddHost() {
+  hosts.emplace_back(kFirstHost + static_cast<int>(hosts.size()), folder, store.Endpoint());
+  hosts.back().Start();
+}
+
 EntryHost* Cluster::Owner() {
   const std::string term = store.ValueOf("pomelopond/term");
   if (term.empty()) return nullptr;
--- a/review/stand_in/cluster.h
+++ b/review/stand_in/cluster.h
@@ -58,6 +58,8 @@
   // Starts the store with a configuration of one queue, and all hosts. Returns false if they are
   // not ready in time.
   bool Start(int max_attempts);
+  // Starts one more host, at an address of its own.
+  void AddHost();
   // The host that wrote the term last, or null.
   EntryHost* Owner();
 
--- a/review/stand_in/http.cc
+++ b/review/stand_in/http.cc
@@ -141,8 +141,8 @@
 
 }  // namespace
 
-Server::Server(const std::string& address, Handler handler)
-    : address_(address), handler_(std::move(handler)) {}
+Server::Server(const std::string& address, Handler handler, int max_connections)
+    : address_(address), handler_(std::move(handler)), max_connections_(max_connections) {}
 
 void Server::Open() {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -186,9 +186,17 @@
     const int fd = accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
     if (fd < 0) continue;
     SetNoDelay(fd);
+    if (max_connections_ > 0 && connections_.load() >= max_connections_) {
+      CloseWithReset(fd);
+      continue;
+    }
+    connections_.fetch_add(1);
     // A connection that is made in the dark belongs to no life, so it is reset afterwards.
     const int of = dark_.load() ? life : life_.load();
-    std::thread([this, fd, of] { Serve(fd, of); }).detach();
+    std::thread([this, fd, of] {
+      Serve(fd, of);
+      connections_.fetch_sub(1);
+    }).detach();
   }
 }
 
--- a/review/stand_in/http.h
+++ b/review/stand_in/http.h
@@ -29,7 +29,8 @@
  public:
   using Handler = std::function<Response(const Request&)>;
 
-  Server(const std::string& address, Handler handler);
+  // At most `max_connections` are open at one time, and further ones are reset; 0: no limit.
+  Server(const std::string& address, Handler handler, int max_connections = 0);
 
   // Starts to listen. The first call chooses a free port; later ones use it again.
   void Open();
@@ -45,6 +46,7 @@
   bool Serving() const { return open_.load() && !dark_.load(); }
   // Changes when the open connections come to their end. Handlers that wait stop when it changes.
   int Life() const { return life_.load(); }
+  int Connections() const { return connections_.load(); }
   std::string Endpoint() const { return address_ + ":" + std::to_string(port_); }
 
  private:
@@ -53,6 +55,8 @@
 
   const std::string address_;
   const Handler handler_;
+  const int max_connections_;
+  std::atomic<int> connections_{0};
   int port_ = 0;
   int listener_ = -1;
   std::atomic<bool> open_{false};
--- a/review/stand_in/worker.cc
+++ b/review/stand_in/worker.cc
@@ -31,7 +31,9 @@
     : options_(options),
       store_(store),
       ledger_(ledger),
-      server_(options.address, [this](const Request& request) { return Handle(request); }) {}
+      server_(
+          options.address, [this](const Request& request) { return Handle(request); },
+          options.max_connections) {}
 
 void Worker::Start() {
   server_.Open();
--- a/review/stand_in/worker.h
+++ b/review/stand_in/worker.h
@@ -30,6 +30,7 @@
   int64_t task_cpu_milli = 1000;
   int64_t task_memory_mb = 100;
   int64_t checkpoint_ms = 0;  // time between checkpoints; 0: none
+  int max_connections = 64;
 };
 
 class Worker {
@@ -48,6 +49,7 @@
   // Returns false if no start has come, so that there was no cut.
   bool EndCut();
 
+  int Connections() const { return server_.Connections(); }
   int RunningTasks();
   int ListedEnds();
 
