--- a/review/3/main.cc
+++ b/review/3/main.cc
@@ -3,8 +3,8 @@
 #include <string>
 #include <vector>
 
-#include "../stand_in/cluster.h"
-#include "../stand_in/worker.h"
+#include "../cluster.h"
+#include "../worker.h"
 
 namespace review {
 namespace {
--- a/review/build.sh
+++ b/review/build.sh
@@ -6,12 +6,12 @@
 mkdir -p "$out"
 compile=(g++ -std=c++17 -O1 -Wall -Wextra -pthread)
 jobs=()
-for it in review/stand_in/*.cc review/*/main.cc; do
+for it in review/*.cc review/*/main.cc; do
   "${compile[@]}" -c -o "$out/$(echo "$it" | tr / -).o" "$it" &
   jobs+=($!)
 done
 for it in "${jobs[@]}"; do wait "$it"; done
 for it in review/*/main.cc; do
   n=$(basename "$(dirname "$it")")
-  "${compile[@]}" -o "$out/case-$n" "$out/review-$n-main.cc.o" "$out"/review-stand_in-*.o
+  "${compile[@]}" -o "$out/case-$n" "$out/review-$n-main.cc.o" "$out"/review-[a-z]*.o
 done
--- a/review/stand_in/cluster.h
+++ b/review/cluster.h
@@ -1,6 +1,6 @@
 // The project's programs as processes on loopback addresses, and what all cases share.
-#ifndef POMELOPOND_REVIEW_STAND_IN_CLUSTER_H_
-#define POMELOPOND_REVIEW_STAND_IN_CLUSTER_H_
+#ifndef POMELOPOND_REVIEW_CLUSTER_H_
+#define POMELOPOND_REVIEW_CLUSTER_H_
 
 #include <sys/types.h>
 
@@ -87,4 +87,4 @@
 
 }  // namespace review
 
-#endif  // POMELOPOND_REVIEW_STAND_IN_CLUSTER_H_
+#endif  // POMELOPOND_REVIEW_CLUSTER_H_
--- a/review/stand_in/http.h
+++ b/review/http.h
@@ -1,6 +1,6 @@
 // Small HTTP/1.1 server and client for the review's stand-ins.
-#ifndef POMELOPOND_REVIEW_STAND_IN_HTTP_H_
-#define POMELOPOND_REVIEW_STAND_IN_HTTP_H_
+#ifndef POMELOPOND_REVIEW_HTTP_H_
+#define POMELOPOND_REVIEW_HTTP_H_
 
 #include <atomic>
 #include <functional>
@@ -79,4 +79,4 @@
 
 }  // namespace review
 
-#endif  // POMELOPOND_REVIEW_STAND_IN_HTTP_H_
+#endif  // POMELOPOND_REVIEW_HTTP_H_
--- a/review/stand_in/ledger.h
+++ b/review/ledger.h
@@ -1,6 +1,6 @@
 // What a case has seen: a record of events in plain text, and all runs on all workers.
-#ifndef POMELOPOND_REVIEW_STAND_IN_LEDGER_H_
-#define POMELOPOND_REVIEW_STAND_IN_LEDGER_H_
+#ifndef POMELOPOND_REVIEW_LEDGER_H_
+#define POMELOPOND_REVIEW_LEDGER_H_
 
 #include <cstdint>
 #include <mutex>
@@ -53,4 +53,4 @@
 
 }  // namespace review
 
-#endif  // POMELOPOND_REVIEW_STAND_IN_LEDGER_H_
+#endif  // POMELOPOND_REVIEW_LEDGER_H_
--- a/review/stand_in/store.h
+++ b/review/store.h
@@ -1,6 +1,6 @@
 // Stand-in for the platform's metadata store: linearizable, loses nothing that it has acknowledged.
-#ifndef POMELOPOND_REVIEW_STAND_IN_STORE_H_
-#define POMELOPOND_REVIEW_STAND_IN_STORE_H_
+#ifndef POMELOPOND_REVIEW_STORE_H_
+#define POMELOPOND_REVIEW_STORE_H_
 
 #include <chrono>
 #include <condition_variable>
@@ -88,4 +88,4 @@
 
 }  // namespace review
 
-#endif  // POMELOPOND_REVIEW_STAND_IN_STORE_H_
+#endif  // POMELOPOND_REVIEW_STORE_H_
--- a/review/stand_in/worker.h
+++ b/review/worker.h
@@ -1,6 +1,6 @@
 // Stand-in for an executor that guards its capacity.
-#ifndef POMELOPOND_REVIEW_STAND_IN_WORKER_H_
-#define POMELOPOND_REVIEW_STAND_IN_WORKER_H_
+#ifndef POMELOPOND_REVIEW_WORKER_H_
+#define POMELOPOND_REVIEW_WORKER_H_
 
 #include <chrono>
 #include <condition_variable>
@@ -106,4 +106,4 @@
 
 }  // namespace review
 
-#endif  // POMELOPOND_REVIEW_STAND_IN_WORKER_H_
+#endif  // POMELOPOND_REVIEW_WORKER_H_
