HttpClient: send each request at most once

Cause: the HTTP library sends a request again when a reused connection is closed without an answer. If that second send can't connect, the call fails with "host unreachable", which callers take for "not sent".

Change: the callback that the library makes before each send fails the second one of a call, so the outcome is kTruncatedAnswer (unknown).

Conclusion: an error of the client now speaks of its only send.

--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -30,30 +30,31 @@
 struct PooledConnection {
   std::shared_ptr<CpprestClient> client;
   std::shared_ptr<std::atomic<int>> socket;
-  int64_t calls = 0;  // number of calls answered so far
+  std::shared_ptr<std::atomic<int>> sends;  // by the library, for the current call
+  int64_t calls = 0;                        // number of calls answered so far
 };
 
-// Makes a client object for `uri`; with `once`, it sends at most one request. The library calls the
-// native handle callback with the socket before each send, including its own retries. An exception
-// from the callback makes the call fail before anything is sent.
-PooledConnection MakeConnection(const std::string& uri, bool once) {
+// Makes a client object for `uri` that sends each request at most once. The library sends a request
+// again if a reused connection is closed without an answer, though the server may have handled the
+// request. It calls the native handle callback with the socket before each send. An exception from
+// the callback makes the call fail before anything is sent.
+PooledConnection MakeConnection(const std::string& uri) {
   PooledConnection connection;
   connection.socket = std::make_shared<std::atomic<int>>(-1);
-  const auto sends = std::make_shared<std::atomic<int>>(0);
+  connection.sends = std::make_shared<std::atomic<int>>(0);
   web::http::client::http_client_config config;
   config.set_timeout(kCpprestTimeout);
   // Following a redirect would send the request again, to an address that the answer chooses.
   config.set_max_redirects(0);
-  config.set_nativehandle_options(
-      [socket = connection.socket, sends, once](web::http::client::native_handle handle) {
-        if (once && sends->fetch_add(1) > 0)
-          throw std::runtime_error("request must not be sent twice");
-        auto* it = static_cast<boost::asio::ip::tcp::socket*>(handle);
-        // A new connection has no open socket yet. Opening it here makes its number known; the
-        // library uses a socket that is already open.
-        if (!it->is_open()) it->open(boost::asio::ip::tcp::v4());
-        socket->store(it->native_handle());
-      });
+  config.set_nativehandle_options([socket = connection.socket, sends = connection.sends](
+                                      web::http::client::native_handle handle) {
+    if (sends->fetch_add(1) > 0) throw std::runtime_error("request must not be sent twice");
+    auto* it = static_cast<boost::asio::ip::tcp::socket*>(handle);
+    // A new connection has no open socket yet. Opening it here makes its number known; the
+    // library uses a socket that is already open.
+    if (!it->is_open()) it->open(boost::asio::ip::tcp::v4());
+    socket->store(it->native_handle());
+  });
   connection.client = std::make_shared<CpprestClient>(uri, config);
   return connection;
 }
@@ -89,7 +90,7 @@
 std::error_code ToError(const std::exception& e, bool timed_out) {
   if (timed_out) return ResultCode::kTimeout;
   const auto* http_error = dynamic_cast<const web::http::http_exception*>(&e);
-  // The library reports host_unreachable only if it cannot connect.
+  // The library reports host_unreachable only if it could not connect or write all headers.
   if (http_error != nullptr && http_error->error_code() == std::errc::host_unreachable) {
     return ResultCode::kTargetUnreachable;
   }
@@ -176,7 +177,7 @@
       idle.pop_front();
       if (IsReusable(connection)) return connection;
     }
-    return MakeConnection(uri, false);
+    return MakeConnection(uri);
   }
 
   void Return(PooledConnection connection) {
@@ -202,6 +203,7 @@
   static std::atomic<int64_t> next_request_id{1};
   const std::string request_id = std::to_string(next_request_id.fetch_add(1));
   const PooledConnection connection = impl_->Acquire();
+  connection.sends->store(0);
   if (impl_->reuse == ConnectionReuse::kWhenRequestIdEchoed)
     request.headers[kRequestIdHeader] = request_id;
   Start(connection.client, std::move(request), timeout,
@@ -227,7 +229,7 @@
   // The library keeps one connection pool per client object, so a new object has no connection to
   // reuse.
   request.headers["Connection"] = "close";
-  Start(MakeConnection(impl_->uri, true).client, std::move(request), timeout, std::move(done));
+  Start(MakeConnection(impl_->uri).client, std::move(request), timeout, std::move(done));
 }
 
 HttpResult HttpClient::Call(HttpRequest request, Duration timeout) {
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -11,9 +11,10 @@
 
 namespace pomelopond::http {
 
-// The result of a call. Errors: kTargetUnreachable if no connection could be made and nothing was
-// sent, kTimeout if the timeout expired, and kTruncatedAnswer if the connection ended before the
-// answer was complete or the answer is malformed.
+// The result of a call. Errors: kTargetUnreachable if the request was not sent, because no
+// connection could be made; kTimeout if the timeout expired; and kTruncatedAnswer if the connection
+// ended before the answer was complete or the answer is malformed. After the last two, the server
+// may have handled the request.
 struct HttpResult {
   std::error_code ec;  // clear if the response is complete to its last byte
   HttpResponse response;
@@ -38,13 +39,13 @@
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
-  // Sends a request over a pooled connection. The cpprest library sends the request again if the
-  // pooled connection turns out to be closed, so requests must be idempotent. `done` runs exactly
-  // once, on a pool thread.
+  // Sends a request, over a pooled connection if there is one. The request is sent at most once: a
+  // pooled connection that turns out to be closed is an error. `done` runs exactly once, on a pool
+  // thread. Redirects are passed to it like any other answer.
   void Send(HttpRequest request, Duration timeout, HttpCallback done);
 
-  // Sends a request at most once, over a new connection that is closed afterwards. Neither this
-  // function nor Send() follows redirects; `done` receives them like any other answer.
+  // Sends a request like Send(), but over a new connection that is closed afterwards. A server that
+  // closes idle connections cannot make such a call fail.
   void SendOnce(HttpRequest request, Duration timeout, HttpCallback done);
 
   // Calls Send() and waits for the result. Must not be called on a pool thread, where it could
