Dispatch: keep confirmed runs of a restarted worker until a report tells whose they are

Cause: an answer to a start names no incarnation.

Change: RunState::incarnation_known is set by a report that lists the run or an answer that names the incarnation. A restart loses only such runs; the next report decides about the others. Until then their lease counts as the longest that the worker grants (max_lease), since the order's lease end refers to the clock of the earlier incarnation. The simulated workers name their incarnation in reports only, as the platform's do.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -31,6 +31,8 @@
   // No order extends a lease beyond this time after the last proof of ownership, so the next owner
   // knows how long a worker that it cannot reach may still run tasks.
   Duration lease_horizon = std::chrono::seconds(8);
+  // Longest lease that a worker accepts; it shortens a longer one.
+  Duration max_lease = lease_horizon;
   // Start orders in flight at one time. With more of them, after a takeover or in a burst, the
   // answers delay each other on an entry host with a tenth of a core.
   int max_starts_in_flight = 64;
--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -35,7 +35,7 @@
   return "unknown";
 }
 
-// True when a start order for the run has no answer, so that it may be carried out later.
+// True when a start order for the run may still be carried out, as it has no answer.
 bool MayStillStart(const RunState& run) {
   return run.outcome_unknown || (run.call_in_flight && run.confirmed_at == TimePoint{});
 }
@@ -81,21 +81,28 @@
   ForgetIncarnation(worker, now);
 }
 
-// A new incarnation at the address of the earlier one may still carry out a start order that was
-// sent to that one. Such a run ends once the new incarnation has stopped it.
+// Only the runs that the earlier incarnation is known to have started are lost. Another start that
+// has been confirmed may have been carried out by either incarnation; the next report tells
+// by which. One without an answer may still be carried out by the new incarnation, so its run ends
+// once that has stopped it.
 void Dispatcher::HandleRestart(WorkerState* worker, TimePoint now) {
   std::vector<RunId> lost;
   for (auto& [id, it] : worker->runs) {
-    if (!MayStillStart(it)) lost.push_back(id);
+    if (it.incarnation_known && !MayStillStart(it)) lost.push_back(id);
+    it.incarnation_known = false;
     it.stop_confirmed = false;
   }
   for (const RunId& it : lost) LoseRun(worker, it);
   ForgetIncarnation(worker, now);
   if (worker->runs.empty()) return;
-  // The lease in such an order refers to the clock of the earlier incarnation.
-  const auto horizon = std::chrono::duration_cast<Duration>(limits_.lease_horizon / kMinClockRate);
-  worker->lease_ends = std::max(worker->lease_ends, now + horizon);
+  // The lease in such an order refers to the clock of the earlier incarnation, so only the worker
+  // limits it.
+  const Duration longest = std::max(limits_.lease_horizon, limits_.max_lease);
+  worker->lease_ends =
+      std::max(worker->lease_ends,
+               now + std::chrono::duration_cast<Duration>(longest / kMinClockRate) + kReportSlack);
   for (auto& [id, it] : worker->runs) {
+    if (!MayStillStart(it)) continue;
     it.phase = RunPhase::kStopping;
     it.next_call = TimePoint{};
   }
@@ -305,6 +312,7 @@
     seen.insert(it.id);
     if (worker->runs.count(it.id) == 0) Adopt(worker, it, now);
     RunState& run = worker->runs[it.id];
+    run.incarnation_known = true;
     if (run.phase == RunPhase::kStarting) {
       run.phase = RunPhase::kRunning;
       run.confirmed_at = now;
--- a/src/dispatch/worker_table.h
+++ b/src/dispatch/worker_table.h
@@ -34,8 +34,11 @@
   bool call_in_flight = false;   // a start, stop or pace order awaits its answer
   bool outcome_unknown = false;  // a start got no answer and may still take effect
   bool stop_confirmed = false;   // the worker accepted the stop order
-  TimePoint next_call;           // earliest time of the next order for the run
-  int percent = 0;               // progress, as last reported
+  // The worker's current incarnation is known to have carried out the start: a report lists the
+  // run, or the answer to the start names the incarnation.
+  bool incarnation_known = false;
+  TimePoint next_call;  // earliest time of the next order for the run
+  int percent = 0;      // progress, as last reported
   // Time that reports cover without a change of the progress.
   Duration without_progress{};
   int64_t load = 0;  // as last reported; see ActiveRun
@@ -72,8 +75,8 @@
   uint64_t generation = 0;           // the commit that makes `processed` durable
   int unanswered_calls = 0;          // consecutive calls without an answer
   int unanswered_heartbeats = 0;     // consecutive heartbeats without an answer
-  int failures = 0;                  // consecutive failed runs
-  TimePoint backoff_until;           // accepts no task before this time
+  int failures = 0;         // consecutive failed runs
+  TimePoint backoff_until;  // accepts no task before this time
   // Until then the worker accepts only perpetual tasks that fit on no other worker.
   TimePoint suspect_until;
 
--- a/tests/dispatch/restart_test.cc
+++ b/tests/dispatch/restart_test.cc
@@ -109,6 +109,73 @@
   EXPECT_EQ(it.orders.starts[0].to.worker, "w1");
 }
 
+// Worker w1 has accepted the order to start the only task. Its answer doesn't name its incarnation.
+class ConfirmedStartTest : public RestartTest {
+ protected:
+  ConfirmedStartTest() {
+    it.dispatcher.OnStarted(start, {OrderStatus::kAccepted, 100, 0}, it.now);
+    it.Advance(milliseconds(10));
+  }
+
+  // The next heartbeat tells of the restart, and the one after it lists the runs.
+  void ReportsOfNext(std::vector<ActiveRun> active, std::vector<EndedRun> ended) {
+    ReportOfNext(active, ended);
+    Step();
+    EXPECT_TRUE(it.orders.starts.empty());
+    ReportOfNext(std::move(active), std::move(ended));
+    Step();
+  }
+};
+
+// Guards against a task that runs twice: the start was carried out by the incarnation that the next
+// report tells of (review case 3).
+TEST_F(ConfirmedStartTest, RunOfTheNewIncarnationGoesOn) {
+  ReportsOfNext({{start.run, "", 0, 0}}, {});
+  EXPECT_TRUE(it.orders.starts.empty());
+  EXPECT_TRUE(it.orders.stops.empty());
+  EXPECT_EQ(it.dispatcher.workers().at("w1").runs.at(start.run).phase, RunPhase::kRunning);
+}
+
+// Guards against a task that runs again after its end in the new incarnation.
+TEST_F(ConfirmedStartTest, EndInTheNewIncarnationCounts) {
+  ReportsOfNext({}, {End(1, start.run, EndKind::kDone)});
+  EXPECT_TRUE(it.orders.starts.empty());
+  EXPECT_EQ(it.dispatcher.FindJob(kJob)->state, jobs::JobState::kCompleted);
+}
+
+// Guards against a task that waits for a run that the earlier incarnation took along.
+TEST_F(ConfirmedStartTest, RunOfTheEarlierIncarnationIsStartedAgain) {
+  ReportsOfNext({}, {});
+  EXPECT_EQ(it.orders.starts.size(), 1U);
+}
+
+// Guards against a task that waits although an earlier report shows that its run is lost.
+TEST_F(ConfirmedStartTest, RunThatTheEarlierIncarnationReportedIsLost) {
+  it.Report("w1", {{start.run, "", 0, 0}}, {});
+  ReportOfNext({}, {});
+  Step();
+  EXPECT_EQ(it.orders.starts.size(), 1U);
+}
+
+// Guards against a second run while the new incarnation, which no call reaches, may hold the lease
+// that the order gave it.
+TEST_F(ConfirmedStartTest, LeaseOfTheNewIncarnationIsWaitedFor) {
+  DispatchLimits limits;
+  limits.max_lease = std::chrono::seconds(10);
+  it.dispatcher.SetLimits(limits);
+  it.dispatcher.UpdateWorker(restarted, it.now);
+  const TimePoint heard = it.now;
+  it.TimeOut("w1");
+  while (it.now < heard + milliseconds(11000)) {
+    it.Report("w2", {}, {});
+    Step();
+    if (it.orders.starts.empty()) continue;
+    EXPECT_GE(it.now, heard + milliseconds(10204));
+    return;
+  }
+  FAIL() << "the task has not started on w2";
+}
+
 // Worker w1 starts again at another address.
 class MovedWorkerTest : public ::testing::Test {
  protected:
--- a/tests/dispatch/simulated_fleet_calls.cc
+++ b/tests/dispatch/simulated_fleet_calls.cc
@@ -40,7 +40,7 @@
     Call(
         it.to,
         [this, it](SimulatedWorker* worker) {
-          return ReportOf(*worker, StopOn(worker, it, now_), now_);
+          return AnswerOf(*worker, StopOn(worker, it, now_), now_);
         },
         [this, it, epoch = owner->epoch](const Report& report) {
           ForOwners([&](SimulatedOwner* owner) {
@@ -58,7 +58,7 @@
         it.to,
         [this, it](SimulatedWorker* worker) -> std::optional<Report> {
           const bool passes = PassesFence(worker, it.epoch);
-          return ReportOf(*worker, passes ? OrderStatus::kAccepted : OrderStatus::kStaleEpoch,
+          return AnswerOf(*worker, passes ? OrderStatus::kAccepted : OrderStatus::kStaleEpoch,
                           now_);
         },
         [this, it, epoch = owner->epoch](const Report& report) {
@@ -85,9 +85,9 @@
   const int64_t incarnation = owner->incarnations[order.to.worker];
   const auto execute = [this, order, run, needs_permit,
                         incarnation](SimulatedWorker* worker) mutable -> std::optional<Report> {
-    if (now_ < worker->unhealthy_until) return ReportOf(*worker, OrderStatus::kUnhealthy, now_);
+    if (now_ < worker->unhealthy_until) return AnswerOf(*worker, OrderStatus::kUnhealthy, now_);
     if (needs_permit && (order.permit.empty() || std::stoll(order.permit) < Ms(now_ - kStart))) {
-      return ReportOf(*worker, OrderStatus::kNoPermit, now_);
+      return AnswerOf(*worker, OrderStatus::kNoPermit, now_);
     }
     run.began = now_;
     run.fails = now_ < worker->poisoned_until || order.spec == kFailingSpec;
@@ -96,7 +96,7 @@
     const OrderStatus status = StartOn(worker, order, run, now_);
     const bool same_kind = worker->info.incarnation <= incarnation;
     if (status == OrderStatus::kAccepted && !known) CheckExecution(*worker, order.run, same_kind);
-    return ReportOf(*worker, status, now_);
+    return AnswerOf(*worker, status, now_);
   };
   const Finish finish = [this, order, epoch = owner->epoch](const Report& report) {
     ForOwners([&](SimulatedOwner* owner) {
@@ -201,7 +201,7 @@
   Advance(worker, now_);
   std::optional<Report> report;
   if (worker->info.id != to.worker) {
-    report = ReportOf(*worker, OrderStatus::kWrongIncarnation, now_);
+    report = AnswerOf(*worker, OrderStatus::kWrongIncarnation, now_);
   } else {
     report = execute(worker);
   }
--- a/tests/dispatch/simulated_worker.h
+++ b/tests/dispatch/simulated_worker.h
@@ -86,8 +86,11 @@
   for (const auto& [id, kind] : ends) EndRun(worker, id, kind);
 }
 
-inline Answer AnswerOf(const SimulatedWorker& worker, OrderStatus status, TimePoint now) {
-  return {status, ClockMs(worker, now), worker.info.incarnation};
+// Only reports name the incarnation, as on the platform.
+inline Report AnswerOf(const SimulatedWorker& worker, OrderStatus status, TimePoint now) {
+  Report report;
+  report.answer = {status, ClockMs(worker, now), 0};
+  return report;
 }
 
 // Returns true when the order is not refused for its epoch.
@@ -142,8 +145,8 @@
 }
 
 inline Report ReportOf(const SimulatedWorker& worker, OrderStatus status, TimePoint now) {
-  Report report;
-  report.answer = AnswerOf(worker, status, now);
+  Report report = AnswerOf(worker, status, now);
+  report.answer.incarnation = worker.info.incarnation;
   if (status != OrderStatus::kAccepted) return report;
   const auto best_effort = std::count_if(worker.active.begin(), worker.active.end(),
                                          [](const auto& it) { return it.second.step.best_effort; });
