Owner: at most three connections to a worker

Cause: the owner opened a connection to a worker for each call in flight and kept them all.

Change: HttpClientOptions::max_connections; further calls wait, and one that finds no connection in time is reported as not sent. WorkerApi uses one connection for heartbeats and two for orders. An owner that steps down closes its idle connections. The client takes a connection back once the library has released it, so that a client object never opens a second one.

--- a/apps/router/router_dispatch.cc
+++ b/apps/router/router_dispatch.cc
@@ -87,8 +87,8 @@
   const std::lock_guard<std::mutex> lock(mutex_);
   std::shared_ptr<http::HttpClient>& client = clients_[endpoint];
   if (!client)
-    client =
-        std::make_shared<http::HttpClient>(endpoint, http::ConnectionReuse::kWhenRequestIdEchoed);
+    client = std::make_shared<http::HttpClient>(
+        endpoint, http::HttpClientOptions{http::ConnectionReuse::kWhenRequestIdEchoed});
   return client;
 }
 
--- a/src/dispatch/worker_calls.h
+++ b/src/dispatch/worker_calls.h
@@ -60,6 +60,9 @@
   virtual void Start(const StartOrder& order, std::function<void(Answer)> done) = 0;
   virtual void Stop(const StopOrder& order, std::function<void(Answer)> done) = 0;
   virtual void Pace(const PaceOrder& order, std::function<void(Answer)> done) = 0;
+  // Closes idle connections. An owner that steps down calls it, since workers accept a limited
+  // number of connections.
+  virtual void Disconnect() {}
 };
 
 }  // namespace pomelopond::dispatch
--- a/src/entry/pool_owner.cc
+++ b/src/entry/pool_owner.cc
@@ -186,6 +186,7 @@
   store_->EndLease(lease_, [](const Result<store::Lease>&) {});
   if (job_watcher_) job_watcher_->Stop();
   if (worker_watcher_) worker_watcher_->Stop();
+  worker_calls_->Disconnect();
   dispatcher_.reset();
   commit_.reset();
   progress_.clear();
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -11,6 +11,7 @@
 #include <deque>
 #include <future>
 #include <mutex>
+#include <optional>
 
 namespace pomelopond::http {
 namespace {
@@ -70,9 +71,11 @@
 }
 
 // The state of one call: enforces its deadline and ensures that `done` runs exactly once.
-struct Call {
-  explicit Call(HttpCallback on_done)
-      : done(std::move(on_done)), timer(crossplat::threadpool::shared_instance().service()) {}
+struct PendingCall {
+  PendingCall(HttpRequest the_request, HttpCallback on_done)
+      : request(std::move(the_request)),
+        done(std::move(on_done)),
+        timer(crossplat::threadpool::shared_instance().service()) {}
 
   void Finish(HttpResult result) {
     if (finished.exchange(true)) return;
@@ -80,13 +83,22 @@
     done(std::move(result));
   }
 
+  // Returns true for one caller only, which may then send the request or report it as not sent.
+  bool Claim() { return !claimed.exchange(true); }
+
+  HttpRequest request;
   HttpCallback done;
+  std::string request_id;         // to be echoed by the server; empty: no echo expected
+  bool keeps_connection = false;  // the connection may carry further requests
   boost::asio::steady_timer timer;
   pplx::cancellation_token_source cancel;
+  std::atomic<bool> claimed{false};
   std::atomic<bool> finished{false};
   std::atomic<bool> timed_out{false};
 };
 
+using CallPtr = std::shared_ptr<PendingCall>;
+
 std::error_code ToError(const std::exception& e, bool timed_out) {
   if (timed_out) return ResultCode::kTimeout;
   const auto* http_error = dynamic_cast<const web::http::http_exception*>(&e);
@@ -130,106 +142,193 @@
   return result;
 }
 
-void Start(const std::shared_ptr<CpprestClient>& client, HttpRequest request, Duration timeout,
-           HttpCallback done) {
-  const auto call = std::make_shared<Call>(std::move(done));
-  if (timeout <= Duration::zero()) {
-    call->Finish({ResultCode::kTimeout, {}});
-    return;
-  }
+void StartTimer(const CallPtr& call, Duration timeout) {
   call->timer.expires_after(timeout);
   call->timer.async_wait([call](const boost::system::error_code& ec) {
     if (ec || call->finished.load()) return;
+    if (call->Claim()) return call->Finish({ResultCode::kTargetUnreachable, {}});
     call->timed_out.store(true);
     call->cancel.cancel();
     call->Finish({ResultCode::kTimeout, {}});
   });
+}
+
+// Checks that the answer belongs to the request: it must echo the request's id. An answer without
+// an echo is accepted only on a new connection, which is not used again.
+void CheckEcho(const PendingCall& call, bool is_new, HttpResult* result, bool* reusable) {
+  if (call.request_id.empty()) return;
+  const std::string echo = HeaderOf(result->response.headers, kRequestIdHeader);
+  result->response.headers.erase(kRequestIdHeader);
+  *reusable = *reusable && echo == call.request_id;
+  const bool foreign = echo.empty() ? !is_new : echo != call.request_id;
+  if (!result->ec && foreign) *result = {ResultCode::kTruncatedAnswer, {}};
+}
+
+}  // namespace
+
+struct HttpClient::Impl : std::enable_shared_from_this<HttpClient::Impl> {
+  class Exchange;
+
+  Impl(const Endpoint& endpoint, const HttpClientOptions& the_options)
+      : uri("http://" + ToString(endpoint)), options(the_options) {}
+
+  void Submit(const CallPtr& call);
+  // Sends the waiting calls for which there are connections.
+  void SendWaiting();
+  // Requires the lock. Returns nothing while all connections that are allowed are in use.
+  std::optional<PooledConnection> Acquire();
+  void Release(PooledConnection connection, bool reusable);
+  void SendOver(const CallPtr& call, PooledConnection connection);
+
+  const std::string uri;
+  const HttpClientOptions options;
+  std::mutex mutex;                   // guards the members below
+  std::deque<PooledConnection> idle;  // longest idle first
+  int open = 0;                       // connections that are idle or in use
+  std::deque<CallPtr> waiting;        // for a connection, in the order of submission
+};
+
+// One call over one connection. It is complete once the call has its result and the library no
+// longer uses the connection, which is shortly after the answer was read. If the connection took
+// another request before that, the library would open a second one for it.
+class HttpClient::Impl::Exchange {
+ public:
+  Exchange(std::shared_ptr<Impl> impl, CallPtr call, PooledConnection connection)
+      : impl_(std::move(impl)), call_(std::move(call)), connection_(std::move(connection)) {}
+  // Completes the exchange on another thread, since the library still holds locks.
+  ~Exchange() {
+    crossplat::threadpool::shared_instance().service().post(
+        [impl = std::move(impl_), call = std::move(call_), connection = std::move(connection_),
+         result = std::move(result_)]() mutable {
+          // After an error, an answer may still be in flight, so the connection is destroyed
+          // together with its client object.
+          bool reusable = !result.ec && call->keeps_connection;
+          CheckEcho(*call, connection.calls == 0, &result, &reusable);
+          impl->Release(std::move(connection), reusable);
+          call->Finish(std::move(result));
+        });
+  }
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
+
+  const PendingCall& call() const { return *call_; }
+  CpprestClient& client() const { return *connection_.client; }
+  void SetResult(HttpResult result) { result_ = std::move(result); }
+
+ private:
+  std::shared_ptr<Impl> impl_;
+  CallPtr call_;
+  PooledConnection connection_;
+  HttpResult result_{ResultCode::kTruncatedAnswer, {}};
+};
+
+std::optional<PooledConnection> HttpClient::Impl::Acquire() {
+  while (!idle.empty()) {
+    PooledConnection connection = std::move(idle.front());
+    idle.pop_front();
+    if (IsReusable(connection)) return connection;
+    open -= 1;
+  }
+  if (options.max_connections > 0 && open >= options.max_connections) return std::nullopt;
+  open += 1;
+  return MakeConnection(uri);
+}
+
+void HttpClient::Impl::Release(PooledConnection connection, bool reusable) {
+  {
+    const std::lock_guard<std::mutex> lock(mutex);
+    connection.calls += 1;
+    if (reusable) idle.push_back(connection);
+    if (!reusable) open -= 1;
+  }
+  SendWaiting();
+}
+
+void HttpClient::Impl::Submit(const CallPtr& call) {
+  {
+    const std::lock_guard<std::mutex> lock(mutex);
+    waiting.push_back(call);
+  }
+  SendWaiting();
+}
+
+void HttpClient::Impl::SendWaiting() {
+  for (;;) {
+    CallPtr call;
+    std::optional<PooledConnection> connection;
+    {
+      const std::lock_guard<std::mutex> lock(mutex);
+      while (!waiting.empty() && waiting.front()->claimed.load()) waiting.pop_front();
+      if (waiting.empty()) return;
+      connection = Acquire();
+      if (!connection) return;
+      call = std::move(waiting.front());
+      waiting.pop_front();
+    }
+    if (call->Claim()) {
+      SendOver(call, std::move(*connection));
+    } else {
+      Release(std::move(*connection), false);
+    }
+  }
+}
+
+void HttpClient::Impl::SendOver(const CallPtr& call, PooledConnection connection) {
+  connection.sends->store(0);
+  const auto exchange = std::make_shared<Exchange>(shared_from_this(), call, std::move(connection));
   try {
-    client->request(ToRequest(std::move(request)), call->cancel.get_token())
-        .then([call, client](const pplx::task<http_response>& task) {
+    http_request request = ToRequest(std::move(call->request));
+    // The library destroys the request once it no longer uses the connection.
+    request.set_progress_handler([exchange](web::http::message_direction::direction, uint64_t) {});
+    exchange->client()
+        .request(std::move(request), call->cancel.get_token())
+        .then([exchange](const pplx::task<http_response>& task) {
           const http_response in = task.get();
-          return in.extract_vector().then([call, in](const std::vector<unsigned char>& body) {
-            call->Finish(ToResult(in, body));
+          return in.extract_vector().then([exchange, in](const std::vector<unsigned char>& body) {
+            exchange->SetResult(ToResult(in, body));
           });
         })
-        .then([call, client](const pplx::task<void>& task) {
+        .then([exchange](const pplx::task<void>& task) {
           try {
             task.get();
           } catch (const std::exception& e) {
-            call->Finish({ToError(e, call->timed_out.load()), {}});
+            exchange->SetResult({ToError(e, exchange->call().timed_out.load()), {}});
           }
         });
   } catch (const std::exception& e) {
-    call->Finish({ToError(e, false), {}});
+    exchange->SetResult({ToError(e, false), {}});
   }
 }
 
-}  // namespace
-
-struct HttpClient::Impl {
-  Impl(const Endpoint& endpoint, ConnectionReuse the_reuse)
-      : uri("http://" + ToString(endpoint)), reuse(the_reuse) {}
-
-  PooledConnection Acquire() {
-    const std::lock_guard<std::mutex> lock(mutex);
-    while (!idle.empty()) {
-      PooledConnection connection = std::move(idle.front());
-      idle.pop_front();
-      if (IsReusable(connection)) return connection;
-    }
-    return MakeConnection(uri);
-  }
-
-  void Return(PooledConnection connection) {
-    connection.calls += 1;
-    const std::lock_guard<std::mutex> lock(mutex);
-    idle.push_back(std::move(connection));
-  }
-
-  const std::string uri;
-  const ConnectionReuse reuse;
-  std::mutex mutex;  // guards `idle`
-  // Ordered by idle time, longest first, because the library returns a connection to its own pool
-  // only shortly after the answer was read.
-  std::deque<PooledConnection> idle;
-};
-
-HttpClient::HttpClient(const Endpoint& endpoint, ConnectionReuse reuse)
-    : impl_(std::make_shared<Impl>(endpoint, reuse)) {}
+HttpClient::HttpClient(const Endpoint& endpoint, const HttpClientOptions& options)
+    : impl_(std::make_shared<Impl>(endpoint, options)) {}
 
 HttpClient::~HttpClient() = default;
 
 void HttpClient::Send(HttpRequest request, Duration timeout, HttpCallback done) {
   static std::atomic<int64_t> next_request_id{1};
-  const std::string request_id = std::to_string(next_request_id.fetch_add(1));
-  const PooledConnection connection = impl_->Acquire();
-  connection.sends->store(0);
-  if (impl_->reuse == ConnectionReuse::kWhenRequestIdEchoed)
-    request.headers[kRequestIdHeader] = request_id;
-  Start(connection.client, std::move(request), timeout,
-        [impl = impl_, connection, request_id, done = std::move(done)](HttpResult result) {
-          bool reusable = !result.ec;
-          if (impl->reuse == ConnectionReuse::kWhenRequestIdEchoed) {
-            const std::string echo = HeaderOf(result.response.headers, kRequestIdHeader);
-            result.response.headers.erase(kRequestIdHeader);
-            reusable = reusable && echo == request_id;
-            // An answer without an echo is accepted only on a new connection, because a connection
-            // is not reused after such an answer.
-            const bool foreign = echo.empty() ? connection.calls > 0 : echo != request_id;
-            if (!result.ec && foreign) result = {ResultCode::kTruncatedAnswer, {}};
-          }
-          // After an error, an answer may still be in flight, so the connection is destroyed
-          // together with its client object.
-          if (reusable) impl->Return(connection);
-          done(std::move(result));
-        });
+  const auto call = std::make_shared<PendingCall>(std::move(request), std::move(done));
+  if (timeout <= Duration::zero()) return call->Finish({ResultCode::kTimeout, {}});
+  call->keeps_connection = true;
+  if (impl_->options.reuse == ConnectionReuse::kWhenRequestIdEchoed) {
+    call->request_id = std::to_string(next_request_id.fetch_add(1));
+    call->request.headers[kRequestIdHeader] = call->request_id;
+  }
+  StartTimer(call, timeout);
+  impl_->Submit(call);
 }
 
 void HttpClient::SendOnce(HttpRequest request, Duration timeout, HttpCallback done) {
-  // The library keeps one connection pool per client object, so a new object has no connection to
-  // reuse.
-  request.headers["Connection"] = "close";
-  Start(MakeConnection(impl_->uri).client, std::move(request), timeout, std::move(done));
+  const auto call = std::make_shared<PendingCall>(std::move(request), std::move(done));
+  if (timeout <= Duration::zero()) return call->Finish({ResultCode::kTimeout, {}});
+  call->request.headers["Connection"] = "close";
+  call->Claim();
+  StartTimer(call, timeout);
+  {
+    const std::lock_guard<std::mutex> lock(impl_->mutex);
+    impl_->open += 1;
+  }
+  impl_->SendOver(call, MakeConnection(impl_->uri));
 }
 
 HttpResult HttpClient::Call(HttpRequest request, Duration timeout) {
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -12,9 +12,9 @@
 namespace pomelopond::http {
 
 // The result of a call. Errors: kTargetUnreachable if the request was not sent, because no
-// connection could be made; kTimeout if the timeout expired; and kTruncatedAnswer if the connection
-// ended before the answer was complete or the answer is malformed. After the last two, the server
-// may have handled the request.
+// connection could be made or none was free in time; kTimeout if the timeout expired; and
+// kTruncatedAnswer if the connection ended before the answer was complete or the answer is
+// malformed. After the last two, the server may have handled the request.
 struct HttpResult {
   std::error_code ec;  // clear if the response is complete to its last byte
   HttpResponse response;
@@ -32,9 +32,15 @@
   kWhenRequestIdEchoed,
 };
 
+struct HttpClientOptions {
+  ConnectionReuse reuse = ConnectionReuse::kWhenIdle;
+  // Maximum number of connections for Send(); further calls wait for one. 0: no limit.
+  int max_connections = 0;
+};
+
 class HttpClient {
  public:
-  explicit HttpClient(const Endpoint& endpoint, ConnectionReuse reuse = ConnectionReuse::kWhenIdle);
+  explicit HttpClient(const Endpoint& endpoint, const HttpClientOptions& options = {});
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
--- a/tests/entry/pool_owner_test.cc
+++ b/tests/entry/pool_owner_test.cc
@@ -22,6 +22,9 @@
   void Start(const dispatch::StartOrder&, std::function<void(dispatch::Answer)>) override {}
   void Stop(const dispatch::StopOrder&, std::function<void(dispatch::Answer)>) override {}
   void Pace(const dispatch::PaceOrder&, std::function<void(dispatch::Answer)>) override {}
+  void Disconnect() override { disconnects += 1; }
+
+  std::atomic<int> disconnects{0};
 };
 
 bool WaitFor(const std::function<bool()>& condition) {
@@ -61,6 +64,16 @@
   owner.Stop();
 }
 
+// Guards against earlier owners that keep connections open on workers, which accept few.
+TEST_F(PoolOwnerTest, OwnerThatStepsDownDisconnects) {
+  PoolOwner owner(Options(), &store, &workers, http::RunAfter, &metrics);
+  owner.Start();
+  ASSERT_TRUE(WaitFor([&owner] { return owner.IsOwner(); }));
+  EXPECT_EQ(workers.disconnects.load(), 0);
+  owner.Stop();
+  EXPECT_EQ(workers.disconnects.load(), 1);
+}
+
 // Answers the first heartbeat with kStaleEpoch, as a worker does that knows a later owner, and
 // answers no other call.
 class StaleEpochWorkers : public UnresponsiveWorkers {
--- a/tests/http/http_client_test.cc
+++ b/tests/http/http_client_test.cc
@@ -5,9 +5,12 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <future>
+#include <mutex>
 #include <thread>
+#include <vector>
 
 #include "http/http_server.h"
 #include "tests/support/raw_client.h"
@@ -144,6 +147,88 @@
   EXPECT_EQ(client.Call({}, kTimeout).ec, ResultCode::kTargetUnreachable);
 }
 
+// Answers each request once released, and counts connections and requests.
+class LimitedClientTest : public ::testing::Test {
+ protected:
+  static constexpr int kMaxConnections = 2;
+
+  LimitedClientTest()
+      : endpoint{"127.77.1.15", 7600},
+        server(endpoint, 1000,
+               [this](const HttpRequest&, const Reply& reply) {
+                 const std::lock_guard<std::mutex> lock(mutex);
+                 replies.push_back(reply);
+                 max_waiting = std::max(max_waiting, replies.size());
+               }),
+        client(endpoint, {ConnectionReuse::kWhenIdle, kMaxConnections}) {
+    EXPECT_FALSE(server.Start());
+  }
+  ~LimitedClientTest() override { AnswerAll(); }
+
+  std::future<HttpResult> Send(Duration timeout) {
+    const auto promise = std::make_shared<std::promise<HttpResult>>();
+    client.Send({}, timeout, [promise](HttpResult it) { promise->set_value(std::move(it)); });
+    return promise->get_future();
+  }
+  bool WaitForRequests(size_t n) {
+    const TimePoint limit = Now() + kTimeout;
+    while (Now() < limit) {
+      {
+        const std::lock_guard<std::mutex> lock(mutex);
+        if (replies.size() >= n) return true;
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    return false;
+  }
+  void AnswerAll() {
+    std::vector<Reply> taken;
+    {
+      const std::lock_guard<std::mutex> lock(mutex);
+      taken.swap(replies);
+    }
+    for (const Reply& it : taken) it(JsonResponse(200, Json::object()));
+  }
+
+  const Endpoint endpoint;
+  std::mutex mutex;  // guards the members below
+  std::vector<Reply> replies;
+  size_t max_waiting = 0;
+  HttpServer server;
+  HttpClient client;
+};
+
+// Guards against a client that takes up all connections that a server accepts (review case 4).
+TEST_F(LimitedClientTest, CallsBeyondTheLimitWaitForAConnection) {
+  std::vector<std::future<HttpResult>> results;
+  for (int n = 0; n < 20; ++n) results.push_back(Send(kTimeout));
+  for (int n = 0; n < 10; ++n) {
+    ASSERT_TRUE(WaitForRequests(kMaxConnections));
+    AnswerAll();
+  }
+  for (std::future<HttpResult>& it : results) EXPECT_FALSE(it.get().ec);
+  EXPECT_EQ(max_waiting, size_t{kMaxConnections});
+}
+
+// Guards against a call that is sent after its caller was told that it was not, and against calls
+// that time out and keep their connections.
+TEST_F(LimitedClientTest, CallThatFindsNoConnectionInTimeIsNotSent) {
+  std::vector<std::future<HttpResult>> results;
+  for (int n = 0; n < 2 * kMaxConnections; ++n) {
+    results.push_back(Send(std::chrono::milliseconds(300)));
+  }
+  ASSERT_TRUE(WaitForRequests(kMaxConnections));
+  for (int n = 0; n < 2 * kMaxConnections; ++n) {
+    const std::error_code ec = results[static_cast<size_t>(n)].get().ec;
+    EXPECT_EQ(ec, n < kMaxConnections ? ResultCode::kTimeout : ResultCode::kTargetUnreachable);
+  }
+  std::future<HttpResult> next = Send(kTimeout);
+  ASSERT_TRUE(WaitForRequests(kMaxConnections + 1));
+  AnswerAll();
+  EXPECT_FALSE(next.get().ec);
+  EXPECT_EQ(max_waiting, size_t{kMaxConnections} + 1);
+}
+
 TEST(HttpClientTest, SendOnceWithoutAnAnswerIsSentOnce) {
   const Endpoint endpoint{"127.77.1.2", 7600};
   ScriptedServer server(endpoint, {});
@@ -231,7 +316,7 @@
 TEST(HttpClientTest, AnswerToAnotherRequestIsAnError) {
   const Endpoint endpoint{"127.77.1.10", 7600};
   ScriptedServer silent(endpoint, {kGood, kGood});
-  HttpClient client(endpoint, ConnectionReuse::kWhenRequestIdEchoed);
+  HttpClient client(endpoint, HttpClientOptions{ConnectionReuse::kWhenRequestIdEchoed});
   for (int n = 1; n <= 5; ++n) {
     EXPECT_FALSE(client.Call({}, kTimeout).ec);
     EXPECT_EQ(silent.connections(), n);
@@ -239,7 +324,7 @@
   const Endpoint other{"127.77.1.11", 7600};
   ScriptedServer wrong(other, {"HTTP/1.1 200 OK\r\nPomelopond-Request: x\r\n"
                                "Content-Length: 2\r\n\r\nok"});
-  HttpClient wrong_client(other, ConnectionReuse::kWhenRequestIdEchoed);
+  HttpClient wrong_client(other, HttpClientOptions{ConnectionReuse::kWhenRequestIdEchoed});
   EXPECT_EQ(wrong_client.Call({}, kTimeout).ec, ResultCode::kTruncatedAnswer);
 }
 
@@ -250,7 +335,7 @@
     reply(JsonResponse(200, {{"named", !HeaderOf(it.headers, kRequestIdHeader).empty()}}));
   });
   ASSERT_FALSE(server.Start());
-  HttpClient client(endpoint, ConnectionReuse::kWhenRequestIdEchoed);
+  HttpClient client(endpoint, HttpClientOptions{ConnectionReuse::kWhenRequestIdEchoed});
   for (int n = 0; n < 5; ++n) {
     const HttpResult result = client.Call({}, kTimeout);
     EXPECT_FALSE(result.ec);
--- a/tests/platform/worker_api_test.cc
+++ b/tests/platform/worker_api_test.cc
@@ -2,6 +2,14 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <atomic>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+#include "http/http_server.h"
+
 namespace pomelopond::platform {
 namespace {
 
@@ -108,5 +116,75 @@
   }
 }
 
+// A worker that answers no call until it is told to.
+class HeldCallsTest : public ::testing::Test {
+ protected:
+  HeldCallsTest()
+      : server(kEndpoint, 1000,
+               [this](const http::HttpRequest& it, const http::Reply& reply) {
+                 const std::lock_guard<std::mutex> lock(mutex);
+                 held.emplace_back(it.path, reply);
+               }),
+        api(&metrics) {
+    EXPECT_FALSE(server.Start());
+  }
+  ~HeldCallsTest() override {
+    while (answered.load() < sent) {
+      AnswerHeld();
+      std::this_thread::sleep_for(kPoll);
+    }
+  }
+
+  // Returns the number of held calls once it has not risen for a while.
+  size_t SettledCalls(const std::string& path) {
+    size_t n = 0;
+    for (int polls = 0; polls < 30; ++polls) {
+      std::this_thread::sleep_for(kPoll);
+      const std::lock_guard<std::mutex> lock(mutex);
+      const size_t now = held.size();
+      if (now != n) polls = 0;
+      n = now;
+    }
+    const std::lock_guard<std::mutex> lock(mutex);
+    return static_cast<size_t>(std::count_if(held.begin(), held.end(),
+                                             [&path](const auto& it) { return it.first == path; }));
+  }
+  void AnswerHeld() {
+    std::vector<std::pair<std::string, http::Reply>> taken;
+    {
+      const std::lock_guard<std::mutex> lock(mutex);
+      taken.swap(held);
+    }
+    for (const auto& [path, reply] : taken) reply(http::JsonResponse(200, {{"clock_ms", 1}}));
+  }
+
+  static constexpr Duration kPoll = std::chrono::milliseconds(5);
+  const Endpoint kEndpoint{"127.77.2.200", 7600};
+  const dispatch::WorkerAddress worker{"w1", kEndpoint};
+  std::mutex mutex;  // guards `held`
+  std::vector<std::pair<std::string, http::Reply>> held;
+  std::atomic<int> answered{0};
+  int sent = 0;
+  metrics::Registry metrics;
+  http::HttpServer server;
+  WorkerApi api;
+};
+
+// Guards against an owner that takes up the connections of a worker (review case 4), and against a
+// heartbeat that waits behind orders.
+TEST_F(HeldCallsTest, CallsToAWorkerUseThreeConnections) {
+  for (int n = 0; n < 20; ++n) {
+    sent += 2;
+    dispatch::StartOrder start;
+    start.to = worker;
+    api.Start(start, [this](const dispatch::Answer&) { answered += 1; });
+    api.Stop({worker, 1, {}}, [this](const dispatch::Answer&) { answered += 1; });
+  }
+  sent += 1;
+  api.Heartbeat({worker, 1, 0, 0, {}}, [this](const Report&) { answered += 1; });
+  EXPECT_EQ(SettledCalls("/api/hold"), 1U);
+  EXPECT_EQ(SettledCalls("/api/run-start") + SettledCalls("/api/run-stop"), 2U);
+}
+
 }  // namespace
 }  // namespace pomelopond::platform
