Dispatch: a cut report doesn't reconcile a worker

Cause: a report lists 500 ended runs at most.

Change: the decoder sets Report::is_cut from the rows as received, before rows of other systems are left out; a worker is reconciled by its first report that is not cut.

--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -328,7 +328,7 @@
     task->adopted = task->adopted || (wanted && IsAfterEarlierReports(*worker, sent));
   }
   UpdateLoads(worker);
-  if (report.ended.size() >= kMaxReportedEnds) return;
+  if (report.is_cut) return;
   // A run that was confirmed before the report was requested and is in neither list has ended.
   std::vector<RunId> missing;
   for (const auto& [id, it] : worker->runs) {
@@ -364,7 +364,8 @@
   capacity_changed_ = capacity_changed_ || !worker->contacted;
   if (!worker->contacted) worker->contacted_at = now;
   worker->contacted = true;
-  capacity_changed_ = unreconciled_.erase(worker->info.id) > 0 || capacity_changed_;
+  // A cut report may leave out ended runs of tasks that would be started again.
+  if (!report.is_cut && unreconciled_.erase(worker->info.id) > 0) capacity_changed_ = true;
   const bool all_durable = worker->processed == worker->acknowledged;
   bool changed = false;
   for (const EndedRun& it : report.ended) changed = ApplyEnd(worker, it, now, wall_ms) || changed;
--- a/src/dispatch/worker.h
+++ b/src/dispatch/worker.h
@@ -96,16 +96,15 @@
   int64_t incarnation = 0;  // 0: not reported
 };
 
-// Active runs on a worker and all ended runs that are not acknowledged, oldest first.
+// Active runs on a worker and the ended runs that are not acknowledged, oldest first.
 struct Report {
   Answer answer;
   std::vector<ActiveRun> active;
   std::vector<EndedRun> ended;
+  // The worker has more ended runs than fit into the report, or may have.
+  bool is_cut = false;
 };
 
-// Maximum number of ended runs in one report.
-inline constexpr size_t kMaxReportedEnds = 500;
-
 }  // namespace pomelopond::dispatch
 
 #endif  // POMELOPOND_DISPATCH_WORKER_H_
--- a/tests/dispatch/handover_test.cc
+++ b/tests/dispatch/handover_test.cc
@@ -68,6 +68,33 @@
   EXPECT_EQ(it.orders.starts[0].run.task, RunOf(0, 0, 1).task);
 }
 
+// Guards against a second run of a task whose end the worker has not listed yet, as a report holds
+// a limited number of ends (review case 2).
+TEST(CutReportTest, HoldsUpTasksWhoseEndsMayFollow) {
+  Scenario it(2);
+  it.Inherit({Encode({{"w1", "pool", MakeWorker("w1").endpoint}}), {}});
+  it.dispatcher.UpdateWorker(MakeWorker("w1"), it.now);
+  it.dispatcher.AddJob(MakeJob(kJob, {MakeStep(3)}), {}, true);
+  it.CommitAll();
+  it.Decide();
+  const auto report = [&it](std::vector<EndedRun> ended, bool is_cut) {
+    HeartbeatOrder order;
+    order.to = {"w1", MakeWorker("w1").endpoint};
+    it.dispatcher.OnReport(order, {it.Accepted(), {}, std::move(ended), is_cut}, it.now,
+                           it.WallMs());
+    it.CommitAll();
+    it.Advance(milliseconds(100));
+    it.Decide();
+  };
+  report({End(1, RunOf(0, 0, 1), EndKind::kDone)}, true);
+  EXPECT_TRUE(it.orders.starts.empty());
+  report({End(2, RunOf(0, 1, 1), EndKind::kDone)}, true);
+  EXPECT_TRUE(it.orders.starts.empty());
+  report({}, false);
+  ASSERT_EQ(it.orders.starts.size(), 1U);
+  EXPECT_EQ(it.orders.starts[0].run.task.index, 2);
+}
+
 // Guards against a second run of a task that the unreachable worker may still run.
 TEST_F(UnreachableWorkerTest, HoldsUpATaskWhoseLastRunIsUnknown) {
   TakeOver(PerpetualJob(2));
--- a/tests/dispatch/simulated_worker.h
+++ b/tests/dispatch/simulated_worker.h
@@ -16,6 +16,7 @@
 namespace pomelopond::dispatch {
 
 inline constexpr Duration kStopTime = std::chrono::milliseconds(200);
+inline constexpr size_t kMaxReportedEnds = 500;
 inline constexpr Duration kGangTimeout = std::chrono::seconds(2);
 
 struct SimulatedRun {
@@ -157,7 +158,8 @@
     report.active.push_back({id, "", static_cast<int>(Ms(now - it.began) / 100 % 100), load});
   }
   report.ended = worker.ended;
-  if (report.ended.size() > kMaxReportedEnds) report.ended.resize(kMaxReportedEnds);
+  report.is_cut = report.ended.size() >= kMaxReportedEnds;
+  if (report.is_cut) report.ended.resize(kMaxReportedEnds);
   return report;
 }
 
--- a/tests/platform/worker_api_test.cc
+++ b/tests/platform/worker_api_test.cc
@@ -50,6 +50,18 @@
   EXPECT_EQ(report.ended[0].id.run, 8);
 }
 
+// Guards against a cut list of ended runs that is taken for all of them, also where rows of other
+// systems are left out of it.
+TEST(WorkerApiTest, FullListOfEndsIsCut) {
+  const std::string foreign = R"(["x","foreign",8,"done","c"])";
+  std::string ended = foreign;
+  for (int n = 2; n < 500; ++n) ended += "," + std::string(kEnd);
+  EXPECT_FALSE(ReadRows("", ended).is_cut);
+  const Report cut = ReadRows("", ended + "," + kEnd);
+  EXPECT_TRUE(cut.is_cut);
+  EXPECT_LT(cut.ended.size(), 500U);
+}
+
 // Guards against a name of another system that is taken for one of our tasks.
 TEST(WorkerApiTest, OnlyNamesThatWeGiveAreTasks) {
   for (const char* odd : {"", ".", "...", "a", "a.0.0", ".0.0.0", "a.0.0.", "a..0.0", "a.0.0.x",
