Dispatch: acknowledge nothing to a worker that may have restarted

Cause: a heartbeat that got no answer was repeated with the position of ended runs of the earlier incarnation. One that started again under its id deletes its ends up to that position, and their tasks run again.

Change: from an unanswered call to the next report, heartbeats acknowledge nothing.

Before: ConfirmedStartTest.NothingIsAcknowledgedToAWorkerThatMayHaveRestarted failed (7 for 0; rule taken out by hand). After: it passes.

--- a/src/dispatch/answers.cc
+++ b/src/dispatch/answers.cc
@@ -16,6 +16,7 @@
 
 void Dispatcher::RecordNoAnswer(WorkerState* worker, TimePoint now) {
   worker->unanswered_calls += 1;
+  worker->may_have_restarted = true;
   if (worker->unanswered_calls > 1) return;
   Log(LogLevel::kInfo, "dispatch", "worker_silent",
       {{"worker", worker->info.id},
--- a/src/dispatch/decide.cc
+++ b/src/dispatch/decide.cc
@@ -112,7 +112,8 @@
     HeartbeatOrder order;
     order.to = AddressOf(worker);
     order.epoch = epoch_;
-    order.acknowledged = worker.acknowledged;
+    // Another incarnation would delete ended runs that it has not reported yet.
+    order.acknowledged = worker.may_have_restarted ? 0 : worker.acknowledged;
     const bool steady = worker.contacted && worker.unanswered_calls == 0;
     // Heartbeats to a worker that does not answer extend no lease, so its lease expires.
     if (steady && !worker.runs.empty()) order.lease_end_ms = LeaseEndMs(&worker, now);
--- a/src/dispatch/worker_table.h
+++ b/src/dispatch/worker_table.h
@@ -75,6 +75,9 @@
   uint64_t generation = 0;           // the commit that makes `processed` durable
   int unanswered_calls = 0;          // consecutive calls without an answer
   int unanswered_heartbeats = 0;     // consecutive heartbeats without an answer
+  // A call got no answer since the last report, so the worker may have started again under its id.
+  // Answers to other orders don't tell, as they don't name the incarnation.
+  bool may_have_restarted = false;
   int failures = 0;         // consecutive failed runs
   TimePoint backoff_until;  // accepts no task before this time
   // Until then the worker accepts only perpetual tasks that fit on no other worker.
--- a/tests/dispatch/restart_test.cc
+++ b/tests/dispatch/restart_test.cc
@@ -176,6 +176,26 @@
   FAIL() << "the task has not started on w2";
 }
 
+// Guards against ends that nobody has seen: a worker that may have started again is told to delete
+// ended runs up to a position that the earlier incarnation reached, and their tasks run again.
+TEST_F(ConfirmedStartTest, NothingIsAcknowledgedToAWorkerThatMayHaveRestarted) {
+  const auto acknowledged = [this] {
+    it.CommitAll();
+    Step();
+    for (const HeartbeatOrder& order : it.orders.heartbeats) {
+      if (order.to.worker == "w1") return order.acknowledged;
+    }
+    return int64_t{-1};
+  };
+  it.Report("w1", {}, {End(7, start.run, EndKind::kDone)});
+  EXPECT_EQ(acknowledged(), 7);
+  it.TimeOut("w1");
+  it.Advance(milliseconds(300));
+  EXPECT_EQ(acknowledged(), 0);
+  it.Report("w1", {}, {});
+  EXPECT_EQ(acknowledged(), 7);
+}
+
 // Worker w1 starts again at another address.
 class MovedWorkerTest : public ::testing::Test {
  protected:
