Dispatch: a worker with ends that are not durable isn't empty

Cause: a worker without runs was taken off the list of workers in use, or got a lease bound of 0, although the ends that it had reported were not durable yet.

Change: IsEmpty() takes the generation of the commit that states it; ends must be durable with it or before.

--- a/src/dispatch/commits.cc
+++ b/src/dispatch/commits.cc
@@ -24,12 +24,13 @@
 
 }  // namespace
 
-// A worker that leaves is taken off the list once its runs have ended, so the next owner doesn't
-// wait for its answer. Nothing is started on it until it is on the list again.
-std::string Dispatcher::EncodeWorkersInUse(TimePoint now) {
+// A worker that leaves is taken off the list once its runs have ended and the ends are durable, so
+// the next owner doesn't wait for its answer. Nothing is started on it until it is on the list
+// again.
+std::string Dispatcher::EncodeWorkersInUse(uint64_t generation, TimePoint now) {
   std::vector<WorkerInUse> in_use;
   for (auto& [id, it] : workers_) {
-    if (IsUnused(it, now)) {
+    if (IsUnused(it, generation, now)) {
       it.recorded = false;
       continue;
     }
@@ -40,21 +41,21 @@
 
 // A worker that has not answered the last heartbeats gets a bound. From then on its lease is not
 // extended until it answers and a commit without its bound is durable.
-LeaseBounds Dispatcher::CurrentLeaseBounds(TimePoint now) const {
+LeaseBounds Dispatcher::CurrentLeaseBounds(uint64_t generation, TimePoint now) const {
   LeaseBounds bounds;
   bounds.epoch = epoch_;
   for (const auto& [id, it] : workers_) {
     if (it.unanswered_heartbeats < kHeartbeatsBeforeBound) continue;
-    const bool empty = it.runs.empty() && unreconciled_.count(id) == 0;
-    const Duration left = empty ? Duration::zero() : std::max(it.lease_ends - now, Duration{});
+    const Duration left =
+        IsEmpty(it, generation) ? Duration::zero() : std::max(it.lease_ends - now, Duration{});
     bounds.left_ms[id] = std::chrono::ceil<std::chrono::milliseconds>(left).count();
   }
   return bounds;
 }
 
-std::optional<std::string> Dispatcher::NextLeaseBounds(TimePoint now) {
+std::optional<std::string> Dispatcher::NextLeaseBounds(uint64_t generation, TimePoint now) {
   lease_bounds_due_ = now + kLeaseBoundsInterval;
-  LeaseBounds bounds = CurrentLeaseBounds(now);
+  LeaseBounds bounds = CurrentLeaseBounds(generation, now);
   if (bounds.left_ms == written_bounds_.left_ms) return std::nullopt;
   for (const auto& [id, left_ms] : bounds.left_ms) workers_[id].lease_bounded = true;
   written_bounds_ = std::move(bounds);
@@ -74,9 +75,9 @@
   }
   if (workers_changed_) {
     workers_changed_ = false;
-    commit.workers_in_use = EncodeWorkersInUse(now);
+    commit.workers_in_use = EncodeWorkersInUse(commit.generation, now);
   }
-  if (now >= lease_bounds_due_) commit.lease_bounds = NextLeaseBounds(now);
+  if (now >= lease_bounds_due_) commit.lease_bounds = NextLeaseBounds(commit.generation, now);
   if (now - counts_written_at_ >= kCountsInterval) {
     const std::map<std::string, int> counts = WaitingCounts(wall_ms);
     if (counts != written_counts_) {
--- a/src/dispatch/decide.cc
+++ b/src/dispatch/decide.cc
@@ -72,7 +72,7 @@
     const bool expired = now >= worker.lease_ends && last_proof_ >= worker.lease_ends;
     if (expired && !worker.runs.empty()) MarkRunsLost(&worker, now);
     if (expired) unreconciled_.erase(it->first);
-    if (worker.recorded && IsUnused(worker, now)) workers_changed_ = true;
+    if (worker.recorded && IsUnused(worker, generation_, now)) workers_changed_ = true;
     if (!expired || worker.registered || worker.heartbeat_in_flight) {
       ++it;
       continue;
@@ -83,8 +83,13 @@
   }
 }
 
-bool Dispatcher::IsUnused(const WorkerState& worker, TimePoint now) const {
-  return worker.runs.empty() && unreconciled_.count(worker.info.id) == 0 && !IsMember(worker, now);
+bool Dispatcher::IsEmpty(const WorkerState& worker, uint64_t generation) const {
+  const bool durable = worker.processed == worker.acknowledged || worker.generation <= generation;
+  return worker.runs.empty() && durable && unreconciled_.count(worker.info.id) == 0;
+}
+
+bool Dispatcher::IsUnused(const WorkerState& worker, uint64_t generation, TimePoint now) const {
+  return IsEmpty(worker, generation) && !IsMember(worker, now);
 }
 
 void Dispatcher::LogReconciliation(TimePoint now) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -197,11 +197,14 @@
 
   // Decisions.
   void ExpireWorkers(TimePoint now);
-  // True when the worker holds no run, now or later, and will get none.
-  bool IsUnused(const WorkerState& worker, TimePoint now) const;
-  std::string EncodeWorkersInUse(TimePoint now);
-  LeaseBounds CurrentLeaseBounds(TimePoint now) const;
-  std::optional<std::string> NextLeaseBounds(TimePoint now);
+  // True when the next owner has nothing to learn from the worker: it holds no run, and all ends
+  // that it has reported are durable with the commit of `generation`.
+  bool IsEmpty(const WorkerState& worker, uint64_t generation) const;
+  // True when the worker is empty and will get no run.
+  bool IsUnused(const WorkerState& worker, uint64_t generation, TimePoint now) const;
+  std::string EncodeWorkersInUse(uint64_t generation, TimePoint now);
+  LeaseBounds CurrentLeaseBounds(uint64_t generation, TimePoint now) const;
+  std::optional<std::string> NextLeaseBounds(uint64_t generation, TimePoint now);
   void ReleaseLeaseBounds();
   void LogReconciliation(TimePoint now);
   void DecideHeartbeats(TimePoint now, Orders* orders);
