Now(): count the time during which the machine is suspended

Cause: the steady clock stands still while a machine is suspended. An owner that wakes up after 8 s or more took its last proof of ownership for a recent one and could start runs on a worker that the next owner doesn't reach, and so hasn't fenced; that owner has waited for the leases to end and started the tasks elsewhere.

Change: TimePoint is of a clock of its own that reads CLOCK_BOOTTIME. Timers still use the steady clock; they end later by the time of a suspension.

--- a/src/base/time.cc
+++ b/src/base/time.cc
@@ -1,8 +1,17 @@
 #include "base/time.h"
 
+#include <ctime>
+
 namespace pomelopond {
 
-TimePoint Now() { return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()); }
+Clock::time_point Clock::now() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return time_point(std::chrono::duration_cast<Duration>(std::chrono::seconds(now.tv_sec) +
+                                                         std::chrono::nanoseconds(now.tv_nsec)));
+}
+
+TimePoint Now() { return Clock::now(); }
 
 int64_t WallClockMs() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
