--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -35,11 +35,6 @@
   return "unknown";
 }
 
-// True when a start order for the run may still be carried out, as it has no answer.
-bool MayStillStart(const RunState& run) {
-  return run.outcome_unknown || (run.call_in_flight && run.confirmed_at == TimePoint{});
-}
-
 void UpdateCheckpoint(TaskState* task, const RunId& id, const std::string& checkpoint) {
   if (checkpoint.empty() || task->progress.done || id.run < task->progress.checkpoint_run) return;
   task->progress.checkpoint = checkpoint;
@@ -68,58 +63,6 @@
   UpdatePlaceable(entry);
 }
 
-void Dispatcher::LoseRun(WorkerState* worker, const RunId& id) {
-  Log(LogLevel::kInfo, "dispatch", "run_lost",
-      {{"job", id.task.job}, {"run", id.run}, {"worker", worker->info.id}});
-  EndRun(worker, id);
-}
-
-void Dispatcher::MarkRunsLost(WorkerState* worker, TimePoint now) {
-  std::vector<RunId> lost;
-  for (const auto& [id, it] : worker->runs) lost.push_back(id);
-  for (const RunId& it : lost) LoseRun(worker, it);
-  ForgetIncarnation(worker, now);
-}
-
-// Only the runs that the earlier incarnation is known to have started are lost. Another start that
-// has been confirmed may have been carried out by either incarnation; the next report tells
-// by which. One without an answer may still be carried out by the new incarnation, so its run ends
-// once that has stopped it.
-void Dispatcher::HandleRestart(WorkerState* worker, TimePoint now) {
-  std::vector<RunId> lost;
-  for (auto& [id, it] : worker->runs) {
-    if (it.incarnation_known && !MayStillStart(it)) lost.push_back(id);
-    it.incarnation_known = false;
-    it.stop_confirmed = false;
-  }
-  for (const RunId& it : lost) LoseRun(worker, it);
-  ForgetIncarnation(worker, now);
-  if (worker->runs.empty()) return;
-  // The lease in such an order refers to the clock of the earlier incarnation, so only the worker
-  // limits it.
-  const Duration longest = std::max(limits_.lease_horizon, limits_.max_lease);
-  worker->lease_ends =
-      std::max(worker->lease_ends,
-               now + std::chrono::duration_cast<Duration>(longest / kMinClockRate) + kReportSlack);
-  for (auto& [id, it] : worker->runs) {
-    if (!MayStillStart(it)) continue;
-    it.phase = RunPhase::kStopping;
-    it.next_call = TimePoint{};
-  }
-}
-
-void Dispatcher::ForgetIncarnation(WorkerState* worker, TimePoint now) {
-  worker->processed = 0;
-  worker->acknowledged = 0;
-  worker->contacted = false;
-  worker->clock_ms = 0;
-  worker->next_heartbeat = now;
-  // A worker that has not answered this owner yet may get new runs from an earlier owner.
-  if (unreconciled_.count(worker->info.id) == 0) {
-    worker->lease_ends = std::min(worker->lease_ends, now);
-  }
-}
-
 void Dispatcher::RequestStop(WorkerState* worker, const RunId& id) {
   const auto it = worker->runs.find(id);
   if (it == worker->runs.end() || it->second.phase == RunPhase::kStopping) return;
