--- a/src/base/time.h
+++ b/src/base/time.h
@@ -16,7 +16,6 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<Clock>;
-  static constexpr bool is_steady = true;
 
   static time_point now();
 };
