--- a/bench/starts.cc
+++ b/bench/starts.cc
@@ -45,7 +45,7 @@
         const TimePoint due =
             start + Duration(static_cast<int64_t>(1e6 * seconds * static_cast<double>(it) /
                                                   static_cast<double>(jobs)));
-        std::this_thread::sleep_until(due);
+        std::this_thread::sleep_for(due - Now());
         // Latency is measured from the due time of the job, so delays of a stalled submitter count.
         sent[it] = due;
         Json job = ServiceJob("job-" + std::to_string(it), kTasksPerJob, 50);
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -281,7 +281,7 @@
     // The library destroys the request once it no longer uses the connection.
     request.set_progress_handler([exchange](web::http::message_direction::direction, uint64_t) {});
     exchange->client()
-        .request(std::move(request), call->cancel.get_token())
+        .request(request, call->cancel.get_token())
         .then([exchange](const pplx::task<http_response>& task) {
           const http_response in = task.get();
           return in.extract_vector().then([exchange, in](const std::vector<unsigned char>& body) {
