Tests of the limited client: a port for each

ctest runs the tests in processes of their own beside each other, and both tests of LimitedClientTest bound the same address. Each has a port of its own now; what they check is unchanged.

--- a/tests/http/http_client_test.cc
+++ b/tests/http/http_client_test.cc
@@ -152,8 +152,9 @@
  protected:
   static constexpr int kMaxConnections = 2;
 
-  LimitedClientTest()
-      : endpoint{"127.77.1.15", 7600},
+  // Tests run beside each other, so each has a port of its own.
+  explicit LimitedClientTest(uint16_t port = 7600)
+      : endpoint{"127.77.1.15", port},
         server(endpoint, 1000,
                [this](const HttpRequest&, const Reply& reply) {
                  const std::lock_guard<std::mutex> lock(mutex);
@@ -210,9 +211,14 @@
   EXPECT_EQ(max_waiting, size_t{kMaxConnections});
 }
 
+class LimitedClientTimeoutTest : public LimitedClientTest {
+ protected:
+  LimitedClientTimeoutTest() : LimitedClientTest(7601) {}
+};
+
 // Guards against a call that is sent after its caller was told that it was not, and against calls
 // that time out and keep their connections.
-TEST_F(LimitedClientTest, CallThatFindsNoConnectionInTimeIsNotSent) {
+TEST_F(LimitedClientTimeoutTest, CallThatFindsNoConnectionInTimeIsNotSent) {
   std::vector<std::future<HttpResult>> results;
   for (int n = 0; n < 2 * kMaxConnections; ++n) {
     results.push_back(Send(std::chrono::milliseconds(300)));
