Test of the limited client: waiting calls time out first

All four calls had one timeout, so a waiting call could get the connection of one that had just timed out, and was rightly sent. The waiting calls time out after 100 ms now, the others after 1.5 s; what is expected is unchanged.

--- a/tests/http/http_client_test.cc
+++ b/tests/http/http_client_test.cc
@@ -220,10 +220,14 @@
 // that time out and keep their connections.
 TEST_F(LimitedClientTimeoutTest, CallThatFindsNoConnectionInTimeIsNotSent) {
   std::vector<std::future<HttpResult>> results;
-  for (int n = 0; n < 2 * kMaxConnections; ++n) {
-    results.push_back(Send(std::chrono::milliseconds(300)));
+  for (int n = 0; n < kMaxConnections; ++n) {
+    results.push_back(Send(std::chrono::milliseconds(1500)));
   }
   ASSERT_TRUE(WaitForRequests(kMaxConnections));
+  // They time out before the calls above, whose connections they would get.
+  for (int n = 0; n < kMaxConnections; ++n) {
+    results.push_back(Send(std::chrono::milliseconds(100)));
+  }
   for (int n = 0; n < 2 * kMaxConnections; ++n) {
     const std::error_code ec = results[static_cast<size_t>(n)].get().ec;
     EXPECT_EQ(ec, n < kMaxConnections ? ResultCode::kTimeout : ResultCode::kTargetUnreachable);
