--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -12,8 +12,6 @@
 // needs no record of the runs that earlier owners started.
 constexpr int64_t kRunsPerEpoch = 100000;
 
-// Allowance for timers of a worker that answers a delayed report late.
-constexpr Duration kReportSlack = std::chrono::milliseconds(50);
 // Interval of heartbeats while the ended runs of the last report are not durable, or the worker's
 // lease is bounded.
 constexpr Duration kUncommittedRetry = std::chrono::milliseconds(500);
@@ -243,7 +241,7 @@
 // ends, or after the longest report wait.
 bool Dispatcher::IsAfterEarlierReports(const WorkerState& worker, TimePoint sent) const {
   const auto wait = std::chrono::duration_cast<Duration>(limits_.report_wait / kMinClockRate);
-  return sent >= worker.contacted_at + wait + kReportSlack;
+  return sent >= worker.contacted_at + wait + kTimerSlack;
 }
 
 void Dispatcher::ApplyActiveRuns(WorkerState* worker, const Report& report, TimePoint sent,
--- a/src/dispatch/restarts.cc
+++ b/src/dispatch/restarts.cc
@@ -7,9 +7,6 @@
 namespace pomelopond::dispatch {
 namespace {
 
-// Allowance for timers of a worker that ends a lease late.
-constexpr Duration kLeaseSlack = std::chrono::milliseconds(50);
-
 // True when a start order for the run may still be carried out, as it has no answer.
 bool MayStillStart(const RunState& run) {
   return run.outcome_unknown || (run.call_in_flight && run.confirmed_at == TimePoint{});
@@ -30,10 +27,10 @@
   ForgetIncarnation(worker, now);
 }
 
-// Only the runs that the earlier incarnation is known to have started are lost. Another start that
-// has been confirmed may have been carried out by either incarnation; the next report tells
-// by which. One without an answer may still be carried out by the new incarnation, so its run ends
-// once that has stopped it.
+// Only the runs that the earlier incarnation is known to have started are lost. Any other confirmed
+// start may have been carried out by either incarnation, which the next report tells. A start
+// without an answer may still be carried out by the new one, so its run ends once that has stopped
+// it.
 void Dispatcher::HandleRestart(WorkerState* worker, TimePoint now) {
   std::vector<RunId> lost;
   for (auto& [id, it] : worker->runs) {
@@ -44,12 +41,12 @@
   for (const RunId& it : lost) LoseRun(worker, it);
   ForgetIncarnation(worker, now);
   if (worker->runs.empty()) return;
-  // The lease in such an order refers to the clock of the earlier incarnation, so only the worker
-  // limits it.
+  // The end of the lease in the order is a time on the clock of the earlier incarnation, so on the
+  // new one only the worker's own maximum bounds the lease.
   const Duration longest = std::max(limits_.lease_horizon, limits_.max_lease);
   worker->lease_ends =
       std::max(worker->lease_ends,
-               now + std::chrono::duration_cast<Duration>(longest / kMinClockRate) + kLeaseSlack);
+               now + std::chrono::duration_cast<Duration>(longest / kMinClockRate) + kTimerSlack);
   for (auto& [id, it] : worker->runs) {
     if (!MayStillStart(it)) continue;
     it.phase = RunPhase::kStopping;
--- a/src/dispatch/worker_table.cc
+++ b/src/dispatch/worker_table.cc
@@ -1,12 +1,6 @@
 #include "dispatch/worker_table.h"
 
 namespace pomelopond::dispatch {
-namespace {
-
-// Allowance for timers of a worker that fire late.
-constexpr Duration kTimerSlack = std::chrono::milliseconds(50);
-
-}  // namespace
 
 int64_t EstimatedClockMs(const WorkerState& worker, TimePoint now) {
   return worker.clock_ms +
--- a/src/dispatch/worker_table.h
+++ b/src/dispatch/worker_table.h
@@ -95,6 +95,8 @@
 
 // A heartbeat without a usable answer is repeated after this time.
 inline constexpr Duration kHeartbeatRetry = std::chrono::milliseconds(300);
+// Allowance for timers of a worker that fire late.
+inline constexpr Duration kTimerSlack = std::chrono::milliseconds(50);
 // Lowest rate of a worker's clock relative to the local clock.
 inline constexpr double kMinClockRate = 0.98;
 
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -185,7 +185,7 @@
   std::mutex mutex;                   // guards the members below
   std::deque<PooledConnection> idle;  // longest idle first
   int open = 0;                       // connections that are idle or in use
-  std::deque<CallPtr> waiting;        // for a connection, in the order of submission
+  std::deque<CallPtr> waiting;        // calls without a connection, oldest first
 };
 
 // One call over one connection. It is complete once the call has its result and the library no
@@ -195,7 +195,8 @@
  public:
   Exchange(std::shared_ptr<Impl> impl, CallPtr call, PooledConnection connection)
       : impl_(std::move(impl)), call_(std::move(call)), connection_(std::move(connection)) {}
-  // Completes the exchange on another thread, since the library still holds locks.
+  // Completes the exchange in a task of its own: the library may destroy its last reference in the
+  // middle of its own cleanup of the connection.
   ~Exchange() {
     crossplat::threadpool::shared_instance().service().post(
         [impl = std::move(impl_), call = std::move(call_), connection = std::move(connection_),
--- a/tests/platform/worker_api_test.cc
+++ b/tests/platform/worker_api_test.cc
@@ -2,8 +2,8 @@
 
 #include <gtest/gtest.h>
 
-#include <algorithm>
 #include <atomic>
+#include <map>
 #include <mutex>
 #include <thread>
 #include <vector>
@@ -147,19 +147,20 @@
     }
   }
 
-  // Returns the number of held calls once it has not risen for a while.
-  size_t SettledCalls(const std::string& path) {
+  // Returns the number of held calls by path once it has not risen for a while. Orders that are
+  // held for longer than their timeout of 1 s make room for others.
+  std::map<std::string, int> SettledCalls() {
     size_t n = 0;
-    for (int polls = 0; polls < 30; ++polls) {
+    for (int polls = 0; polls < 20; ++polls) {
       std::this_thread::sleep_for(kPoll);
       const std::lock_guard<std::mutex> lock(mutex);
-      const size_t now = held.size();
-      if (now != n) polls = 0;
-      n = now;
+      if (held.size() != n) polls = 0;
+      n = held.size();
     }
     const std::lock_guard<std::mutex> lock(mutex);
-    return static_cast<size_t>(std::count_if(held.begin(), held.end(),
-                                             [&path](const auto& it) { return it.first == path; }));
+    std::map<std::string, int> counts;
+    for (const auto& [path, reply] : held) counts[path] += 1;
+    return counts;
   }
   void AnswerHeld() {
     std::vector<std::pair<std::string, http::Reply>> taken;
@@ -194,8 +195,9 @@
   }
   sent += 1;
   api.Heartbeat({worker, 1, 0, 0, {}}, [this](const Report&) { answered += 1; });
-  EXPECT_EQ(SettledCalls("/api/hold"), 1U);
-  EXPECT_EQ(SettledCalls("/api/run-start") + SettledCalls("/api/run-stop"), 2U);
+  std::map<std::string, int> calls = SettledCalls();
+  EXPECT_EQ(calls["/api/hold"], 1);
+  EXPECT_EQ(calls["/api/run-start"] + calls["/api/run-stop"], 2);
 }
 
 }  // namespace
