Logs of waiting counts: what a host answered, and what the owner knew

Cause: a count left no line, and event=pool told neither pending jobs nor jobs whose only starts are unconfirmed, nor how old the owner's view of the jobs is, so the hypotheses of the incident could not be told apart. Change: event=count on the host with the answer and the revision of the record; pending_jobs, unconfirmed_jobs and jobs_revision in event=pool. PrefixWatcher tells up to which revision it has passed on all changes. No logic changes.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -217,6 +217,8 @@
   for (const auto& [id, entry] : jobs_) {
     if (jobs::IsFinal(entry.state)) continue;
     out.jobs += 1;
+    out.pending_jobs += entry.state == jobs::JobState::kPending ? 1 : 0;
+    out.unconfirmed_jobs += entry.state == jobs::JobState::kRunning && !entry.started ? 1 : 0;
     for (const std::vector<StepState>& steps : entry.steps) {
       for (const StepState& it : steps) out.waiting_tasks += it.waiting;
     }
@@ -227,6 +229,7 @@
     out.longest_idle = now - *entry.idle_since;
     out.idle_job = id;
   }
+  out.jobs_revision = jobs_revision_;
   out.unreconciled_workers = static_cast<int>(unreconciled_.size());
   for (const auto& [id, it] : workers_) {
     out.runs += static_cast<int>(it.runs.size());
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -3,6 +3,7 @@
 #ifndef POMELOPOND_DISPATCH_DISPATCHER_H_
 #define POMELOPOND_DISPATCH_DISPATCHER_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -85,6 +86,9 @@
   int jobs = 0;                      // jobs that are not finished
   int waiting_tasks = 0;             // tasks without a run, ready or not
   int withheld_tasks = 0;            // of these, tasks withheld until all workers are reconciled
+  int pending_jobs = 0;              // jobs that callers are told to be pending
+  int unconfirmed_jobs = 0;          // jobs told to be running of which no run is confirmed
+  int64_t jobs_revision = 0;         // store revision up to which all jobs are known
   int idle_jobs = 0;                 // jobs without a run although a task could start
   Duration longest_idle{};           // longest time that one of them has been idle
   std::string idle_job;              // id of that job
@@ -137,6 +141,8 @@
   void AddJob(const jobs::Job& job, const jobs::JobProgress& progress, bool inherited,
               int64_t revision = 0);
   void CancelJob(const std::string& id, int64_t wall_ms);
+  // All jobs whose records precede or have this store revision have been added.
+  void OnJobsSeen(int64_t revision) { jobs_revision_ = std::max(jobs_revision_, revision); }
 
   // Adds a worker on which an earlier owner may have started tasks. `bounds` are those of the
   // previous owner.
@@ -171,6 +177,8 @@
   void UpdatePlaceable(JobEntry* entry);
 
   // Runs.
+  // A worker has confirmed that it has started a run of the job.
+  void RecordStart(const std::string& job);
   void EndRun(WorkerState* worker, const RunId& id);
   void LoseRun(WorkerState* worker, const RunId& id);
   void MarkRunsLost(WorkerState* worker, TimePoint now);
@@ -246,6 +254,7 @@
   DispatchLimits limits_;
   int64_t proven_revision_ = 0;
   int64_t newest_revision_ = 0;  // highest revision of the jobs
+  int64_t jobs_revision_ = 0;    // of the store, up to which all jobs are known
   const int64_t epoch_;
   const TimePoint took_over_;
   TimePoint last_proof_;
--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -45,6 +45,11 @@
   return std::max(task.last_run, (epoch_ - 1) * kRunsPerEpoch) + 1;
 }
 
+void Dispatcher::RecordStart(const std::string& job) {
+  JobEntry* entry = FindEntry(job);
+  if (entry != nullptr) entry->started = true;
+}
+
 void Dispatcher::EndRun(WorkerState* worker, const RunId& id) {
   capacity_changed_ = true;
   RemoveRun(worker, id);
@@ -120,6 +125,7 @@
                           int64_t wall_ms) {
   if (end.sequence <= worker->processed) return false;
   worker->processed = end.sequence;
+  RecordStart(end.id.task.job);
   const auto run = worker->runs.find(end.id);
   const Duration took = run == worker->runs.end() ? Duration::zero() : now - run->second.ordered_at;
   EndRun(worker, end.id);
@@ -254,6 +260,7 @@
     if (worker->runs.count(it.id) == 0) Adopt(worker, it, now);
     RunState& run = worker->runs[it.id];
     run.incarnation_known = true;
+    RecordStart(it.id.task.job);
     if (run.phase == RunPhase::kStarting) {
       run.phase = RunPhase::kRunning;
       run.confirmed_at = now;
--- a/src/entry/job_service.cc
+++ b/src/entry/job_service.cc
@@ -221,7 +221,10 @@
     const auto counts = dispatch::DecodeWaiting(item.value.value);
     if (!counts.ok()) return done({counts.ec, {}});
     const auto it = counts.value.find(queue);
-    done({{}, it == counts.value.end() ? 0 : it->second});
+    const int waiting = it == counts.value.end() ? 0 : it->second;
+    Log(LogLevel::kInfo, "jobs", "count",
+        {{"queue", queue}, {"waiting", waiting}, {"written_at", item.value.revision}});
+    done({{}, waiting});
   });
 }
 
--- a/src/entry/pool_owner_watchers.cc
+++ b/src/entry/pool_owner_watchers.cc
@@ -69,6 +69,8 @@
     }
     ApplyJobItems(items, false);
   });
+  jobs.on_current = BindToGeneration(
+      [this](TimePoint, int64_t revision) { dispatcher_->OnJobsSeen(revision); });
   WatchHandlers workers;
   workers.on_list =
       BindToGeneration([this](const std::vector<store::Item>& items) { ApplyWorkerList(items); });
--- a/src/entry/prefix_watcher.cc
+++ b/src/entry/prefix_watcher.cc
@@ -19,7 +19,7 @@
       wait_(wait),
       handlers_(std::move(handlers)) {}
 
-void PrefixWatcher::Start() { List({}, {}, 0); }
+void PrefixWatcher::Start() { List({}, {}, 0, Now()); }
 
 void PrefixWatcher::Stop() {
   const std::lock_guard<std::mutex> lock(mutex_);
@@ -36,12 +36,12 @@
   timer_(kRetryDelay, again);
 }
 
-void PrefixWatcher::List(const std::string& after, std::vector<store::Item> items,
-                         int64_t revision) {
+void PrefixWatcher::List(const std::string& after, std::vector<store::Item> items, int64_t revision,
+                         TimePoint sent) {
   if (stopped()) return;
   store_->List(prefix_, after,
-               [self = shared_from_this(), items = std::move(items),
-                revision](Result<store::Page> page) mutable {
+               [self = shared_from_this(), items = std::move(items), revision,
+                sent](Result<store::Page> page) mutable {
                  if (self->stopped()) return;
                  if (!page.ok()) return self->Retry(page.ec, [self] { self->Start(); });
                  self->handlers_.on_success();
@@ -51,10 +51,11 @@
                  for (store::Item& it : page.value.items) items.push_back(std::move(it));
                  if (page.value.has_more && !items.empty()) {
                    const std::string last = items.back().key;
-                   return self->List(last, std::move(items), revision);
+                   return self->List(last, std::move(items), revision, sent);
                  }
                  self->revision_ = revision;
                  self->handlers_.on_list(std::move(items));
+                 self->handlers_.on_current(sent, revision);
                  self->Watch();
                });
 }
@@ -62,7 +63,7 @@
 void PrefixWatcher::Watch() {
   if (stopped()) return;
   store_->Watch(prefix_, revision_, wait_,
-                [self = shared_from_this()](Result<store::Changes> result) {
+                [self = shared_from_this(), sent = Now()](Result<store::Changes> result) {
                   if (self->stopped()) return;
                   if (result.ec == ResultCode::kNotFound) return self->Start();
                   if (!result.ok()) return self->Retry(result.ec, [self] { self->Watch(); });
@@ -71,6 +72,7 @@
                   if (!result.value.changes.empty()) {
                     self->handlers_.on_changes(std::move(result.value.changes));
                   }
+                  self->handlers_.on_current(sent, self->revision_);
                   self->Watch();
                 });
 }
--- a/src/entry/prefix_watcher.h
+++ b/src/entry/prefix_watcher.h
@@ -24,6 +24,9 @@
   std::function<void(std::vector<store::Change>)> on_changes;
   // Called when the store has answered a call.
   std::function<void()> on_success = [] {};
+  // Called once all changes up to `revision` have been passed on. It was the store's revision when
+  // the store answered a call that was sent at `sent`.
+  std::function<void(TimePoint sent, int64_t revision)> on_current = [](TimePoint, int64_t) {};
   // Called when a call to the store has failed.
   std::function<void(std::error_code)> on_error = [](std::error_code) {};
 };
@@ -39,7 +42,9 @@
   void Stop();
 
  private:
-  void List(const std::string& after, std::vector<store::Item> items, int64_t revision);
+  // `revision` is that of the first page, and `sent` when the call for it was sent.
+  void List(const std::string& after, std::vector<store::Item> items, int64_t revision,
+            TimePoint sent);
   void Watch();
   void Retry(std::error_code ec, const std::function<void()>& again);
   bool stopped();
