Waiting counts: tests of the three hypotheses, failing

Three ways to a count that is too low, with an owner and a host that share a store in memory. CountOfAnOwnerThatSeesAllJobsIsGiven passes and guards the fixes.

--- a/tests/entry/pool_owner_test.cc
+++ b/tests/entry/pool_owner_test.cc
@@ -9,32 +9,12 @@
 #include "entry/keys.h"
 #include "http/http_client.h"
 #include "tests/entry/memory_store.h"
+#include "tests/entry/owner_support.h"
 
 namespace pomelopond::entry {
 namespace {
 
 constexpr int kMaxPolls = 1000;
-constexpr Duration kPollInterval = std::chrono::milliseconds(10);
-
-class UnresponsiveWorkers : public dispatch::WorkerCalls {
- public:
-  void Heartbeat(const dispatch::HeartbeatOrder&, std::function<void(dispatch::Report)>) override {}
-  void Start(const dispatch::StartOrder&, std::function<void(dispatch::Answer)>) override {}
-  void Stop(const dispatch::StopOrder&, std::function<void(dispatch::Answer)>) override {}
-  void Pace(const dispatch::PaceOrder&, std::function<void(dispatch::Answer)>) override {}
-  void Disconnect() override { disconnects += 1; }
-
-  std::atomic<int> disconnects{0};
-};
-
-bool WaitFor(const std::function<bool()>& condition) {
-  for (int n = 0; n < kMaxPolls; ++n) {
-    if (condition()) return true;
-    std::this_thread::sleep_for(kPollInterval);
-  }
-  return false;
-}
-
 class PoolOwnerTest : public ::testing::Test {
  protected:
   OwnerOptions Options() {
--- /dev/null
+++ b/tests/entry/waiting_count_test.cc
@@ -0,0 +1,146 @@
+// The count of waiting jobs that callers get, with an owner and a host that share a store.
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <future>
+#include <thread>
+
+#include "entry/job_service.h"
+#include "entry/keys.h"
+#include "entry/pool_owner.h"
+#include "http/http_client.h"
+#include "tests/entry/memory_store.h"
+#include "tests/entry/owner_support.h"
+
+namespace pomelopond::entry {
+namespace {
+
+constexpr const char* kQueue = "queue";
+constexpr int kJobs = 7;
+// A caller may be told a count that is 2 s old.
+constexpr Duration kMaxCountAge = std::chrono::seconds(2);
+
+// Reports once, so that the worker is known to be present, and handles starts as told.
+class StartingWorkers : public UnresponsiveWorkers {
+ public:
+  void Heartbeat(const dispatch::HeartbeatOrder&,
+                 std::function<void(dispatch::Report)> done) override {
+    if (!reported_.exchange(true)) done({{dispatch::OrderStatus::kAccepted, 1, 1}, {}, {}});
+  }
+  void Start(const dispatch::StartOrder&, std::function<void(dispatch::Answer)> done) override {
+    starts += 1;
+    if (answers_starts) done({dispatch::OrderStatus::kAccepted, 1, 1});
+  }
+
+  std::atomic<int> starts{0};
+  std::atomic<bool> answers_starts{true};
+
+ private:
+  std::atomic<bool> reported_{false};
+};
+
+class WaitingCountTest : public ::testing::Test {
+ protected:
+  WaitingCountTest()
+      : service(&store, http::RunAfter, &metrics, &health),
+        owner(Options(), &store, &workers, http::RunAfter, &metrics) {}
+
+  ~WaitingCountTest() override { owner.Stop(); }
+
+  static OwnerOptions Options() {
+    OwnerOptions options;
+    options.process = "host-1";
+    options.worker_prefix = "workers/";
+    options.read_worker = [](const store::Item&) {
+      dispatch::WorkerInfo worker;
+      worker.id = "w1";
+      worker.service = "pool";
+      worker.endpoint = {"10.0.0.1", 1};
+      worker.capacity = {8000, 8000, 0};
+      worker.incarnation = 1;
+      return Result<dispatch::WorkerInfo>{{}, worker};
+    };
+    return options;
+  }
+
+  void SubmitJobs(const std::string& service_name) {
+    for (int n = 0; n < kJobs; ++n) {
+      jobs::Job job;
+      job.id = "00000000000000a" + std::to_string(n);
+      job.rules.queue = kQueue;
+      job.rules.service = service_name;
+      job.steps.resize(1);
+      job.steps[0].request = {1000, 100, 0};
+      service.Submit(job, Now() + std::chrono::seconds(3),
+                     [](std::error_code ec) { EXPECT_FALSE(ec); });
+    }
+  }
+
+  Result<int> Count() {
+    std::promise<Result<int>> answer;
+    service.CountWaiting(kQueue, Now() + std::chrono::seconds(3),
+                         [&answer](const Result<int>& it) { answer.set_value(it); });
+    return answer.get_future().get();
+  }
+
+  MemoryStore store;
+  StartingWorkers workers;
+  metrics::Registry metrics;
+  StoreHealth health;
+  JobService service;
+  PoolOwner owner;
+};
+
+// Guards against a job that counts as started because a start was ordered.
+TEST_F(WaitingCountTest, JobsWhoseStartIsNotConfirmedAreCounted) {
+  store.Apply({{}, {{"workers/w1", "", 0}}, {}});
+  workers.answers_starts = false;
+  owner.Start();
+  ASSERT_TRUE(WaitFor([this] { return owner.IsOwner(); }));
+  SubmitJobs("pool");
+  ASSERT_TRUE(WaitFor([this] { return workers.starts.load() == kJobs; }));
+  std::this_thread::sleep_for(kMaxCountAge);
+  EXPECT_EQ(Count().value, kJobs);
+}
+
+// Guards against the last count of an owner that is gone, given to a caller as the present one.
+TEST_F(WaitingCountTest, CountOfAnOwnerThatIsGoneIsRefused) {
+  owner.Start();
+  ASSERT_TRUE(WaitFor([this] { return owner.IsOwner(); }));
+  owner.Stop();
+  SubmitJobs("pool");
+  std::this_thread::sleep_for(kMaxCountAge);
+  EXPECT_TRUE(Count().ec);
+}
+
+// Guards against a count by an owner whose watch of the jobs fails while its commits go through.
+TEST_F(WaitingCountTest, CountOfAnOwnerThatDoesNotSeeNewJobsIsRefused) {
+  owner.Start();
+  ASSERT_TRUE(WaitFor([this] { return owner.IsOwner(); }));
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  {
+    const std::lock_guard<std::recursive_mutex> lock(store.mutex);
+    store.failing_prefix = kJobPrefix;
+  }
+  SubmitJobs("no such pool");
+  std::this_thread::sleep_for(kMaxCountAge);
+  EXPECT_TRUE(Count().ec);
+}
+
+// Guards against a refusal of counts while an owner is there, jobs come or none do.
+TEST_F(WaitingCountTest, CountOfAnOwnerThatSeesAllJobsIsGiven) {
+  owner.Start();
+  ASSERT_TRUE(WaitFor([this] { return owner.IsOwner(); }));
+  std::this_thread::sleep_for(kMaxCountAge);
+  const Result<int> none = Count();
+  EXPECT_FALSE(none.ec);
+  EXPECT_EQ(none.value, 0);
+  SubmitJobs("no such pool");
+  std::this_thread::sleep_for(kMaxCountAge);
+  const Result<int> all = Count();
+  EXPECT_FALSE(all.ec);
+  EXPECT_EQ(all.value, kJobs);
+}
+
+}  // namespace
+}  // namespace pomelopond::entry
