Dispatch: a job is pending until a worker confirms a start

Cause: the state became running when the first start was ordered. A start that is on its way, is refused or gets no answer left the job running for good, so it was no longer counted. Class: what was ordered is told as what has happened. The order of placements is as before: a job with an active run ranks as begun.

--- a/src/dispatch/decide.cc
+++ b/src/dispatch/decide.cc
@@ -408,10 +408,6 @@
   if (task->first_run == 0) task->first_run = id.run;
   task->last_run = id.run;
   UpdatePlaceable(entry);
-  if (entry->state == jobs::JobState::kPending) {
-    entry->state = jobs::JobState::kRunning;
-    MarkDirty(entry->job.id);
-  }
   const std::optional<StartOrder> order = MakeStartOrder(worker, id, now);
   if (!order) return EndRun(worker, id);
   worker->runs[id].call_in_flight = true;
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -217,8 +217,9 @@
   for (const auto& [id, entry] : jobs_) {
     if (jobs::IsFinal(entry.state)) continue;
     out.jobs += 1;
-    out.pending_jobs += entry.state == jobs::JobState::kPending ? 1 : 0;
-    out.unconfirmed_jobs += entry.state == jobs::JobState::kRunning && !entry.started ? 1 : 0;
+    const bool pending = entry.state == jobs::JobState::kPending;
+    out.pending_jobs += pending ? 1 : 0;
+    out.unconfirmed_jobs += pending && HasActiveTask(entry) ? 1 : 0;
     for (const std::vector<StepState>& steps : entry.steps) {
       for (const StepState& it : steps) out.waiting_tasks += it.waiting;
     }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -87,7 +87,7 @@
   int waiting_tasks = 0;             // tasks without a run, ready or not
   int withheld_tasks = 0;            // of these, tasks withheld until all workers are reconciled
   int pending_jobs = 0;              // jobs that callers are told to be pending
-  int unconfirmed_jobs = 0;          // jobs told to be running of which no run is confirmed
+  int unconfirmed_jobs = 0;          // of these, jobs with a start that is not confirmed
   int64_t jobs_revision = 0;         // store revision up to which all jobs are known
   int idle_jobs = 0;                 // jobs without a run although a task could start
   Duration longest_idle{};           // longest time that one of them has been idle
@@ -177,7 +177,8 @@
   void UpdatePlaceable(JobEntry* entry);
 
   // Runs.
-  // A worker has confirmed that it has started a run of the job.
+  // A worker has confirmed a start of the job. Until then callers are told that the job is pending:
+  // a start that was ordered may be refused or never arrive.
   void RecordStart(const std::string& job);
   void EndRun(WorkerState* worker, const RunId& id);
   void LoseRun(WorkerState* worker, const RunId& id);
--- a/src/dispatch/job_rank.cc
+++ b/src/dispatch/job_rank.cc
@@ -92,7 +92,7 @@
 }
 
 TurnRank RankOf(const Estimates& estimates, const JobEntry& entry, int64_t wall_ms) {
-  const bool pending = entry.state == jobs::JobState::kPending;
+  const bool pending = entry.state == jobs::JobState::kPending && !HasActiveTask(entry);
   const TurnKind kind = TurnKindOf(LatenessOf(estimates, entry, wall_ms));
   const bool newest_first = pending && kind != TurnKind::kTooLate;
   const int64_t age_order = newest_first ? -entry.job.accepted_ms : entry.job.accepted_ms;
--- a/src/dispatch/job_table.cc
+++ b/src/dispatch/job_table.cc
@@ -22,7 +22,6 @@
 JobEntry MakeEntry(jobs::Job job, const jobs::JobProgress& progress, bool inherited) {
   JobEntry entry;
   entry.state = progress.state;
-  entry.started = progress.state != jobs::JobState::kPending;
   entry.finished_ms = progress.finished_ms;
   entry.inherited = inherited;
   for (int n = 0; n < jobs::Occurrences(job); ++n) entry.steps.push_back(MakeSteps(job));
--- a/src/dispatch/job_table.h
+++ b/src/dispatch/job_table.h
@@ -54,7 +54,6 @@
   jobs::Job job;
   jobs::JobState state = jobs::JobState::kPending;
   int64_t finished_ms = 0;  // milliseconds since the Unix epoch
-  bool started = false;     // a worker has confirmed the start of a run
   bool inherited = false;   // accepted before this owner took over
   int64_t revision = 0;     // store revision of the job's record; 0: precedes this owner
   Estimates estimates;
--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -47,7 +47,9 @@
 
 void Dispatcher::RecordStart(const std::string& job) {
   JobEntry* entry = FindEntry(job);
-  if (entry != nullptr) entry->started = true;
+  if (entry == nullptr || entry->state != jobs::JobState::kPending) return;
+  entry->state = jobs::JobState::kRunning;
+  MarkDirty(job);
 }
 
 void Dispatcher::EndRun(WorkerState* worker, const RunId& id) {
@@ -205,10 +207,6 @@
       StepStateOf(entry, active.id.task)->waiting -= 1;
     task->runs.push_back({active.id.run, worker->info.id});
     task->last_run = std::max(task->last_run, active.id.run);
-    if (entry->state == jobs::JobState::kPending) {
-      entry->state = jobs::JobState::kRunning;
-      MarkDirty(entry->job.id);
-    }
     UpdatePlaceable(entry);
   }
   if (!wanted) RequestStop(worker, active.id);
--- a/tests/dispatch/simulated_fleet.h
+++ b/tests/dispatch/simulated_fleet.h
@@ -170,6 +170,7 @@
   std::vector<std::string> violations_;
   // By job, occurrence, step and run: when the gang, all of whose members were active, is done.
   std::map<std::tuple<std::string, int, int, int64_t>, TimePoint> complete_gangs_;
+  std::set<std::string> started_jobs_;  // jobs of which a worker has started a run
   int next_worker_ = 1;
   int64_t next_incarnation_ = 1;
 };
--- a/tests/dispatch/simulated_fleet_calls.cc
+++ b/tests/dispatch/simulated_fleet_calls.cc
@@ -95,6 +95,7 @@
     const bool known = worker->active.count(order.run) > 0;
     const OrderStatus status = StartOn(worker, order, run, now_);
     const bool same_kind = worker->info.incarnation <= incarnation;
+    if (status == OrderStatus::kAccepted) started_jobs_.insert(order.run.task.job);
     if (status == OrderStatus::kAccepted && !known) CheckExecution(*worker, order.run, same_kind);
     return AnswerOf(*worker, status, now_);
   };
--- a/tests/dispatch/simulated_fleet_checks.cc
+++ b/tests/dispatch/simulated_fleet_checks.cc
@@ -26,6 +26,9 @@
 }
 
 void SimulatedFleet::CheckJob(const SimulatedOwner& owner, const JobEntry& entry) {
+  if (entry.state == jobs::JobState::kRunning && started_jobs_.count(entry.job.id) == 0) {
+    Violation("shown as running before a start: " + entry.job.id);
+  }
   for (size_t k = 0; k < entry.steps.size(); ++k) {
     for (size_t s = 0; s < entry.steps[k].size(); ++s) {
       const StepState& step = entry.steps[k][s];
