Waiting counts: a host gives a count only if it is at most 2 s old

Cause: the stored counts had no age. A host gave them as present while the owner was gone, cut off from the store or loading its state, or while its watch of the jobs failed and its commits went through; an absent record counted as 0; a new owner whose counts were empty left those of the earlier one in place. Class: a stored value given as present without a bound of its age. Change: the record names the store revision up to which its owner knew all jobs, and is renewed each 500 ms with the commits. A host keeps the revisions that the store named in its answers of the last 10 s (RevisionHistory) and so bounds the age of the record on its own steady clock; no clocks of hosts are compared. A count over 2 s old is read again for 0.6 s, then refused with 503, result code 210 and Retry-After. The owner's watch of the jobs waits 0.5 s in place of 2 s, so that the revision moves on a quiet pool too.

--- a/src/base/result_code.h
+++ b/src/base/result_code.h
@@ -32,6 +32,7 @@
   kNoRelease = 207,
   kNotOwner = 208,
   kTargetUnreachable = 209,
+  kOutdated = 210,
   // 3xx: the request conflicts with stored data.
   kConflict = 300,
   kStaleBase = 301,
--- a/src/dispatch/commits.cc
+++ b/src/dispatch/commits.cc
@@ -79,11 +79,11 @@
   }
   if (now >= lease_bounds_due_) commit.lease_bounds = NextLeaseBounds(commit.generation, now);
   if (now - counts_written_at_ >= kCountsInterval) {
-    const std::map<std::string, int> counts = WaitingCounts(wall_ms);
+    WaitingCounts counts = CurrentWaitingCounts(wall_ms);
     if (counts != written_counts_) {
       counts_written_at_ = now;
-      written_counts_ = counts;
-      commit.waiting_counts = EncodeWaiting(counts);
+      commit.waiting_counts = Encode(counts);
+      written_counts_ = std::move(counts);
     }
   }
   const auto keep =
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -2,11 +2,9 @@
 
 #include <algorithm>
 
-#include "base/integer.h"
 #include "base/log.h"
 #include "base/result_code.h"
 #include "dispatch/choose_worker.h"
-#include "jobs/limits.h"
 
 namespace pomelopond::dispatch {
 namespace {
@@ -43,25 +41,6 @@
   return {{}, std::move(workers)};
 }
 
-std::string EncodeWaiting(const std::map<std::string, int>& counts) {
-  std::string bytes;
-  Json::to_msgpack(Json(counts), bytes);
-  return bytes;
-}
-
-Result<std::map<std::string, int>> DecodeWaiting(const std::string& bytes) {
-  const Json in = ParseMessagePack(bytes);
-  std::map<std::string, int> counts;
-  try {
-    for (const auto& [queue, n] : in.get_ref<const Json::object_t&>()) {
-      counts[queue] = static_cast<int>(RequireWholeNumber(n, queue, 0, jobs::kMaxInt));
-    }
-  } catch (const Json::exception&) {
-    return {ResultCode::kStoreBadAnswer, {}};
-  }
-  return {{}, std::move(counts)};
-}
-
 Dispatcher::Dispatcher(const DispatchLimits& limits, int64_t epoch, TimePoint now)
     : limits_(limits), epoch_(epoch), took_over_(now), last_proof_(now) {}
 
@@ -202,12 +181,13 @@
   return ids;
 }
 
-std::map<std::string, int> Dispatcher::WaitingCounts(int64_t wall_ms) const {
-  std::map<std::string, int> counts;
+WaitingCounts Dispatcher::CurrentWaitingCounts(int64_t wall_ms) const {
+  WaitingCounts counts;
+  counts.jobs_revision = jobs_revision_;
   for (const auto& [id, it] : jobs_) {
     if (it.state != jobs::JobState::kPending) continue;
     if (DueMs(it.job, 0) > wall_ms) continue;
-    counts[it.job.rules.queue] += 1;
+    counts.by_queue[it.job.rules.queue] += 1;
   }
   return counts;
 }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -21,6 +21,7 @@
 #include "dispatch/lease_bounds.h"
 #include "dispatch/preemption.h"
 #include "dispatch/unplaceable_requests.h"
+#include "dispatch/waiting_counts.h"
 #include "dispatch/worker_calls.h"
 #include "dispatch/worker_table.h"
 
@@ -62,7 +63,7 @@
   std::vector<std::pair<std::string, std::string>> progress;  // job id and encoded progress
   std::optional<std::string> workers_in_use;                  // encoded list; set when it changed
   std::optional<std::string> lease_bounds;    // encoded LeaseBounds; set when they changed
-  std::optional<std::string> waiting_counts;  // encoded pending jobs by queue; set when changed
+  std::optional<std::string> waiting_counts;  // encoded WaitingCounts; set when they changed
   std::vector<std::string> removed_jobs;      // ids of jobs whose records are deleted
 };
 
@@ -77,10 +78,6 @@
 // Returns kStoreBadAnswer for malformed input.
 Result<std::vector<WorkerInUse>> DecodeWorkersInUse(const std::string& bytes);
 
-// Stored form of the number of pending jobs by queue.
-std::string EncodeWaiting(const std::map<std::string, int>& counts);
-Result<std::map<std::string, int>> DecodeWaiting(const std::string& bytes);
-
 // Snapshot of the pool for logs and metrics. Processor time is in thousandths of a core.
 struct PoolSummary {
   int jobs = 0;                      // jobs that are not finished
@@ -169,7 +166,7 @@
   bool superseded() const { return superseded_; }
   const std::map<std::string, WorkerState>& workers() const { return workers_; }
   const JobEntry* FindJob(const std::string& id) const;
-  std::map<std::string, int> WaitingCounts(int64_t wall_ms) const;
+  WaitingCounts CurrentWaitingCounts(int64_t wall_ms) const;
   PoolSummary Summary(TimePoint now) const;
 
  private:
@@ -285,7 +282,7 @@
   bool commit_in_flight_ = false;
   LeaseBounds written_bounds_;
   TimePoint lease_bounds_due_;  // when the lease bounds are compared with the written ones
-  std::map<std::string, int> written_counts_;
+  WaitingCounts written_counts_;
   TimePoint counts_written_at_;
   std::deque<std::pair<int64_t, std::string>> finished_;  // finished_ms and job id
 };
--- a/src/entry/catalog_watcher.cc
+++ b/src/entry/catalog_watcher.cc
@@ -14,7 +14,7 @@
 }  // namespace
 
 CatalogWatcher::CatalogWatcher(store::KeyStore* store, Timer timer, const std::string& key,
-                               Reader reader, StoreHealth* health)
+                               Reader reader, StoreHealth* health, RevisionHistory* revisions)
     : reader_(std::move(reader)) {
   WatchHandlers handlers;
   handlers.on_list = [this](const std::vector<store::Item>& items) {
@@ -25,6 +25,9 @@
       if (!it.deleted) UpdateCatalog(it.item);
     }
   };
+  handlers.on_current = [revisions](TimePoint sent, int64_t revision) {
+    revisions->Record(sent, revision);
+  };
   handlers.on_success = [health] { health->OnSuccess(); };
   handlers.on_error = [health](std::error_code) { health->OnFailure(); };
   watcher_ = std::make_shared<PrefixWatcher>(store, std::move(timer), key, kWatchWait,
--- a/src/entry/catalog_watcher.h
+++ b/src/entry/catalog_watcher.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "entry/prefix_watcher.h"
+#include "entry/revision_history.h"
 #include "entry/store_health.h"
 #include "jobs/catalog.h"
 
@@ -17,8 +18,9 @@
  public:
   using Reader = std::function<Result<jobs::Catalog>(const store::Item&)>;
 
+  // Each answer of the store is recorded in `health` and `revisions`.
   CatalogWatcher(store::KeyStore* store, Timer timer, const std::string& key, Reader reader,
-                 StoreHealth* health);
+                 StoreHealth* health, RevisionHistory* revisions);
 
   void Start();
   void Stop();
--- a/src/entry/job_service.cc
+++ b/src/entry/job_service.cc
@@ -19,6 +19,12 @@
 constexpr Duration kMaxUnknownTime = std::chrono::milliseconds(1500);
 // Time before the caller's deadline that is reserved for sending the response to the caller.
 constexpr Duration kResponseMargin = std::chrono::milliseconds(150);
+// Callers may be told a count that is this old.
+constexpr Duration kMaxCountAge = std::chrono::seconds(2);
+// The owner renews the counts several times in kMaxCountAge. Counts that are outdated and stay so
+// for this time have no owner that renews them.
+constexpr Duration kOutdatedRetryDelay = std::chrono::milliseconds(200);
+constexpr Duration kMaxOutdatedTime = std::chrono::milliseconds(600);
 constexpr Duration kMaxCommitTimeout = std::chrono::milliseconds(800);
 
 TimePoint RetryDeadline(TimePoint now, Duration limit, TimePoint deadline) {
@@ -39,9 +45,21 @@
   std::function<void(std::error_code)> done;
 };
 
+// A read of the waiting counts, which is repeated until they are recent.
+struct JobService::PendingCount {
+  std::string queue;
+  TimePoint failed_deadline;    // end of the retries while the read fails
+  TimePoint outdated_deadline;  // end of the retries while the counts are outdated
+  std::function<void(Result<int>)> done;
+};
+
 JobService::JobService(store::KeyStore* store, Timer timer, metrics::Registry* metrics,
-                       StoreHealth* health)
-    : store_(store), timer_(std::move(timer)), metrics_(metrics), health_(health) {}
+                       StoreHealth* health, const RevisionHistory* revisions)
+    : store_(store),
+      timer_(std::move(timer)),
+      metrics_(metrics),
+      health_(health),
+      revisions_(revisions) {}
 
 bool JobService::Admit(const char* request, const std::string& id) {
   if (health_->AllowRequest(Now())) return true;
@@ -204,28 +222,51 @@
 void JobService::CountWaiting(const std::string& queue, TimePoint deadline,
                               std::function<void(Result<int>)> done) {
   if (!Admit("count", queue)) return done({ResultCode::kStoreUnavailable, {}});
-  TryCountWaiting(queue, RetryDeadline(Now(), kMaxUnknownTime, deadline), std::move(done));
+  const auto count = std::make_shared<PendingCount>();
+  count->queue = queue;
+  count->failed_deadline = RetryDeadline(Now(), kMaxUnknownTime, deadline);
+  count->outdated_deadline = RetryDeadline(Now(), kMaxOutdatedTime, deadline);
+  count->done = std::move(done);
+  TryCountWaiting(count);
 }
 
-void JobService::TryCountWaiting(const std::string& queue, TimePoint retry_deadline,
-                                 std::function<void(Result<int>)> done) {
-  store_->Get(kWaitingKey, [this, queue, retry_deadline,
-                            done = std::move(done)](const Result<store::Item>& item) {
-    if (!item.ok()) {
-      return RetryRead<int>(
-          retry_deadline, item.ec,
-          [this, queue, retry_deadline, done] { TryCountWaiting(queue, retry_deadline, done); },
-          done);
+void JobService::TryCountWaiting(const std::shared_ptr<PendingCount>& count) {
+  store_->Get(kWaitingKey, [this, count](const Result<store::Item>& item) {
+    const auto again = [this, count] { TryCountWaiting(count); };
+    if (!item.ok()) return RetryRead<int>(count->failed_deadline, item.ec, again, count->done);
+    // The key does not exist before the first owner of all writes it.
+    dispatch::WaitingCounts counts;
+    if (item.value.revision != 0) {
+      const auto stored = dispatch::DecodeWaitingCounts(item.value.value);
+      if (!stored.ok()) return count->done({stored.ec, {}});
+      counts = stored.value;
+    }
+    const TimePoint now = Now();
+    const std::optional<Duration> age = revisions_->MaxAge(counts.jobs_revision, now);
+    if (age && *age <= kMaxCountAge) return FinishCount(*count, counts, *age);
+    if (now + kOutdatedRetryDelay < count->outdated_deadline) {
+      return timer_(kOutdatedRetryDelay, again);
     }
-    if (item.value.revision == 0) return done({{}, 0});
-    const auto counts = dispatch::DecodeWaiting(item.value.value);
-    if (!counts.ok()) return done({counts.ec, {}});
-    const auto it = counts.value.find(queue);
-    const int waiting = it == counts.value.end() ? 0 : it->second;
-    Log(LogLevel::kInfo, "jobs", "count",
-        {{"queue", queue}, {"waiting", waiting}, {"written_at", item.value.revision}});
-    done({{}, waiting});
+    metrics_->Count("outdated_counts_total");
+    Log(LogLevel::kInfo, "jobs", "count_outdated",
+        {{"queue", count->queue},
+         {"written_at", item.value.revision},
+         {"jobs_revision", counts.jobs_revision},
+         {"age_ms", age ? Milliseconds(*age) : -1}});
+    count->done({ResultCode::kOutdated, {}});
   });
 }
 
+void JobService::FinishCount(const PendingCount& count, const dispatch::WaitingCounts& counts,
+                             Duration age) {
+  const auto it = counts.by_queue.find(count.queue);
+  const int waiting = it == counts.by_queue.end() ? 0 : it->second;
+  Log(LogLevel::kInfo, "jobs", "count",
+      {{"queue", count.queue},
+       {"waiting", waiting},
+       {"jobs_revision", counts.jobs_revision},
+       {"age_ms", Milliseconds(age)}});
+  count.done({{}, waiting});
+}
+
 }  // namespace pomelopond::entry
--- a/src/entry/job_service.h
+++ b/src/entry/job_service.h
@@ -10,7 +10,9 @@
 
 #include "base/result.h"
 #include "base/time.h"
+#include "dispatch/waiting_counts.h"
 #include "entry/prefix_watcher.h"
+#include "entry/revision_history.h"
 #include "entry/store_health.h"
 #include "jobs/progress.h"
 #include "metrics/registry.h"
@@ -20,7 +22,8 @@
 
 class JobService {
  public:
-  JobService(store::KeyStore* store, Timer timer, metrics::Registry* metrics, StoreHealth* health);
+  JobService(store::KeyStore* store, Timer timer, metrics::Registry* metrics, StoreHealth* health,
+             const RevisionHistory* revisions);
 
   // Calls `done` with one of these results:
   // - no error: the job is durable, written by this call or an earlier one;
@@ -37,13 +40,14 @@
   // exist.
   void Cancel(const std::string& id, TimePoint deadline, std::function<void(std::error_code)> done);
 
-  // Calls `done` with the number of accepted jobs of the queue of which no task has started. The
-  // number is at most 2 s old.
+  // Calls `done` with the number of accepted jobs of the queue of which no task is known to have
+  // started. The number is at most 2 s old; kOutdated if no such number is to be had.
   void CountWaiting(const std::string& queue, TimePoint deadline,
                     std::function<void(Result<int>)> done);
 
  private:
   struct PendingWrite;
+  struct PendingCount;
   // Returns true if the request may call the store. Otherwise counts and logs the refusal.
   bool Admit(const char* request, const std::string& id);
   // Updates the store's health with the outcome of a call.
@@ -62,13 +66,14 @@
                                   std::function<void(Result<jobs::JobState>)> done);
   void TryCancel(const std::string& id, TimePoint retry_deadline, TimePoint deadline,
                  std::function<void(std::error_code)> done);
-  void TryCountWaiting(const std::string& queue, TimePoint retry_deadline,
-                       std::function<void(Result<int>)> done);
+  void TryCountWaiting(const std::shared_ptr<PendingCount>& count);
+  void FinishCount(const PendingCount& count, const dispatch::WaitingCounts& counts, Duration age);
 
   store::KeyStore* const store_;
   const Timer timer_;
   metrics::Registry* const metrics_;
   StoreHealth* const health_;
+  const RevisionHistory* const revisions_;
 };
 
 }  // namespace pomelopond::entry
--- a/src/entry/pool_owner_watchers.cc
+++ b/src/entry/pool_owner_watchers.cc
@@ -10,6 +10,13 @@
 #include "entry/pool_owner.h"
 
 namespace pomelopond::entry {
+namespace {
+
+// Maximum wait of one watch of the jobs. Each answer renews the revision up to which all jobs are
+// known, on which the age of the waiting counts depends.
+constexpr Duration kJobsWatchWait = std::chrono::milliseconds(500);
+
+}  // namespace
 
 void PoolOwner::Load() {
   store_->Get(kWorkersKey, BindToGeneration([this](const Result<store::Item>& item) {
@@ -69,8 +76,8 @@
     }
     ApplyJobItems(items, false);
   });
-  jobs.on_current = BindToGeneration(
-      [this](TimePoint, int64_t revision) { dispatcher_->OnJobsSeen(revision); });
+  jobs.on_current =
+      BindToGeneration([this](TimePoint, int64_t revision) { dispatcher_->OnJobsSeen(revision); });
   WatchHandlers workers;
   workers.on_list =
       BindToGeneration([this](const std::vector<store::Item>& items) { ApplyWorkerList(items); });
@@ -84,7 +91,7 @@
     }
   });
   job_watcher_ =
-      std::make_shared<PrefixWatcher>(store_, timer_, kJobPrefix, kWatchWait, std::move(jobs));
+      std::make_shared<PrefixWatcher>(store_, timer_, kJobPrefix, kJobsWatchWait, std::move(jobs));
   worker_watcher_ = std::make_shared<PrefixWatcher>(store_, timer_, options_.worker_prefix,
                                                     kWatchWait, std::move(workers));
   job_watcher_->Start();
--- a/tests/dispatch/pending_job_test.cc
+++ b/tests/dispatch/pending_job_test.cc
@@ -33,7 +33,7 @@
 // that no worker has confirmed.
 TEST_F(PendingJobTest, JobIsPendingWhileItsStartIsOnItsWay) {
   EXPECT_EQ(State(), jobs::JobState::kPending);
-  EXPECT_EQ(it.dispatcher.WaitingCounts(it.WallMs()).at("queue"), 1);
+  EXPECT_EQ(it.dispatcher.CurrentWaitingCounts(it.WallMs()).by_queue.at("queue"), 1);
   EXPECT_EQ(it.dispatcher.Summary(it.now).unconfirmed_jobs, 1);
 }
 
@@ -51,7 +51,7 @@
 TEST_F(PendingJobTest, ConfirmedStartMakesTheJobRunning) {
   AnswerStart(OrderStatus::kAccepted);
   EXPECT_EQ(State(), jobs::JobState::kRunning);
-  EXPECT_TRUE(it.dispatcher.WaitingCounts(it.WallMs()).empty());
+  EXPECT_TRUE(it.dispatcher.CurrentWaitingCounts(it.WallMs()).by_queue.empty());
 }
 
 // Guards against a job that stays pending because the answer to its start was lost.
@@ -67,5 +67,38 @@
   EXPECT_EQ(State(), jobs::JobState::kRunning);
 }
 
+class StoredCountsTest : public ::testing::Test {
+ protected:
+  // Returns the counts of the commits that are due.
+  std::optional<WaitingCounts> Written() {
+    std::optional<WaitingCounts> written;
+    while (const std::optional<Commit> commit = it.dispatcher.NextCommit(it.now, it.WallMs())) {
+      if (commit->waiting_counts) written = DecodeWaitingCounts(*commit->waiting_counts).value;
+      it.dispatcher.OnCommitted(*commit);
+    }
+    return written;
+  }
+
+  Scenario it;
+};
+
+// Guards against a record whose age cannot be told, since it is written only when a count changes.
+TEST_F(StoredCountsTest, UnchangedCountsAreRenewed) {
+  it.dispatcher.OnJobsSeen(20);
+  EXPECT_EQ(Written(), (WaitingCounts{20, {}}));
+  it.Advance(std::chrono::seconds(1));
+  it.dispatcher.OnJobsSeen(25);
+  EXPECT_EQ(Written(), (WaitingCounts{25, {}}));
+}
+
+// Guards against an owner that claims to know jobs which its watch has not told it of.
+TEST_F(StoredCountsTest, CountsNameTheRevisionOfTheLastJobsSeen) {
+  it.dispatcher.OnJobsSeen(20);
+  Written();
+  it.Advance(std::chrono::seconds(1));
+  it.dispatcher.AddJob(MakeJob(kJob, {MakeStep(1)}), {}, false, 30);
+  EXPECT_EQ(Written(), (WaitingCounts{20, {{"queue", 1}}}));
+}
+
 }  // namespace
 }  // namespace pomelopond::dispatch
--- a/tests/entry/job_service_test.cc
+++ b/tests/entry/job_service_test.cc
@@ -6,7 +6,7 @@
 #include <optional>
 #include <thread>
 
-#include "dispatch/dispatcher.h"
+#include "dispatch/waiting_counts.h"
 #include "entry/keys.h"
 #include "tests/entry/memory_store.h"
 
@@ -30,7 +30,7 @@
             [this](Duration delay, const std::function<void()>& work) {
               timers.emplace_back(delay, work);
             },
-            &metrics, &health) {}
+            &metrics, &health, &revisions) {}
 
   // Waits for each timer that the service has set and runs its function.
   void RunTimers() {
@@ -66,10 +66,23 @@
     return result;
   }
 
+  Result<int> Count(const std::string& queue) {
+    Result<int> result{ResultCode::kInternal, {}};
+    service.CountWaiting(queue, Now() + std::chrono::seconds(3),
+                         [&result](const Result<int>& it) { result = it; });
+    RunTimers();
+    return result;
+  }
+
+  void WriteCounts(const dispatch::WaitingCounts& counts) {
+    store.Apply({{}, {{kWaitingKey, Encode(counts), 0}}, {}});
+  }
+
   MemoryStore store;
   std::deque<std::pair<Duration, std::function<void()>>> timers;
   metrics::Registry metrics;
   StoreHealth health;
+  RevisionHistory revisions;
   JobService service;
 };
 
@@ -153,13 +166,39 @@
 }
 
 TEST_F(JobServiceTest, WaitingCountsAreTheOwners) {
-  store.Apply({{}, {{kWaitingKey, dispatch::EncodeWaiting({{"queue", 3}}), 0}}, {}});
-  int count = -1;
-  const auto read = [&count](const Result<int>& it) { count = it.value; };
-  service.CountWaiting("queue", Now() + std::chrono::seconds(3), read);
-  EXPECT_EQ(count, 3);
-  service.CountWaiting("other", Now() + std::chrono::seconds(3), read);
-  EXPECT_EQ(count, 0);
+  revisions.Record(Now(), store.revision);
+  WriteCounts({store.revision, {{"queue", 3}}});
+  EXPECT_EQ(Count("queue").value, 3);
+  EXPECT_EQ(Count("other").value, 0);
+}
+
+// Guards against a count that is given although the jobs accepted since are not in it.
+TEST_F(JobServiceTest, CountsOlderThanTheirLimitAreRefused) {
+  WriteCounts({store.revision, {{"queue", 3}}});
+  revisions.Record(Now() - std::chrono::seconds(3), store.revision);
+  Submit();
+  revisions.Record(Now() - std::chrono::seconds(1), store.revision);
+  EXPECT_EQ(Count("queue").ec, ResultCode::kOutdated);
+}
+
+// Guards against a count of 0 before any owner has counted.
+TEST_F(JobServiceTest, CountsThatNoOwnerHasWrittenAreRefused) {
+  revisions.Record(Now(), store.revision);
+  EXPECT_EQ(Count("queue").ec, ResultCode::kOutdated);
+}
+
+// Guards against a refusal because the count was read just before the owner renewed it.
+TEST_F(JobServiceTest, OutdatedCountsAreReadAgain) {
+  WriteCounts({store.revision, {{"queue", 3}}});
+  Submit();
+  revisions.Record(Now(), store.revision);
+  Result<int> result{ResultCode::kInternal, {}};
+  service.CountWaiting("queue", Now() + std::chrono::seconds(3),
+                       [&result](const Result<int>& it) { result = it; });
+  EXPECT_EQ(timers.size(), 1U);
+  WriteCounts({store.revision, {{"queue", 4}}});
+  RunTimers();
+  EXPECT_EQ(result.value, 4);
 }
 
 }  // namespace
--- a/tests/entry/owner_support.h
+++ b/tests/entry/owner_support.h
@@ -1,13 +1,18 @@
-// What tests of PoolOwner share: workers that do not answer, and polling for a condition.
+// What tests of PoolOwner share: workers that do not answer, a timer, polling for a condition.
 #ifndef POMELOPOND_TESTS_ENTRY_OWNER_SUPPORT_H_
 #define POMELOPOND_TESTS_ENTRY_OWNER_SUPPORT_H_
 
 #include <atomic>
 #include <functional>
+#include <memory>
+#include <mutex>
 #include <thread>
+#include <utility>
 
 #include "base/time.h"
 #include "dispatch/worker_calls.h"
+#include "entry/prefix_watcher.h"
+#include "http/http_client.h"
 
 namespace pomelopond::entry {
 
@@ -22,6 +27,31 @@
   std::atomic<int> disconnects{0};
 };
 
+// A timer that runs nothing after Stop(), so that its users can be destroyed then.
+class StoppableTimer {
+ public:
+  Timer Get() {
+    return [state = state_](Duration delay, std::function<void()> work) {
+      http::RunAfter(delay, [state, work = std::move(work)] {
+        const std::lock_guard<std::mutex> lock(state->mutex);
+        if (!state->stopped) work();
+      });
+    };
+  }
+
+  void Stop() {
+    const std::lock_guard<std::mutex> lock(state_->mutex);
+    state_->stopped = true;
+  }
+
+ private:
+  struct State {
+    std::mutex mutex;  // guards stopped; held while a function runs, before all other locks
+    bool stopped = false;
+  };
+  const std::shared_ptr<State> state_ = std::make_shared<State>();
+};
+
 // Returns false if the condition does not hold within 10 s.
 inline bool WaitFor(const std::function<bool()>& condition) {
   constexpr int kPolls = 1000;
--- a/tests/entry/waiting_count_test.cc
+++ b/tests/entry/waiting_count_test.cc
@@ -5,10 +5,10 @@
 #include <future>
 #include <thread>
 
+#include "entry/catalog_watcher.h"
 #include "entry/job_service.h"
 #include "entry/keys.h"
 #include "entry/pool_owner.h"
-#include "http/http_client.h"
 #include "tests/entry/memory_store.h"
 #include "tests/entry/owner_support.h"
 
@@ -42,10 +42,21 @@
 class WaitingCountTest : public ::testing::Test {
  protected:
   WaitingCountTest()
-      : service(&store, http::RunAfter, &metrics, &health),
-        owner(Options(), &store, &workers, http::RunAfter, &metrics) {}
+      : catalog(&store, timer.Get(), "config", ReadNone, &catalog_health, &revisions),
+        service(&store, timer.Get(), &metrics, &health, &revisions),
+        owner(Options(), &store, &workers, http::RunAfter, &metrics) {
+    catalog.Start();
+  }
+
+  ~WaitingCountTest() override {
+    owner.Stop();
+    catalog.Stop();
+    timer.Stop();
+  }
 
-  ~WaitingCountTest() override { owner.Stop(); }
+  static Result<jobs::Catalog> ReadNone(const store::Item&) {
+    return {ResultCode::kStoreBadAnswer, {}};
+  }
 
   static OwnerOptions Options() {
     OwnerOptions options;
@@ -83,10 +94,14 @@
     return answer.get_future().get();
   }
 
+  StoppableTimer timer;
   MemoryStore store;
   StartingWorkers workers;
   metrics::Registry metrics;
   StoreHealth health;
+  StoreHealth catalog_health;  // the store fails each second watch
+  RevisionHistory revisions;
+  CatalogWatcher catalog;  // its answers tell the store's revision
   JobService service;
   PoolOwner owner;
 };
--- a/tests/platform/hostile_input_test.cc
+++ b/tests/platform/hostile_input_test.cc
@@ -151,7 +151,7 @@
          entry::DecodeTerm(bytes).ec == ResultCode::kStoreBadAnswer &&
          dispatch::DecodeLeaseBounds(bytes).ec == ResultCode::kStoreBadAnswer &&
          dispatch::DecodeWorkersInUse(bytes).ec == ResultCode::kStoreBadAnswer &&
-         dispatch::DecodeWaiting(bytes).ec == ResultCode::kStoreBadAnswer &&
+         dispatch::DecodeWaitingCounts(bytes).ec == ResultCode::kStoreBadAnswer &&
          planning::DecodeEvents(bytes).ec == ResultCode::kStoreBadAnswer &&
          planning::DecodeSnapshot(bytes).ec == ResultCode::kStoreBadAnswer;
 }
@@ -212,7 +212,7 @@
   check(Json::from_msgpack(jobs::Encode(progress)), jobs::DecodeProgress);
   check(Json::array({2, "owner", 7, 500}), entry::DecodeTerm);
   check(Json::array({2, {{"w", 30}}}), dispatch::DecodeLeaseBounds);
-  check({{"queue", 3}}, dispatch::DecodeWaiting);
+  check(Json::array({2, {{"queue", 3}}}), dispatch::DecodeWaitingCounts);
 }
 
 // Guards against a submission that terminates the process, or that is accepted but cannot be run.
