Caller API: an outdated catalog does not deny a queue

Callers would see: 404 for a queue that was added while their host could not read the configuration, and a caller takes 404 as final. Change: the watcher keeps when the copy was last confirmed as the newest. Evidence: CallerApiTest.OutdatedCatalogDoesNotDenyAQueue; the code before has no time to compare and answers 404.

--- a/src/entry/catalog_watcher.cc
+++ b/src/entry/catalog_watcher.cc
@@ -25,8 +25,10 @@
       if (!it.deleted) UpdateCatalog(it.item);
     }
   };
-  handlers.on_current = [revisions](TimePoint sent, int64_t revision) {
+  handlers.on_current = [this, revisions](TimePoint sent, int64_t revision) {
     revisions->Record(sent, revision);
+    const std::lock_guard<std::mutex> lock(mutex_);
+    current_.confirmed_at = sent;
   };
   handlers.on_success = [health] { health->OnSuccess(); };
   handlers.on_error = [health](std::error_code) { health->OnFailure(); };
@@ -42,13 +44,15 @@
   Result<jobs::Catalog> catalog = reader_(item);
   if (!catalog.ok()) return;
   const std::lock_guard<std::mutex> lock(mutex_);
-  if (current_ != nullptr && catalog.value.version <= current_->version) return;
+  const bool known =
+      current_.catalog != nullptr && catalog.value.version <= current_.catalog->version;
+  if (known) return;
   Log(LogLevel::kInfo, "catalog", "in_force",
       {{"version", catalog.value.version}, {"queues", catalog.value.queues.size()}});
-  current_ = std::make_shared<const jobs::Catalog>(std::move(catalog.value));
+  current_.catalog = std::make_shared<const jobs::Catalog>(std::move(catalog.value));
 }
 
-jobs::CatalogPtr CatalogWatcher::Current() const {
+CatalogView CatalogWatcher::Current() const {
   const std::lock_guard<std::mutex> lock(mutex_);
   return current_;
 }
--- a/src/entry/catalog_watcher.h
+++ b/src/entry/catalog_watcher.h
@@ -14,6 +14,13 @@
 
 namespace pomelopond::entry {
 
+// What this host knows of the operators' catalog.
+struct CatalogView {
+  jobs::CatalogPtr catalog;  // null if none has been read yet
+  // The catalog was the newest one when the store answered a call that was sent at this time.
+  TimePoint confirmed_at;
+};
+
 class CatalogWatcher {
  public:
   using Reader = std::function<Result<jobs::Catalog>(const store::Item&)>;
@@ -25,16 +32,15 @@
   void Start();
   void Stop();
 
-  // Returns the newest catalog, or null if none has been read yet. An older version never replaces
-  // a newer one.
-  jobs::CatalogPtr Current() const;
+  // Returns the newest catalog that has been read. An older version never replaces a newer one.
+  CatalogView Current() const;
 
  private:
   void UpdateCatalog(const store::Item& item);
 
   const Reader reader_;
   mutable std::mutex mutex_;  // guards the members below; a leaf in every lock order
-  jobs::CatalogPtr current_;
+  CatalogView current_;
   std::shared_ptr<PrefixWatcher> watcher_;
 };
 
--- /dev/null
+++ b/tests/platform/caller_api_test.cc
@@ -0,0 +1,66 @@
+#include "platform/caller_api.h"
+
+#include <gtest/gtest.h>
+
+#include "tests/entry/memory_store.h"
+
+namespace pomelopond::platform {
+namespace {
+
+constexpr Duration kLongAgo = std::chrono::seconds(3);
+
+class CallerApiTest : public ::testing::Test {
+ protected:
+  CallerApiTest()
+      : jobs(
+            &store, [](Duration, const std::function<void()>&) {}, &metrics, &health, &revisions),
+        api(&jobs, [this] { return view; }) {
+    jobs::Catalog catalog;
+    jobs::Queue queue;
+    queue.host = "a.example";
+    queue.prefix = "/known/";
+    queue.rules.queue = "known";
+    catalog.queues.push_back(queue);
+    view.catalog = std::make_shared<const jobs::Catalog>(catalog);
+    view.confirmed_at = Now();
+  }
+
+  http::HttpResponse Get(const std::string& path) {
+    http::HttpRequest request;
+    request.method = "GET";
+    request.path = path;
+    request.headers["Host"] = "a.example";
+    http::HttpResponse response;
+    api.Handle(request, [&response](const http::HttpResponse& it) { response = it; });
+    return response;
+  }
+
+  entry::MemoryStore store;
+  metrics::Registry metrics;
+  entry::StoreHealth health;
+  entry::RevisionHistory revisions;
+  entry::JobService jobs;
+  entry::CatalogView view;
+  CallerApi api;
+};
+
+TEST_F(CallerApiTest, QueueThatTheNewestCatalogLacksDoesNotExist) {
+  EXPECT_EQ(Get("/unknown/").status, 404);
+}
+
+// Guards against a denial of a queue that was added while this host could not read the catalog.
+TEST_F(CallerApiTest, OutdatedCatalogDoesNotDenyAQueue) {
+  view.confirmed_at = Now() - kLongAgo;
+  const http::HttpResponse response = Get("/unknown/");
+  EXPECT_EQ(response.status, 503);
+  EXPECT_EQ(response.headers.count("Retry-After"), 1U);
+}
+
+// Guards against requests for known queues that are refused while only the catalog cannot be read.
+TEST_F(CallerApiTest, OutdatedCatalogServesItsQueues) {
+  view.confirmed_at = Now() - kLongAgo;
+  EXPECT_EQ(Get("/known/00000000000000aa").status, 410);
+}
+
+}  // namespace
+}  // namespace pomelopond::platform
