--- a/tests/entry/owner_support.h
+++ b/tests/entry/owner_support.h
@@ -1,4 +1,4 @@
-// What tests of PoolOwner share: workers that do not answer, a timer, polling for a condition.
+// What tests of PoolOwner share: a worker, a job, a timer, and polling for a condition.
 #ifndef POMELOPOND_TESTS_ENTRY_OWNER_SUPPORT_H_
 #define POMELOPOND_TESTS_ENTRY_OWNER_SUPPORT_H_
 
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <string>
 #include <thread>
 #include <utility>
 
@@ -13,6 +14,8 @@
 #include "dispatch/worker_calls.h"
 #include "entry/prefix_watcher.h"
 #include "http/http_client.h"
+#include "jobs/job.h"
+#include "store/key_store.h"
 
 namespace pomelopond::entry {
 
@@ -27,6 +30,27 @@
   std::atomic<int> disconnects{0};
 };
 
+// The worker that every registration names.
+inline Result<dispatch::WorkerInfo> ReadOneWorker(const store::Item&) {
+  dispatch::WorkerInfo worker;
+  worker.id = "w1";
+  worker.service = "pool";
+  worker.endpoint = {"10.0.0.1", 1};
+  worker.capacity = {8000, 8000, 0};
+  worker.incarnation = 1;
+  return {{}, worker};
+}
+
+// A job of one task for that worker's pool.
+inline jobs::Job OneTask(const std::string& id) {
+  jobs::Job job;
+  job.id = id;
+  job.rules.service = "pool";
+  job.steps.resize(1);
+  job.steps[0].request = {1000, 100, 0};
+  return job;
+}
+
 // A timer that runs nothing after Stop(), so that its users can be destroyed then.
 class StoppableTimer {
  public:
--- a/tests/entry/pool_owner_test.cc
+++ b/tests/entry/pool_owner_test.cc
@@ -7,7 +7,6 @@
 
 #include "entry/campaign_delay.h"
 #include "entry/keys.h"
-#include "http/http_client.h"
 #include "tests/entry/memory_store.h"
 #include "tests/entry/owner_support.h"
 
@@ -28,6 +27,7 @@
     return options;
   }
 
+  StoppableTimer timer;
   MemoryStore store;
   UnresponsiveWorkers workers;
   metrics::Registry metrics;
@@ -37,20 +37,22 @@
 // would run until the process exits.
 TEST_F(PoolOwnerTest, OwnerThatCannotLoadGivesUp) {
   store.failing_prefix = kProgressPrefix;
-  PoolOwner owner(Options(), &store, &workers, http::RunAfter, &metrics);
+  PoolOwner owner(Options(), &store, &workers, timer.Get(), &metrics);
   owner.Start();
   ASSERT_TRUE(WaitFor([&owner] { return owner.IsOwner(); }));
   EXPECT_TRUE(WaitFor([this] { return store.ended_leases.load() > 0; }));
   owner.Stop();
+  timer.Stop();
 }
 
 // Guards against earlier owners that keep connections open on workers, which accept few.
 TEST_F(PoolOwnerTest, OwnerThatStepsDownDisconnects) {
-  PoolOwner owner(Options(), &store, &workers, http::RunAfter, &metrics);
+  PoolOwner owner(Options(), &store, &workers, timer.Get(), &metrics);
   owner.Start();
   ASSERT_TRUE(WaitFor([&owner] { return owner.IsOwner(); }));
   EXPECT_EQ(workers.disconnects.load(), 0);
   owner.Stop();
+  timer.Stop();
   EXPECT_EQ(workers.disconnects.load(), 1);
 }
 
@@ -74,14 +76,9 @@
   store.Apply({{}, {{"workers/w1", "", 0}}, {}});
   store.commit_behaviors = {CommitBehavior::kAnswered, CommitBehavior::kNeverAnswered};
   OwnerOptions options = Options();
-  options.read_worker = [](const store::Item&) {
-    dispatch::WorkerInfo worker;
-    worker.id = "w1";
-    worker.endpoint = {"10.0.0.1", 1};
-    return Result<dispatch::WorkerInfo>{{}, worker};
-  };
+  options.read_worker = ReadOneWorker;
   StaleEpochWorkers later;
-  PoolOwner owner(options, &store, &later, http::RunAfter, &metrics);
+  PoolOwner owner(options, &store, &later, timer.Get(), &metrics);
   owner.Start();
   EXPECT_TRUE(WaitFor([this] {
     const std::lock_guard<std::recursive_mutex> lock(store.mutex);
@@ -89,6 +86,7 @@
   }));
   EXPECT_EQ(DecodeTerm(store.items[kTermKey].value).value.epoch, 2);
   owner.Stop();
+  timer.Stop();
 }
 
 // Answers the first heartbeat, so that the worker is known to be present, and counts the starts.
@@ -109,31 +107,14 @@
   std::atomic<bool> reported_{false};
 };
 
-jobs::Job OneTask(const std::string& id) {
-  jobs::Job job;
-  job.id = id;
-  job.rules.service = "pool";
-  job.steps.resize(1);
-  job.steps[0].request = {1000, 100, 0};
-  return job;
-}
-
 // Guards against a replaced owner that starts a job accepted after its replacement. The next owner
 // would start the same job as well.
 TEST_F(PoolOwnerTest, ReplacedOwnerStartsNoJobThatIsNewerThanItsTerm) {
   store.Apply({{}, {{"workers/w1", "", 0}}, {}});
   OwnerOptions options = Options();
-  options.read_worker = [](const store::Item&) {
-    dispatch::WorkerInfo worker;
-    worker.id = "w1";
-    worker.service = "pool";
-    worker.endpoint = {"10.0.0.1", 1};
-    worker.capacity = {8000, 8000, 0};
-    worker.incarnation = 1;
-    return Result<dispatch::WorkerInfo>{{}, worker};
-  };
+  options.read_worker = ReadOneWorker;
   CountingWorkers counting;
-  PoolOwner owner(options, &store, &counting, http::RunAfter, &metrics);
+  PoolOwner owner(options, &store, &counting, timer.Get(), &metrics);
   owner.Start();
   const std::string first = "00000000000000aa";
   const std::string second = "00000000000000bb";
@@ -153,6 +134,7 @@
   EXPECT_TRUE(WaitFor([&owner] { return !owner.IsOwner(); }));
   EXPECT_EQ(counting.starts.load(), 1);
   owner.Stop();
+  timer.Stop();
 }
 
 // Guards against a slow host that becomes the owner of a pool that faster hosts can own, and
@@ -160,13 +142,13 @@
 TEST_F(PoolOwnerTest, SlowHostWaitsForFasterOnesBeforeItTakesOver) {
   store.Apply({{}, {{kTermKey, Encode(Term{1, "host-2", 0, 500}), 0}}, {}});
   std::atomic<int> yields{0};
-  const Timer timer = [&yields](Duration delay, std::function<void()> work) {
+  const Timer counting = [&yields, run = timer.Get()](Duration delay, std::function<void()> work) {
     if (delay == YieldTime(100, 500)) yields += 1;
-    http::RunAfter(delay, std::move(work));
+    run(delay, std::move(work));
   };
   OwnerOptions options = Options();
   options.processor_milli = 100;
-  PoolOwner owner(options, &store, &workers, timer, &metrics);
+  PoolOwner owner(options, &store, &workers, counting, &metrics);
   owner.Start();
   ASSERT_TRUE(WaitFor([&owner] { return owner.IsOwner(); }));
   EXPECT_EQ(yields.load(), 1);
@@ -175,13 +157,15 @@
     EXPECT_EQ(DecodeTerm(store.items[kTermKey].value).value.fastest_milli, 500);
   }
   owner.Stop();
+  timer.Stop();
 }
 
 TEST_F(PoolOwnerTest, StoppedOwnerEndsItsLease) {
-  PoolOwner owner(Options(), &store, &workers, http::RunAfter, &metrics);
+  PoolOwner owner(Options(), &store, &workers, timer.Get(), &metrics);
   owner.Start();
   ASSERT_TRUE(WaitFor([&owner] { return owner.IsOwner(); }));
   owner.Stop();
+  timer.Stop();
   EXPECT_FALSE(owner.IsOwner());
   EXPECT_EQ(store.ended_leases.load(), 1);
 }
--- a/tests/entry/waiting_count_test.cc
+++ b/tests/entry/waiting_count_test.cc
@@ -62,26 +62,15 @@
     OwnerOptions options;
     options.process = "host-1";
     options.worker_prefix = "workers/";
-    options.read_worker = [](const store::Item&) {
-      dispatch::WorkerInfo worker;
-      worker.id = "w1";
-      worker.service = "pool";
-      worker.endpoint = {"10.0.0.1", 1};
-      worker.capacity = {8000, 8000, 0};
-      worker.incarnation = 1;
-      return Result<dispatch::WorkerInfo>{{}, worker};
-    };
+    options.read_worker = ReadOneWorker;
     return options;
   }
 
-  void SubmitJobs(const std::string& service_name) {
+  void SubmitJobs(const std::string& pool) {
     for (int n = 0; n < kJobs; ++n) {
-      jobs::Job job;
-      job.id = "00000000000000a" + std::to_string(n);
+      jobs::Job job = OneTask("00000000000000a" + std::to_string(n));
       job.rules.queue = kQueue;
-      job.rules.service = service_name;
-      job.steps.resize(1);
-      job.steps[0].request = {1000, 100, 0};
+      job.rules.service = pool;
       service.Submit(job, Now() + std::chrono::seconds(3),
                      [](std::error_code ec) { EXPECT_FALSE(ec); });
     }
