Soak of pomelopond-entry: true answers while hosts, store and workers fail

Four processes, six workers and a store; pauses, kills, stops, reloads, store outages, silent connections, worker crashes and cuts, and new queues come in series that overlap, drawn from a seed. Four callers keep their connections. It uses the stand-ins of review/ as they are.

--- /dev/null
+++ b/tests/soak/entry_soak_test.cc
@@ -0,0 +1,385 @@
+// Soak of pomelopond-entry: several processes, a store and workers that fail, restart and go silent
+// in series that overlap, and callers that keep their connections. SOAK_SEED and SOAK_SECONDS
+// choose the series and its length.
+#include <gtest/gtest.h>
+#include <signal.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cstdlib>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <random>
+#include <set>
+#include <thread>
+
+#include "base/endpoint.h"
+#include "base/json.h"
+#include "base/time.h"
+#include "review/cluster.h"
+#include "review/worker.h"
+#include "tests/support/raw_client.h"
+
+namespace pomelopond {
+namespace {
+
+constexpr int kHosts = 4;
+constexpr int kWorkers = 6;
+constexpr int kCallers = 4;
+constexpr int kMaxAttempts = 3;
+constexpr int kMaxReplicas = 4;
+constexpr int64_t kTaskMs = 300;
+constexpr int64_t kWorkersKnownMs = 4000;
+constexpr Duration kCallTimeout = std::chrono::seconds(3);
+// Callers may be told what was true this long before their request.
+constexpr Duration kMaxAge = std::chrono::seconds(2);
+// All jobs have to be completed this long after the last trouble.
+constexpr Duration kFinishTime = std::chrono::seconds(30);
+constexpr const char* kQueueHost = "nony24.example";
+
+int FromEnvironment(const char* name, int otherwise) {
+  const char* text = std::getenv(name);
+  return text == nullptr ? otherwise : std::atoi(text);
+}
+
+struct AcceptedJob {
+  int tasks = 0;
+  TimePoint accepted_at;
+  bool cancelled = false;  // the cancellation has been sent
+};
+
+class Random {
+ public:
+  explicit Random(uint64_t seed) : random_(seed) {}
+  int Between(int low, int high) { return std::uniform_int_distribution<>(low, high)(random_); }
+  Duration MsBetween(int low, int high) { return std::chrono::milliseconds(Between(low, high)); }
+
+ private:
+  std::mt19937_64 random_;
+};
+
+bool IsTaskOf(const review::Run& run, const std::string& job) {
+  return run.task.compare(0, job.size(), job) == 0;
+}
+
+bool HasBegun(const std::vector<review::Run>& runs, const std::string& job) {
+  return std::any_of(runs.begin(), runs.end(),
+                     [&job](const review::Run& it) { return IsTaskOf(it, job); });
+}
+
+int DoneTasks(const std::vector<review::Run>& runs, const std::string& job) {
+  int done = 0;
+  for (const review::Run& it : runs) done += IsTaskOf(it, job) && it.how == "done" ? 1 : 0;
+  return done;
+}
+
+class EntrySoakTest : public ::testing::Test {
+ protected:
+  // The stand-ins' threads run until the process ends, so nothing of them is destroyed.
+  EntrySoakTest() : cluster_(new review::Cluster(kHosts)) {
+    for (int n = 0; n < kWorkers; ++n) {
+      review::WorkerOptions options;
+      options.id = "i-5ea4c10" + std::to_string(n);
+      options.address = "127.0.0." + std::to_string(80 + n);
+      options.service = review::kService;
+      options.task_ms = kTaskMs;
+      workers_.push_back(new review::Worker(options, &cluster_->store, &cluster_->ledger));
+      workers_.back()->Start();
+    }
+    queues_[review::kPrefix] = Now();
+  }
+
+  ~EntrySoakTest() override { cluster_->Stop(); }
+
+  void Fault(const std::string& text) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    cluster_->ledger.Record("BROKEN " + text);
+    faults_.push_back(text);
+  }
+
+  // Callers.
+  void Call(int number);
+  void Submit(support::RawClient* client, Random* random, int number);
+  void CheckState(support::RawClient* client, const std::string& id);
+  void CheckCount(support::RawClient* client);
+  void CheckQueue(support::RawClient* client, Random* random);
+  void Cancel(support::RawClient* client, const std::string& id);
+  std::string AnyJob(Random* random);
+  using Answer = std::optional<http::HttpResponse>;  // none if the call failed
+  static Answer Ask(support::RawClient* client, const std::string& method, const std::string& path,
+                    const std::string& body = {});
+
+  // Troubles.
+  void MakeTrouble(Random* random);
+  void StopHost(Random* random, int signal, Duration pause);
+  void FailWorker(Random* random);
+  void AddQueue();
+  void EndTroubles(bool all);
+  void After(Duration delay, std::function<void()> work) {
+    ends_.emplace(Now() + delay, std::move(work));
+  }
+
+  bool AllCompleted();
+
+  review::Cluster* const cluster_;
+  std::vector<review::Worker*> workers_;
+  std::atomic<bool> stopping_{false};
+  std::atomic<int> recent_counts_{0};
+  std::multimap<TimePoint, std::function<void()>> ends_;  // of troubles
+  std::set<size_t> troubled_hosts_;
+  std::set<size_t> troubled_workers_;
+  bool store_troubled_ = false;
+  int config_version_ = 1;
+
+  std::mutex mutex_;  // guards the members below
+  std::map<std::string, AcceptedJob> jobs_;
+  std::map<std::string, TimePoint> queues_;  // by prefix: when the configuration was confirmed
+  std::vector<std::string> faults_;
+};
+
+EntrySoakTest::Answer EntrySoakTest::Ask(support::RawClient* client, const std::string& method,
+                                         const std::string& path, const std::string& body) {
+  const std::string request =
+      method + " " + path + " HTTP/1.1\r\nHost: " + kQueueHost +
+      "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
+      "\r\n\r\n" + body;
+  if (!client->Connect() || !client->Write(request)) {
+    client->Close();
+    return std::nullopt;
+  }
+  return client->Read(kCallTimeout);
+}
+
+std::string EntrySoakTest::AnyJob(Random* random) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (jobs_.empty()) return {};
+  return std::next(jobs_.begin(), random->Between(0, static_cast<int>(jobs_.size()) - 1))->first;
+}
+
+void EntrySoakTest::Submit(support::RawClient* client, Random* random, int number) {
+  std::string id = std::to_string(number) + std::to_string(random->Between(100000000, 999999999));
+  id.resize(16, '0');
+  const int tasks = random->Between(1, kMaxReplicas);
+  const Json step = {{"replicas", tasks}, {"cpu", 1000}, {"mem_mb", 100}, {"estimate_ms", kTaskMs}};
+  const Json body = {{"spec", "soak"}, {"steps", Json::array({step})}};
+  const Answer answer = Ask(client, "POST", review::kPrefix + id, body.dump());
+  if (!answer) return;
+  if (answer->status == 404) Fault("404 for a queue that exists: " + id);
+  if (answer->status != 200) return;
+  const std::lock_guard<std::mutex> lock(mutex_);
+  jobs_[id] = {tasks, Now(), false};
+}
+
+void EntrySoakTest::CheckState(support::RawClient* client, const std::string& id) {
+  const Answer answer = Ask(client, "GET", review::kPrefix + id);
+  if (!answer) return;
+  const int status = answer->status;
+  if (status == 404 || status == 410) return Fault(std::to_string(status) + " for " + id);
+  if (status != 200) return;
+  const std::vector<review::Run> runs = cluster_->ledger.Runs();
+  const std::string state = Json::parse(answer->body).at("state");
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const AcceptedJob& job = jobs_.at(id);
+  const bool is_false = (state == "running" && !HasBegun(runs, id)) ||
+                        (state == "completed" && DoneTasks(runs, id) < job.tasks) ||
+                        (state == "cancelled" && !job.cancelled) || state == "failed";
+  if (is_false) faults_.push_back(id + " is shown as " + state);
+}
+
+void EntrySoakTest::CheckCount(support::RawClient* client) {
+  const TimePoint sent = Now();
+  std::vector<std::string> accepted;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    for (const auto& [id, it] : jobs_) {
+      if (!it.cancelled && it.accepted_at < sent - kMaxAge) accepted.push_back(id);
+    }
+  }
+  const Answer answer = Ask(client, "GET", review::kPrefix);
+  if (!answer || answer->status != 200) return;
+  recent_counts_ += 1;
+  const int told = Json::parse(answer->body).at("waiting");
+  const std::vector<review::Run> runs = cluster_->ledger.Runs();
+  const std::lock_guard<std::mutex> lock(mutex_);
+  int waiting = 0;
+  for (const std::string& it : accepted) {
+    waiting += jobs_.at(it).cancelled || HasBegun(runs, it) ? 0 : 1;
+  }
+  if (told >= waiting) return;
+  faults_.push_back(std::to_string(told) + " jobs are said to wait, " + std::to_string(waiting) +
+                    " have waited for over 2 s");
+}
+
+void EntrySoakTest::CheckQueue(support::RawClient* client, Random* random) {
+  std::pair<std::string, TimePoint> queue;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const int n = random->Between(0, static_cast<int>(queues_.size()) - 1);
+    queue = *std::next(queues_.begin(), n);
+  }
+  const TimePoint sent = Now();
+  const Answer answer = Ask(client, "GET", queue.first);
+  if (!answer || answer->status != 404 || sent < queue.second + kMaxAge) return;
+  Fault("404 for " + queue.first + ", which was added over 2 s before");
+}
+
+void EntrySoakTest::Cancel(support::RawClient* client, const std::string& id) {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    jobs_.at(id).cancelled = true;
+  }
+  Ask(client, "DELETE", review::kPrefix + id);
+}
+
+void EntrySoakTest::Call(int number) {
+  Random random(static_cast<uint64_t>(number) * 1000 +
+                static_cast<uint64_t>(FromEnvironment("SOAK_SEED", 1)));
+  std::vector<std::unique_ptr<support::RawClient>> clients;
+  for (const review::EntryHost& it : cluster_->hosts) {
+    clients.push_back(std::make_unique<support::RawClient>(ParseEndpoint(it.Callers()).value));
+  }
+  while (!stopping_.load()) {
+    support::RawClient* client = clients[static_cast<size_t>(random.Between(0, kHosts - 1))].get();
+    const int draw = random.Between(1, 100);
+    const std::string job = AnyJob(&random);
+    if (draw <= 40 || job.empty()) {
+      Submit(client, &random, number);
+    } else if (draw <= 65) {
+      CheckState(client, job);
+    } else if (draw <= 85) {
+      CheckCount(client);
+    } else if (draw <= 95) {
+      CheckQueue(client, &random);
+    } else {
+      Cancel(client, job);
+    }
+    std::this_thread::sleep_for(random.MsBetween(20, 60));
+  }
+}
+
+// Stops or pauses a host, and lets it go on after `pause`.
+void EntrySoakTest::StopHost(Random* random, int signal, Duration pause) {
+  const bool owner_first = random->Between(0, 1) == 0;
+  const review::EntryHost* owner = owner_first ? cluster_->Owner() : nullptr;
+  size_t n = static_cast<size_t>(random->Between(0, kHosts - 1));
+  if (owner != nullptr) n = static_cast<size_t>(owner - cluster_->hosts.data());
+  if (!troubled_hosts_.insert(n).second) return;
+  review::EntryHost* host = &cluster_->hosts[n];
+  host->Signal(signal);
+  After(pause, [this, n, host, signal] {
+    if (signal == SIGSTOP) {
+      host->Signal(SIGCONT);
+    } else {
+      host->Kill();
+      host->Start();
+    }
+    troubled_hosts_.erase(n);
+  });
+}
+
+void EntrySoakTest::FailWorker(Random* random) {
+  const size_t n = static_cast<size_t>(random->Between(0, kWorkers - 1));
+  if (!troubled_workers_.insert(n).second) return;
+  review::Worker* worker = workers_[n];
+  const bool crash = random->Between(0, 1) == 0;
+  if (crash) worker->Crash();
+  if (!crash) worker->CutAtNextStart();
+  After(random->MsBetween(500, 4000), [this, n, worker, crash] {
+    if (crash) worker->StartAgain(std::chrono::milliseconds(200));
+    if (!crash) worker->EndCut();
+    troubled_workers_.erase(n);
+  });
+}
+
+void EntrySoakTest::AddQueue() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::vector<std::string> prefixes;
+  for (const auto& [prefix, added_at] : queues_) prefixes.push_back(prefix);
+  prefixes.push_back("/added" + std::to_string(config_version_) + "/");
+  config_version_ += 1;
+  cluster_->store.Put("op/config", review::Config(config_version_, kMaxAttempts, prefixes));
+  queues_[prefixes.back()] = Now();
+}
+
+void EntrySoakTest::MakeTrouble(Random* random) {
+  switch (random->Between(0, 9)) {
+    case 0:
+    case 1:
+      return StopHost(random, SIGSTOP, random->MsBetween(500, 6000));
+    case 2:
+      return StopHost(random, SIGKILL, random->MsBetween(300, 3000));
+    case 3:
+      return StopHost(random, SIGTERM, random->MsBetween(1000, 3000));
+    case 4:
+      return cluster_->hosts[static_cast<size_t>(random->Between(0, kHosts - 1))].Signal(SIGHUP);
+    case 5:
+      if (store_troubled_) return;
+      store_troubled_ = true;
+      cluster_->store.GoDown();
+      return After(random->MsBetween(200, 3000), [this] {
+        cluster_->store.Return();
+        store_troubled_ = false;
+      });
+    case 6:
+      return cluster_->store.SilenceOpenConnections();
+    case 7:
+      return AddQueue();
+    default:
+      return FailWorker(random);
+  }
+}
+
+void EntrySoakTest::EndTroubles(bool all) {
+  while (!ends_.empty() && (all || ends_.begin()->first <= Now())) {
+    const std::function<void()> end = ends_.begin()->second;
+    ends_.erase(ends_.begin());
+    end();
+  }
+}
+
+bool EntrySoakTest::AllCompleted() {
+  const std::vector<review::Run> runs = cluster_->ledger.Runs();
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return std::all_of(jobs_.begin(), jobs_.end(), [&runs](const auto& entry) {
+    const auto& [id, it] = entry;
+    return it.cancelled || DoneTasks(runs, id) >= it.tasks;
+  });
+}
+
+// Guards against an answer that is not true, a task that runs twice and a job that is lost.
+TEST_F(EntrySoakTest, CallersAreToldWhatIsTrue) {
+  ASSERT_TRUE(cluster_->Start(kMaxAttempts));
+  review::SleepMs(kWorkersKnownMs);
+  Random random(static_cast<uint64_t>(FromEnvironment("SOAK_SEED", 1)));
+  std::vector<std::thread> callers;
+  for (int n = 1; n <= kCallers; ++n) callers.emplace_back([this, n] { Call(n); });
+  const TimePoint until = Now() + std::chrono::seconds(FromEnvironment("SOAK_SECONDS", 40));
+  TimePoint next = Now();
+  while (Now() < until) {
+    EndTroubles(false);
+    if (Now() >= next) {
+      MakeTrouble(&random);
+      next = Now() + random.MsBetween(200, 1500);
+    }
+    review::SleepMs(20);
+  }
+  EndTroubles(true);
+  stopping_.store(true);
+  for (std::thread& it : callers) it.join();
+  const TimePoint finish = Now() + kFinishTime;
+  while (!AllCompleted() && Now() < finish) review::SleepMs(100);
+  EXPECT_TRUE(AllCompleted()) << "jobs are lost";
+  for (const std::string& it : faults_) ADD_FAILURE() << it;
+  for (const std::string& it : cluster_->ledger.Twice()) ADD_FAILURE() << it;
+  EXPECT_GT(jobs_.size(), 0U);
+  EXPECT_GT(recent_counts_.load(), 0);
+  std::cout << jobs_.size() << " jobs, " << recent_counts_.load() << " counts\n";
+  cluster_->ledger.Write("record-" + std::to_string(FromEnvironment("SOAK_SEED", 1)) + ".txt");
+}
+
+}  // namespace
+}  // namespace pomelopond
