Schedulers: job states and shards tell when the ownership was last confirmed

Operators saw: the state of a job from the memory of a scheduler that may have been replaced; during an outage of the store its age is unlimited and not told. Change: GET /v1/jobs/<id> and GET /v1/shards carry confirmed_ms. Evidence: TaskStoreTest.StateShownDuringAnOutageTellsItsAge; the member did not exist before.

--- a/apps/scheduler/shard_runner_requests.cc
+++ b/apps/scheduler/shard_runner_requests.cc
@@ -93,6 +93,7 @@
   }
   return {{"job", planning::ToJson(spec->second)},
           {"shard", shard_},
+          {"confirmed_ms", Milliseconds(Now() - ownership_confirmed_)},
           {"tasks", tasks},
           {"waits", planning::WaitReasonName(planning::WaitReasonOf(planner_, job))}};
 }
@@ -111,6 +112,7 @@
   }
   return {{"shard", shard_},
           {"epoch", epoch_},
+          {"confirmed_ms", Milliseconds(Now() - ownership_confirmed_)},
           {"jobs", state_.jobs.size()},
           {"tasks", states},
           {"hosts", workers_.size()},
--- a/tests/failure/task_store_test.cc
+++ b/tests/failure/task_store_test.cc
@@ -45,6 +45,24 @@
 // Guards against tasks that are stopped because every store call times out.
 TEST(TaskStoreTest, SlowStoreStopsNothing) { ExpectNothingStoppedBy({{"latency_ms", 1500}}, 142); }
 
+// Guards against a state given as present by an owner that may have been replaced long ago.
+TEST(TaskStoreTest, StateShownDuringAnOutageTellsItsAge) {
+  Cluster cluster(TaskClusterOptions(147));
+  cluster.StartFakes();
+  cluster.StartEntryHosts();
+  ASSERT_TRUE(cluster.PutDefaultReleaseInForce());
+  const std::vector<std::string> jobs = SubmitJobs(cluster, 1, kRunsUntilStopped, {0});
+  ASSERT_TRUE(WaitForState(cluster, jobs, "running", 0));
+  ASSERT_TRUE(SetFault(cluster.store(), {{"outage", true}}));
+  constexpr int64_t kOutageMs = 4000;
+  std::this_thread::sleep_for(std::chrono::milliseconds(kOutageMs));
+  const http::HttpResult shown =
+      Send(cluster.Scheduler(0), "GET", "/v1/jobs/" + jobs.front(), std::string());
+  ASSERT_EQ(shown.response.status, 200);
+  EXPECT_GE(Json::parse(shown.response.body).at("confirmed_ms").get<int64_t>(), kOutageMs);
+  ASSERT_TRUE(SetFault(cluster.store(), Json::object()));
+}
+
 // Guards against a job that is created twice, or not at all, when the store's answers are lost
 // after the write took effect and the caller repeats the submission with the same id.
 TEST(TaskStoreTest, LostAnswersCreateEachJobOnce) {
