Placement in a file of its own

Change: moved without changes to src/dispatch/placement.cc. Measured: nothing; the functions are the same.

--- /dev/null
+++ b/src/dispatch/placement.cc
@@ -0,0 +1,280 @@
+// Placement: which waiting task starts on which worker, in the order of the jobs' turns.
+#include <algorithm>
+#include <limits>
+
+#include "base/log.h"
+#include "dispatch/choose_worker.h"
+#include "dispatch/dispatcher.h"
+
+namespace pomelopond::dispatch {
+namespace {
+
+// Interval at which the estimates of a job are computed again, besides when one of its tasks is
+// done. Expected durations drift slowly.
+constexpr Duration kEstimateInterval = std::chrono::milliseconds(500);
+// Waiting tasks are placed again after this time even if no run has ended, since backoffs of
+// workers expire and expected tails fall.
+constexpr Duration kPlacementInterval = std::chrono::milliseconds(50);
+// Minimum time between placements, for each waiting job beyond kJobsWithoutPause. A placement tries
+// them all, so without a pause an owner with many of them would do little else.
+constexpr Duration kPausePerJob = std::chrono::microseconds(20);
+constexpr size_t kJobsWithoutPause = 50;
+// Number of workers in a permit order, unless many tasks wait.
+constexpr size_t kDefaultPermitWorkers = 30;
+
+Duration PlacementPause(size_t waiting_jobs) {
+  if (waiting_jobs <= kJobsWithoutPause) return Duration::zero();
+  return std::min<Duration>(kPausePerJob * (waiting_jobs - kJobsWithoutPause), kPlacementInterval);
+}
+
+// Time within which a worker confirms the start of a run, unless its answers get lost.
+constexpr Duration kConfirmationTime = std::chrono::seconds(1);
+
+bool IsWorking(const RunState& run, TimePoint now) {
+  if (run.phase == RunPhase::kStopping || (run.best_effort && run.pace == 0)) return false;
+  return run.phase == RunPhase::kRunning || now < run.ordered_at + kConfirmationTime;
+}
+
+bool IsFirstRun(const PlacementTurn& turn) {
+  return std::get<TurnKind>(turn.rank) == TurnKind::kFirstRun;
+}
+
+}  // namespace
+
+bool Dispatcher::IsWithheld(const JobEntry& entry, const TaskState& task) const {
+  return !IsReconciled(entry) && !task.adopted;
+}
+
+int Dispatcher::CountWithheld(const JobEntry& entry) const {
+  int n = 0;
+  if (IsReconciled(entry)) return n;
+  for (const std::vector<StepState>& steps : entry.steps) {
+    for (const StepState& step : steps) {
+      for (const TaskState& it : step.tasks) {
+        if (it.progress.done || !it.runs.empty()) continue;
+        n += IsWithheld(entry, it) ? 1 : 0;
+      }
+    }
+  }
+  return n;
+}
+
+void Dispatcher::PlaceTasks(TimePoint now, int64_t wall_ms, Orders* orders) {
+  // Without a recent proof of ownership no start order would be sent.
+  if (now >= last_proof_ + limits_.lease_horizon) return;
+  if (starts_in_flight_ >= limits_.max_starts_in_flight) return;
+  // Most decisions follow an answer that frees no capacity.
+  const Duration interval =
+      capacity_changed_ ? PlacementPause(placeable_.size()) : kPlacementInterval;
+  if (now < placed_at_ + interval) return;
+  placed_at_ = now;
+  reserved_capacity_.clear();
+  unplaceable_.clear();
+  spare_processors_ = SpareProcessors(workers_, now);
+  UpdateIdleTimes(now, wall_ms);
+  for (const PlacementTurn& it : TurnsInOrder(now, wall_ms)) PlaceJob(it, now, wall_ms, orders);
+  // At the limit of starts in flight, more tasks may be placeable once some starts are answered.
+  capacity_changed_ = starts_in_flight_ >= limits_.max_starts_in_flight;
+}
+
+// A run that is paused, being stopped or not confirmed in time does nothing for its job.
+bool Dispatcher::HasWorkingRun(const JobEntry& entry, TimePoint now) const {
+  if (!HasActiveTask(entry)) return false;
+  // While most of the pool is in use no first run follows, so the cheap answer is enough.
+  const auto spare = spare_processors_.find(entry.job.rules.service);
+  if (spare == spare_processors_.end() || !IsUnderused(spare->second)) return true;
+  jobs::TaskId id{entry.job.id, 0, 0, 0};
+  for (const std::vector<StepState>& steps : entry.steps) {
+    id.step = 0;
+    for (const StepState& step : steps) {
+      id.index = 0;
+      for (const TaskState& task : step.tasks) {
+        for (const RunLocation& it : task.runs) {
+          const auto worker = workers_.find(it.worker);
+          if (worker == workers_.end()) continue;
+          const auto run = worker->second.runs.find({id, it.run});
+          if (run != worker->second.runs.end() && IsWorking(run->second, now)) return true;
+        }
+        id.index += 1;
+      }
+      id.step += 1;
+    }
+    id.occurrence += 1;
+  }
+  return false;
+}
+
+void Dispatcher::UpdateIdleTimes(TimePoint now, int64_t wall_ms) {
+  for (const auto& [id, entry] : placeable_) {
+    const bool idle = !HasWorkingRun(*entry, now) && HasReadyTask(*entry, wall_ms);
+    if (!idle) entry->idle_since.reset();
+    if (idle && !entry->idle_since) entry->idle_since = now;
+  }
+}
+
+std::vector<PlacementTurn> Dispatcher::TurnsInOrder(TimePoint now, int64_t wall_ms) {
+  std::vector<PlacementTurn> turns;
+  turns.reserve(placeable_.size());
+  for (const auto& [id, entry] : placeable_) {
+    if (entry->revision > proven_revision_) continue;
+    if (now >= entry->estimates_valid_until) {
+      entry->estimates = EstimatesOf(durations_, *entry);
+      entry->estimates_valid_until = now + kEstimateInterval;
+    }
+    turns.push_back({RankOf(entry->estimates, *entry, wall_ms), entry});
+    if (!IsIdleForLong(*entry, now)) continue;
+    if (!IsUnderused(spare_processors_[entry->job.rules.service])) continue;
+    turns.push_back({FirstRunRank(*entry), entry});
+  }
+  std::stable_sort(turns.begin(), turns.end(),
+                   [](const PlacementTurn& a, const PlacementTurn& b) { return a.rank < b.rank; });
+  return turns;
+}
+
+void Dispatcher::PlaceJob(const PlacementTurn& turn, TimePoint now, int64_t wall_ms,
+                          Orders* orders) {
+  const JobEntry& entry = *turn.entry;
+  for (int k = 0; k < static_cast<int>(entry.steps.size()); ++k) {
+    if (wall_ms < DueMs(entry.job, k)) continue;
+    for (int s = 0; s < static_cast<int>(entry.job.steps.size()); ++s) {
+      if (entry.steps[static_cast<size_t>(k)][static_cast<size_t>(s)].waiting == 0) continue;
+      if (IsReady(entry, k, s)) PlaceStep(turn, k, s, now, wall_ms, orders);
+      if (IsFirstRun(turn) && !entry.idle_since) return;
+    }
+  }
+}
+
+void Dispatcher::PlaceStep(const PlacementTurn& turn, int occurrence, int step, TimePoint now,
+                           int64_t wall_ms, Orders* orders) {
+  JobEntry* entry = turn.entry;
+  const jobs::Step& what = entry->job.steps[static_cast<size_t>(step)];
+  if (what.gang) return PlaceGang(entry, occurrence, step, now, wall_ms, orders);
+  if (what.best_effort && !IsFirstRun(turn) && !entry->job.rules.needs_permits) {
+    const SpareProcessor& spare = spare_processors_[entry->job.rules.service];
+    if (what.request.cpu_milli > spare.most) return RecordWanted(turn, what, now);
+  }
+  if (IsUnplaceable(unplaceable_, *entry, what, IsFirstRun(turn))) return;
+  jobs::TaskId id{entry->job.id, occurrence, step, 0};
+  const StepState* state = StepStateOf(entry, id);
+  for (id.index = 0; id.index < static_cast<int>(state->tasks.size()); ++id.index) {
+    const TaskState& task = state->tasks[static_cast<size_t>(id.index)];
+    if (task.progress.done || !task.runs.empty() || IsWithheld(*entry, task)) continue;
+    if (starts_in_flight_ >= limits_.max_starts_in_flight) return;
+    const bool placed = PlaceTask(turn, id, now, orders);
+    if (placed && IsFirstRun(turn)) return;
+    if (placed) continue;
+    // If the queue requires permits, the task may have failed for want of a permit, so tasks of
+    // other steps may still find a worker.
+    if (entry->job.rules.needs_permits) return;
+    if (what.best_effort) RecordWanted(turn, what, now);
+    return RecordUnplaceable(&unplaceable_, *entry, what, IsFirstRun(turn));
+  }
+}
+
+void Dispatcher::RecordWanted(const PlacementTurn& turn, const jobs::Step& step, TimePoint now) {
+  const std::string& service = turn.entry->job.rules.service;
+  bool& wanted = spare_processors_[service].wanted;
+  if (wanted || std::get<TurnKind>(turn.rank) != TurnKind::kOnTime) return;
+  wanted = FitsEmptyWorker(workers_, service, step, now);
+}
+
+bool Dispatcher::PlaceTask(const PlacementTurn& turn, const jobs::TaskId& id, TimePoint now,
+                           Orders* orders) {
+  JobEntry* entry = turn.entry;
+  const TaskState* task = FindTask(entry, id);
+  PlacementRequest request = RequestOf(entry, id);
+  request.task = task;
+  if (IsFirstRun(turn)) {
+    // Until every job on time has got its processor time, first runs share none of it.
+    request.shares_processor = !spare_processors_[request.service].wanted;
+    // Only reported tails count. Otherwise an image that is expected to exceed the targets on all
+    // workers would wait forever. Where it does exceed them, it is slowed down and stopped.
+    request.max_expected_tail = std::numeric_limits<double>::infinity();
+  }
+  WorkerState* worker = ChooseWorker(&workers_, request, now);
+  if (worker == nullptr) {
+    RequestPermits(entry, id, now, orders);
+    return !IsFirstRun(turn) && PreemptFor(*entry, request, now);
+  }
+  StartRun(worker, entry, {id, NextRun(*task)}, now, orders);
+  return true;
+}
+
+PlacementRequest Dispatcher::RequestOf(JobEntry* entry, const jobs::TaskId& id) const {
+  PlacementRequest request;
+  request.service = entry->job.rules.service;
+  request.step = &StepOf(*entry, id);
+  request.state = StepStateOf(entry, id);
+  request.colocation = &colocation_;
+  if (entry->job.rules.needs_permits) request.permits = &request.state->permits;
+  return request;
+}
+
+void Dispatcher::RequestPermits(JobEntry* entry, const jobs::TaskId& id, TimePoint now,
+                                Orders* orders) {
+  StepState* state = StepStateOf(entry, id);
+  StepPermits& permits = state->permits;
+  if (!entry->job.rules.needs_permits || permits.call_in_flight || now < permits.next_call) return;
+  if (permit_orders_in_flight_ >= limits_.max_permit_orders_in_flight) return;
+  // The order names more workers than there are tasks, since some workers will be denied and some
+  // will be full by the time of the answer.
+  const size_t most =
+      std::min(kMaxWorkersInPermitOrder,
+               std::max(kDefaultPermitWorkers, 2 * static_cast<size_t>(state->waiting)));
+  PermitOrder order;
+  order.step = {entry->job.id, id.occurrence, id.step};
+  order.workers = PermitCandidates(workers_, RequestOf(entry, id), most, now);
+  if (order.workers.empty()) return;
+  permits.call_in_flight = true;
+  permit_orders_in_flight_ += 1;
+  orders->permits.push_back(std::move(order));
+}
+
+void Dispatcher::OnPermits(const PermitOrder& order, const PermitAnswer& answer, TimePoint now) {
+  permit_orders_in_flight_ -= 1;
+  capacity_changed_ = true;
+  Log(LogLevel::kInfo, "dispatch", "permits",
+      {{"job", order.step.job},
+       {"step", order.step.step},
+       {"asked", order.workers.size()},
+       {"granted", answer.granted.size()},
+       {"ok", answer.ok}});
+  JobEntry* entry = FindEntry(order.step.job);
+  if (entry == nullptr) return;
+  StepState* state =
+      StepStateOf(entry, {order.step.job, order.step.occurrence, order.step.step, 0});
+  ApplyPermits(&state->permits, order, answer, now);
+}
+
+// Returns true when capacity is being freed, so that the next task of the step may request
+// preemption as well.
+bool Dispatcher::PreemptFor(const JobEntry& entry, const PlacementRequest& request, TimePoint now) {
+  if (request.step->best_effort) return false;
+  const std::optional<Preemption> choice =
+      ChoosePreemption(workers_, request, entry.job.rules.priority, &reserved_capacity_, now);
+  if (!choice) return false;
+  for (const RunId& it : choice->victims) {
+    Log(LogLevel::kInfo, "dispatch", "run_preempted",
+        {{"job", it.task.job}, {"run", it.run}, {"worker", choice->worker}, {"for", entry.job.id}});
+    RequestStop(&workers_[choice->worker], it);
+  }
+  return true;
+}
+
+void Dispatcher::StartRun(WorkerState* worker, JobEntry* entry, const RunId& id, TimePoint now,
+                          Orders* orders) {
+  TaskState* task = FindTask(entry, id.task);
+  AddRun(worker, id, StepOf(*entry, id.task), entry->job.rules.priority, now);
+  if (task->runs.empty()) StepStateOf(entry, id.task)->waiting -= 1;
+  task->runs.push_back({id.run, worker->info.id});
+  if (task->first_run == 0) task->first_run = id.run;
+  task->last_run = id.run;
+  UpdatePlaceable(entry);
+  const std::optional<StartOrder> order = MakeStartOrder(worker, id, now);
+  if (!order) return EndRun(worker, id);
+  worker->runs[id].call_in_flight = true;
+  starts_in_flight_ += 1;
+  orders->starts.push_back(*order);
+}
+
+}  // namespace pomelopond::dispatch
