bench-dispatch-load: measures starts again, and a pool of 1,100 workers

Change: time passes between the placements; a row or a takeover without starts misses the target; rows with 1,100 workers.

--- a/bench/dispatch_load.cc
+++ b/bench/dispatch_load.cc
@@ -46,6 +46,8 @@
 constexpr int kTakeoverTasksPerStep = 20;
 constexpr int64_t kTakeoverWorkerCpu = 64000;
 constexpr int64_t kTakeoverTaskCpu = 8000;
+// After this time a decision places waiting tasks again, however many they are.
+constexpr Duration kBetweenPlacements = std::chrono::milliseconds(50);
 // Time between two messages to the new owner.
 constexpr Duration kBetweenReports = std::chrono::milliseconds(10);
 constexpr Duration kBetweenAnswers = std::chrono::milliseconds(2);
@@ -99,6 +101,7 @@
 // Starts waiting tasks until a decision starts none.
 void StartAllThatFit(Scenario* it) {
   do {
+    it->Advance(kBetweenPlacements);
     it->Decide();
     it->ConfirmStarts();
     it->CommitAll();
@@ -210,6 +213,9 @@
     it.CommitAll();
   }
   const double reported_us = ProcessorUs();
+  it.Advance(kBetweenPlacements);
+  it.Decide();
+  open.insert(open.end(), it.orders.starts.begin(), it.orders.starts.end());
   while (!open.empty()) {
     it.Advance(kBetweenAnswers);
     it.dispatcher.OnStarted(open.front(), it.Accepted(), it.now);
@@ -228,13 +234,16 @@
   cxxopts::Options options("bench-dispatch-load", "Cost of the owner's decisions under overload");
   options.add_options()("seed", "random seed", cxxopts::value<unsigned>()->default_value("1"));
   const unsigned seed = options.parse(argc, argv)["seed"].as<unsigned>();
-  const std::vector<Case> cases = {{48, 0}, {48, 60}, {48, 250}, {350, 250}, {350, 1000}};
+  const std::vector<Case> cases = {{48, 0},     {48, 60},    {48, 250},    {350, 250},
+                                   {350, 1000}, {1100, 250}, {1100, 1000}, {1100, 2500}};
   double worst = 0;
+  bool starts_everywhere = true;
   std::printf("%8s %8s %10s %10s %10s %8s\n", "workers", "waiting", "mean_us", "max_us",
               "job_bytes", "starts");
   for (const Case& it : cases) {
     const Row row = Measure(it, seed);
     worst = std::max(worst, row.mean_us);
+    starts_everywhere = starts_everywhere && (row.starts > 0 || it.waiting_jobs == 0);
     std::printf("%8d %8d %10.1f %10.1f %10.0f %8d\n", it.workers, it.waiting_jobs, row.mean_us,
                 row.max_us, row.job_bytes, row.starts);
   }
@@ -247,7 +256,7 @@
                  {"takeover_report_us", takeover.report_us},
                  {"takeover_start_us", takeover.start_us},
                  {"target_us", kMaxDecisionUs}},
-                worst <= kMaxDecisionUs);
+                worst <= kMaxDecisionUs && starts_everywhere && takeover.starts > 0);
 }
 
 }  // namespace
