Owner: a start costs less in a large pool, and follows an answer at once

What callers saw: on 1,100 workers most repair-schedule tasks never start while free processor time is left. Cause: each placement looked at all workers for each task, at all runs for each task that may preempt, and each decision at all runs for calls to repeat. As it was that dear, a placement that had reached 64 starts in flight was followed by the next one up to 50 ms later, whatever was answered meanwhile. Change: an index lists workers in the order in which a placement tries them; a worker on which preemption cannot make room is passed over by one sum; only workers with runs whose start or stop is not confirmed are looked at for calls to repeat; a lookup of a slowdown copies no string. A placement that reached the limit goes on with the next turn as answers arrive. A job that got a run in its own turn gets no further one in its turn for a first run, and gangs wait for their turn at the limit like other tasks.

--- a/src/dispatch/choose_worker.cc
+++ b/src/dispatch/choose_worker.cc
@@ -10,9 +10,6 @@
 // returns.
 constexpr Duration kReregistrationGrace = std::chrono::seconds(2);
 
-// Fraction of its reservation that a latency-critical task leaves unused on average.
-constexpr double kServingIdleFraction = 0.4;
-
 // Each idle job is owed a run while under half of the pool is in use. The margin covers workers
 // that have just left and runs that have just ended.
 constexpr double kUnderusedFraction = 0.6;
@@ -34,14 +31,6 @@
   return n;
 }
 
-// Processor time that is neither reserved nor requested by best-effort tasks, plus the part of
-// their reservations that latency-critical tasks leave unused.
-int64_t SpareCpu(const WorkerState& worker) {
-  const auto unused =
-      static_cast<int64_t>(static_cast<double>(worker.serving_cpu) * kServingIdleFraction);
-  return FreeCapacity(worker).cpu_milli + unused - worker.best_effort_cpu;
-}
-
 double ExpectedTailRatio(const WorkerState& worker, const PlacementRequest& request) {
   if (worker.serving == 0) return 0;
   const double cores = static_cast<double>(request.step->request.cpu_milli) / 1000;
@@ -90,6 +79,39 @@
           -spare_cpu};
 }
 
+// True when no worker later in the order of its index can have a better score.
+bool IsBestInOrder(const Score& score, const jobs::Step& step) {
+  // The index does not know which images a worker serves.
+  if (!step.best_effort && step.target_tail_ms > 0) return false;
+  const auto& [suspect, outside_preferred_rack, third, fourth, amount] = score;
+  const bool long_tail = step.best_effort && third;
+  return !suspect && !outside_preferred_rack && !long_tail;
+}
+
+// Returns the worker with the best score, and of those the one with the lowest id. `order` lists
+// workers of otherwise equal score by their spare processor time.
+template <class Order>
+WorkerState* BestWorker(const Order& order, const PlacementRequest& request, TimePoint now) {
+  const bool needs_spare = request.step->best_effort && !request.shares_processor;
+  WorkerState* best = nullptr;
+  Score best_score;
+  for (WorkerState* it : order) {
+    // From here on no worker has enough spare processor time.
+    if (needs_spare && it->index_key.spare_cpu < request.step->request.cpu_milli) break;
+    // The cheap conditions come first, as most workers are full when many tasks wait.
+    if (!HasCapacityFor(*it, request) || !IsEligible(*it, request, now)) continue;
+    const Score score = ScoreOf(*it, request, now);
+    if (best != nullptr && std::tie(best_score, best->info.id) <= std::tie(score, it->info.id)) {
+      continue;
+    }
+    if (!KeepsTailsShort(*it, request)) continue;
+    best = it;
+    best_score = score;
+    if (IsBestInOrder(score, *request.step)) break;
+  }
+  return best;
+}
+
 }  // namespace
 
 bool IsMember(const WorkerState& worker, TimePoint now) {
@@ -213,20 +235,15 @@
   });
 }
 
-WorkerState* ChooseWorker(std::map<std::string, WorkerState>* workers,
-                          const PlacementRequest& request, TimePoint now) {
-  WorkerState* best = nullptr;
-  Score best_score;
-  for (auto& [id, it] : *workers) {
-    // The cheap conditions come first, as most workers are full when many tasks wait.
-    if (!HasCapacityFor(it, request) || !IsEligible(it, request, now)) continue;
-    const Score score = ScoreOf(it, request, now);
-    if (best != nullptr && best_score <= score) continue;
-    if (!KeepsTailsShort(it, request)) continue;
-    best = &it;
-    best_score = score;
+WorkerState* ChooseWorker(const WorkerIndex& index, const PlacementRequest& request,
+                          TimePoint now) {
+  const auto workers = index.find(request.service);
+  if (workers == index.end()) return nullptr;
+  const jobs::Step& step = *request.step;
+  if (!step.best_effort && step.target_tail_ms <= 0) {
+    return BestWorker(workers->second.by_serving, request, now);
   }
-  return best;
+  return BestWorker(workers->second.by_spare, request, now);
 }
 
 }  // namespace pomelopond::dispatch
--- a/src/dispatch/choose_worker.h
+++ b/src/dispatch/choose_worker.h
@@ -10,6 +10,7 @@
 #include "base/time.h"
 #include "dispatch/colocation.h"
 #include "dispatch/job_table.h"
+#include "dispatch/worker_index.h"
 #include "dispatch/worker_table.h"
 
 namespace pomelopond::dispatch {
@@ -68,8 +69,7 @@
 // tasks with a reservation but no tail target go to the emptiest one, and tasks with a tail target
 // to the fullest one. Best-effort tasks go to the worker with the most spare processor time on
 // which no latency-critical task is expected to miss its tail target.
-WorkerState* ChooseWorker(std::map<std::string, WorkerState>* workers,
-                          const PlacementRequest& request, TimePoint now);
+WorkerState* ChooseWorker(const WorkerIndex& index, const PlacementRequest& request, TimePoint now);
 
 // Racks with eligible workers, in the order of decreasing free capacity.
 std::vector<std::string> RacksByFreeCapacity(const std::map<std::string, WorkerState>& workers,
--- a/src/dispatch/decide.cc
+++ b/src/dispatch/decide.cc
@@ -1,5 +1,6 @@
 // Decisions of the dispatcher: leases, heartbeats, repeated orders and pace.
 #include <algorithm>
+#include <iterator>
 
 #include "base/log.h"
 #include "dispatch/choose_worker.h"
@@ -17,6 +18,13 @@
 // Minimum time between an order that changes the pace of a run and one that raises it.
 constexpr Duration kPaceInterval = std::chrono::milliseconds(800);
 
+// A run is settled once the worker has confirmed that it runs or that it stops.
+bool HasUnsettledRun(const WorkerState& worker) {
+  return std::any_of(worker.runs.begin(), worker.runs.end(), [](const auto& it) {
+    return it.second.phase != RunPhase::kRunning && !it.second.stop_confirmed;
+  });
+}
+
 WorkerAddress AddressOf(const WorkerState& worker) {
   return {worker.info.id, worker.info.endpoint};
 }
@@ -48,6 +56,7 @@
       continue;
     }
     Log(LogLevel::kInfo, "dispatch", "worker_gone", {{"worker", it->first}});
+    RemoveFromIndex(&index_, &worker);
     it = workers_.erase(it);
     workers_changed_ = true;
   }
@@ -127,25 +136,31 @@
 }
 
 void Dispatcher::RetryRuns(TimePoint now, Orders* orders) {
-  for (auto& [worker_id, worker] : workers_) {
-    if (!worker.contacted) continue;
-    for (auto& [id, run] : worker.runs) {
-      if (run.call_in_flight || now < run.next_call) continue;
-      if (run.phase == RunPhase::kStopping && !run.stop_confirmed) {
-        run.call_in_flight = true;
-        orders->stops.push_back({AddressOf(worker), epoch_, id});
-      }
-      if (run.phase != RunPhase::kStarting) continue;
-      const std::optional<StartOrder> order = MakeStartOrder(&worker, id, now);
-      if (!order) {
-        // An earlier start order may still take effect, but it cannot be sent again.
-        if (now < last_proof_ + limits_.lease_horizon) RequestStop(&worker, id);
-        continue;
-      }
+  for (auto it = unsettled_workers_.begin(); it != unsettled_workers_.end();) {
+    WorkerState* worker = FindWorker(*it);
+    const bool unsettled = worker != nullptr && HasUnsettledRun(*worker);
+    if (unsettled && worker->contacted) RetryRunsOn(worker, now, orders);
+    it = unsettled ? std::next(it) : unsettled_workers_.erase(it);
+  }
+}
+
+void Dispatcher::RetryRunsOn(WorkerState* worker, TimePoint now, Orders* orders) {
+  for (auto& [id, run] : worker->runs) {
+    if (run.call_in_flight || now < run.next_call) continue;
+    if (run.phase == RunPhase::kStopping && !run.stop_confirmed) {
       run.call_in_flight = true;
-      starts_in_flight_ += 1;
-      orders->starts.push_back(*order);
+      orders->stops.push_back({AddressOf(*worker), epoch_, id});
+    }
+    if (run.phase != RunPhase::kStarting) continue;
+    const std::optional<StartOrder> order = MakeStartOrder(worker, id, now);
+    if (!order) {
+      // An earlier start order may still take effect, but it cannot be sent again.
+      if (now < last_proof_ + limits_.lease_horizon) RequestStop(worker, id);
+      continue;
     }
+    run.call_in_flight = true;
+    starts_in_flight_ += 1;
+    orders->starts.push_back(*order);
   }
 }
 
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -143,6 +143,7 @@
   }
   state.lease_ends = now + left;
   unreconciled_.insert(worker.id);
+  Reindex(&index_, &state);
 }
 
 void Dispatcher::UpdateWorker(const WorkerInfo& info, TimePoint now) {
@@ -159,6 +160,7 @@
   state.registered = true;
   const bool moved = state.info.endpoint != info.endpoint;
   state.info = info;
+  Reindex(&index_, &state);
   // The next owner would not find the worker under the recorded endpoint.
   if (moved) state.recorded = false;
   if ((!state.recorded && !info.draining) || moved) workers_changed_ = true;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -23,6 +23,7 @@
 #include "dispatch/unplaceable_requests.h"
 #include "dispatch/waiting_counts.h"
 #include "dispatch/worker_calls.h"
+#include "dispatch/worker_index.h"
 #include "dispatch/worker_table.h"
 
 namespace pomelopond::dispatch {
@@ -109,10 +110,23 @@
   JobEntry* entry = nullptr;
 };
 
+// A placement takes the turns in order. At the limit of start orders in flight it pauses, and goes
+// on as answers arrive.
+struct Placement {
+  TimePoint began;
+  std::vector<PlacementTurn> turns;
+  size_t next = 0;            // the first turn that is not over
+  ReservedCapacity reserved;  // by preemptions
+  UnplaceableRequests unplaceable;
+  std::map<std::string, SpareProcessor> spare_processors;
+};
+
 class Dispatcher {
  public:
   // `epoch` increases with each owner. Runs of earlier owners are adopted when workers report them.
   Dispatcher(const DispatchLimits& limits, int64_t epoch, TimePoint now);
+  Dispatcher(const Dispatcher&) = delete;
+  Dispatcher& operator=(const Dispatcher&) = delete;
 
   // Takes effect with the next decision.
   void SetLimits(const DispatchLimits& limits) { limits_ = limits; }
@@ -215,7 +229,13 @@
   void LogReconciliation(TimePoint now);
   void DecideHeartbeats(TimePoint now, Orders* orders);
   void RetryRuns(TimePoint now, Orders* orders);
+  void RetryRunsOn(WorkerState* worker, TimePoint now, Orders* orders);
+  bool IsAtStartLimit() const { return starts_in_flight_ >= limits_.max_starts_in_flight; }
   void PlaceTasks(TimePoint now, int64_t wall_ms, Orders* orders);
+  void BeginPlacement(TimePoint now, int64_t wall_ms);
+  void ContinuePlacement(TimePoint now, int64_t wall_ms, Orders* orders);
+  // The placement refers to jobs, so it ends when jobs are removed.
+  void EndPlacement() { placement_.turns.clear(); }
   bool HasWorkingRun(const JobEntry& entry, TimePoint now) const;
   void UpdateIdleTimes(TimePoint now, int64_t wall_ms);
   std::vector<PlacementTurn> TurnsInOrder(TimePoint now, int64_t wall_ms);
@@ -264,13 +284,13 @@
   DurationModel durations_;
   int starts_in_flight_ = 0;
   int permit_orders_in_flight_ = 0;
-  bool capacity_changed_ = true;        // since the last placement
-  TimePoint placed_at_;                 // time of the last placement
-  ReservedCapacity reserved_capacity_;  // by preemptions of the current decision
-  UnplaceableRequests unplaceable_;     // in the current decision
-  std::map<std::string, SpareProcessor> spare_processors_;  // in the current decision
-  std::map<std::string, JobEntry*> placeable_;              // jobs with waiting tasks, by id
-  std::set<std::string> unreconciled_;  // inherited workers that have not reported yet
+  bool capacity_changed_ = true;  // since the last placement began
+  WorkerIndex index_;             // of workers_
+  Placement placement_;           // the last one
+  // Ids of all workers with runs whose start or stop is not confirmed, and of some others.
+  std::set<std::string> unsettled_workers_;
+  std::map<std::string, JobEntry*> placeable_;  // jobs with waiting tasks, by id
+  std::set<std::string> unreconciled_;          // inherited workers that have not reported yet
   bool reconciliation_logged_ = false;
   bool workers_changed_ = false;  // the durable list of workers in use is outdated
 
--- a/src/dispatch/gangs.cc
+++ b/src/dispatch/gangs.cc
@@ -29,9 +29,10 @@
   for (id.index = 0; id.index < static_cast<int>(state->tasks.size()); ++id.index) {
     PlacementRequest request = RequestOf(entry, id);
     request.rack = rack;
-    WorkerState* worker = ChooseWorker(&workers_, request, now);
+    WorkerState* worker = ChooseWorker(index_, request, now);
     if (worker == nullptr) break;
     AddRun(worker, {id, run}, *request.step, entry->job.rules.priority, now);
+    Reindex(&index_, worker);
     state->tasks[static_cast<size_t>(id.index)].runs.push_back({run, worker->info.id});
     chosen.push_back(worker);
   }
@@ -40,6 +41,7 @@
     WorkerState* worker = chosen[static_cast<size_t>(id.index)];
     TaskState& task = state->tasks[static_cast<size_t>(id.index)];
     RemoveRun(worker, {id, run});
+    Reindex(&index_, worker);
     task.runs.clear();
     if (!complete) continue;
     task.progress.checkpoint = checkpoint;
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -62,27 +62,43 @@
 void Dispatcher::PlaceTasks(TimePoint now, int64_t wall_ms, Orders* orders) {
   // Without a recent proof of ownership no start order would be sent.
   if (now >= last_proof_ + limits_.lease_horizon) return;
-  if (starts_in_flight_ >= limits_.max_starts_in_flight) return;
+  if (IsAtStartLimit()) return;
   // Most decisions follow an answer that frees no capacity.
   const Duration interval =
       capacity_changed_ ? PlacementPause(placeable_.size()) : kPlacementInterval;
-  if (now < placed_at_ + interval) return;
-  placed_at_ = now;
-  reserved_capacity_.clear();
-  unplaceable_.clear();
-  spare_processors_ = SpareProcessors(workers_, now);
+  if (now >= placement_.began + interval) BeginPlacement(now, wall_ms);
+  ContinuePlacement(now, wall_ms, orders);
+}
+
+void Dispatcher::BeginPlacement(TimePoint now, int64_t wall_ms) {
+  placement_ = {};
+  placement_.began = now;
+  placement_.spare_processors = SpareProcessors(workers_, now);
   UpdateIdleTimes(now, wall_ms);
-  for (const PlacementTurn& it : TurnsInOrder(now, wall_ms)) PlaceJob(it, now, wall_ms, orders);
-  // At the limit of starts in flight, more tasks may be placeable once some starts are answered.
-  capacity_changed_ = starts_in_flight_ >= limits_.max_starts_in_flight;
+  placement_.turns = TurnsInOrder(now, wall_ms);
+  capacity_changed_ = false;
+}
+
+void Dispatcher::ContinuePlacement(TimePoint now, int64_t wall_ms, Orders* orders) {
+  const bool changed = capacity_changed_;
+  while (placement_.next < placement_.turns.size() && !IsAtStartLimit()) {
+    const PlacementTurn& turn = placement_.turns[placement_.next];
+    if (!jobs::IsFinal(turn.entry->state)) PlaceJob(turn, now, wall_ms, orders);
+    // At the limit tasks of the job may be left.
+    if (IsAtStartLimit() && !IsFirstRun(turn)) break;
+    placement_.next += 1;
+  }
+  // The starts of this placement free no capacity. At the limit, more tasks may be placeable once
+  // some starts are answered.
+  capacity_changed_ = changed || IsAtStartLimit();
 }
 
 // A run that is paused, being stopped or not confirmed in time does nothing for its job.
 bool Dispatcher::HasWorkingRun(const JobEntry& entry, TimePoint now) const {
   if (!HasActiveTask(entry)) return false;
   // While most of the pool is in use no first run follows, so the cheap answer is enough.
-  const auto spare = spare_processors_.find(entry.job.rules.service);
-  if (spare == spare_processors_.end() || !IsUnderused(spare->second)) return true;
+  const auto spare = placement_.spare_processors.find(entry.job.rules.service);
+  if (spare == placement_.spare_processors.end() || !IsUnderused(spare->second)) return true;
   jobs::TaskId id{entry.job.id, 0, 0, 0};
   for (const std::vector<StepState>& steps : entry.steps) {
     id.step = 0;
@@ -123,7 +139,7 @@
     }
     turns.push_back({RankOf(entry->estimates, *entry, wall_ms), entry});
     if (!IsIdleForLong(*entry, now)) continue;
-    if (!IsUnderused(spare_processors_[entry->job.rules.service])) continue;
+    if (!IsUnderused(placement_.spare_processors[entry->job.rules.service])) continue;
     turns.push_back({FirstRunRank(*entry), entry});
   }
   std::stable_sort(turns.begin(), turns.end(),
@@ -137,9 +153,9 @@
   for (int k = 0; k < static_cast<int>(entry.steps.size()); ++k) {
     if (wall_ms < DueMs(entry.job, k)) continue;
     for (int s = 0; s < static_cast<int>(entry.job.steps.size()); ++s) {
+      if (IsFirstRun(turn) && !entry.idle_since) return;
       if (entry.steps[static_cast<size_t>(k)][static_cast<size_t>(s)].waiting == 0) continue;
       if (IsReady(entry, k, s)) PlaceStep(turn, k, s, now, wall_ms, orders);
-      if (IsFirstRun(turn) && !entry.idle_since) return;
     }
   }
 }
@@ -150,16 +166,16 @@
   const jobs::Step& what = entry->job.steps[static_cast<size_t>(step)];
   if (what.gang) return PlaceGang(entry, occurrence, step, now, wall_ms, orders);
   if (what.best_effort && !IsFirstRun(turn) && !entry->job.rules.needs_permits) {
-    const SpareProcessor& spare = spare_processors_[entry->job.rules.service];
+    const SpareProcessor& spare = placement_.spare_processors[entry->job.rules.service];
     if (what.request.cpu_milli > spare.most) return RecordWanted(turn, what, now);
   }
-  if (IsUnplaceable(unplaceable_, *entry, what, IsFirstRun(turn))) return;
+  if (IsUnplaceable(placement_.unplaceable, *entry, what, IsFirstRun(turn))) return;
   jobs::TaskId id{entry->job.id, occurrence, step, 0};
   const StepState* state = StepStateOf(entry, id);
   for (id.index = 0; id.index < static_cast<int>(state->tasks.size()); ++id.index) {
     const TaskState& task = state->tasks[static_cast<size_t>(id.index)];
     if (task.progress.done || !task.runs.empty() || IsWithheld(*entry, task)) continue;
-    if (starts_in_flight_ >= limits_.max_starts_in_flight) return;
+    if (IsAtStartLimit()) return;
     const bool placed = PlaceTask(turn, id, now, orders);
     if (placed && IsFirstRun(turn)) return;
     if (placed) continue;
@@ -167,13 +183,13 @@
     // other steps may still find a worker.
     if (entry->job.rules.needs_permits) return;
     if (what.best_effort) RecordWanted(turn, what, now);
-    return RecordUnplaceable(&unplaceable_, *entry, what, IsFirstRun(turn));
+    return RecordUnplaceable(&placement_.unplaceable, *entry, what, IsFirstRun(turn));
   }
 }
 
 void Dispatcher::RecordWanted(const PlacementTurn& turn, const jobs::Step& step, TimePoint now) {
   const std::string& service = turn.entry->job.rules.service;
-  bool& wanted = spare_processors_[service].wanted;
+  bool& wanted = placement_.spare_processors[service].wanted;
   if (wanted || std::get<TurnKind>(turn.rank) != TurnKind::kOnTime) return;
   wanted = FitsEmptyWorker(workers_, service, step, now);
 }
@@ -186,12 +202,12 @@
   request.task = task;
   if (IsFirstRun(turn)) {
     // Until every job on time has got its processor time, first runs share none of it.
-    request.shares_processor = !spare_processors_[request.service].wanted;
+    request.shares_processor = !placement_.spare_processors[request.service].wanted;
     // Only reported tails count. Otherwise an image that is expected to exceed the targets on all
     // workers would wait forever. Where it does exceed them, it is slowed down and stopped.
     request.max_expected_tail = std::numeric_limits<double>::infinity();
   }
-  WorkerState* worker = ChooseWorker(&workers_, request, now);
+  WorkerState* worker = ChooseWorker(index_, request, now);
   if (worker == nullptr) {
     RequestPermits(entry, id, now, orders);
     return !IsFirstRun(turn) && PreemptFor(*entry, request, now);
@@ -251,7 +267,7 @@
 bool Dispatcher::PreemptFor(const JobEntry& entry, const PlacementRequest& request, TimePoint now) {
   if (request.step->best_effort) return false;
   const std::optional<Preemption> choice =
-      ChoosePreemption(workers_, request, entry.job.rules.priority, &reserved_capacity_, now);
+      ChoosePreemption(workers_, request, entry.job.rules.priority, &placement_.reserved, now);
   if (!choice) return false;
   for (const RunId& it : choice->victims) {
     Log(LogLevel::kInfo, "dispatch", "run_preempted",
@@ -265,6 +281,8 @@
                           Orders* orders) {
   TaskState* task = FindTask(entry, id.task);
   AddRun(worker, id, StepOf(*entry, id.task), entry->job.rules.priority, now);
+  Reindex(&index_, worker);
+  unsettled_workers_.insert(worker->info.id);
   if (task->runs.empty()) StepStateOf(entry, id.task)->waiting -= 1;
   task->runs.push_back({id.run, worker->info.id});
   if (task->first_run == 0) task->first_run = id.run;
--- a/src/dispatch/preemption.cc
+++ b/src/dispatch/preemption.cc
@@ -26,6 +26,7 @@
                                                int priority, const Resources& reserved,
                                                TimePoint now) {
   Resources available = FreeCapacity(worker) - reserved;
+  if (!Fits(need, available + worker.releasable)) return std::nullopt;
   std::vector<std::pair<double, RunId>> candidates;
   for (const auto& [id, it] : worker.runs) {
     if (it.phase == RunPhase::kStopping) {
--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -55,6 +55,7 @@
 void Dispatcher::EndRun(WorkerState* worker, const RunId& id) {
   capacity_changed_ = true;
   RemoveRun(worker, id);
+  Reindex(&index_, worker);
   JobEntry* entry = FindEntry(id.task.job);
   TaskState* task = entry == nullptr ? nullptr : FindTask(entry, id.task);
   if (task == nullptr) return;
@@ -71,8 +72,9 @@
 void Dispatcher::RequestStop(WorkerState* worker, const RunId& id) {
   const auto it = worker->runs.find(id);
   if (it == worker->runs.end() || it->second.phase == RunPhase::kStopping) return;
-  it->second.phase = RunPhase::kStopping;
+  MarkStopping(worker, &it->second);
   it->second.next_call = TimePoint{};
+  unsettled_workers_.insert(worker->info.id);
 }
 
 void Dispatcher::StopRuns(const jobs::TaskId& id) {
@@ -189,6 +191,7 @@
   const jobs::Step unknown;
   const jobs::Step& step = task == nullptr ? unknown : StepOf(*entry, active.id.task);
   AddRun(worker, active.id, step, task == nullptr ? 0 : entry->job.rules.priority, now);
+  Reindex(&index_, worker);
   RunState& run = worker->runs[active.id];
   run.confirmed_at = now;
   run.phase = RunPhase::kRunning;
--- a/src/dispatch/restarts.cc
+++ b/src/dispatch/restarts.cc
@@ -41,6 +41,7 @@
   for (const RunId& it : lost) LoseRun(worker, it);
   ForgetIncarnation(worker, now);
   if (worker->runs.empty()) return;
+  unsettled_workers_.insert(worker->info.id);
   // The end of the lease in the order is a time on the clock of the earlier incarnation, so on the
   // new one only the worker's own maximum bounds the lease.
   const Duration longest = std::max(limits_.lease_horizon, limits_.max_lease);
@@ -49,7 +50,7 @@
                now + std::chrono::duration_cast<Duration>(longest / kMinClockRate) + kTimerSlack);
   for (auto& [id, it] : worker->runs) {
     if (!MayStillStart(it)) continue;
-    it.phase = RunPhase::kStopping;
+    MarkStopping(worker, &it);
     it.next_call = TimePoint{};
   }
 }
--- a/src/dispatch/worker_table.cc
+++ b/src/dispatch/worker_table.cc
@@ -20,6 +20,19 @@
   return amount;
 }
 
+namespace {
+
+bool IsReleasable(const RunState& run) {
+  return run.phase == RunPhase::kStopping || !run.perpetual;
+}
+
+}  // namespace
+
+void MarkStopping(WorkerState* worker, RunState* run) {
+  if (!IsReleasable(*run)) worker->releasable = worker->releasable + RunReservation(*run);
+  run->phase = RunPhase::kStopping;
+}
+
 void AddRun(WorkerState* worker, const RunId& id, const jobs::Step& step, int priority,
             TimePoint now) {
   RunState run;
@@ -33,6 +46,7 @@
   run.ordered_at = now;
   if (!worker->runs.emplace(id, run).second) return;
   worker->used = worker->used + RunReservation(run);
+  if (IsReleasable(run)) worker->releasable = worker->releasable + RunReservation(run);
   if (run.best_effort) worker->best_effort_cpu += run.request.cpu_milli;
   if (run.target_tail_ms <= 0) return;
   worker->serving += 1;
@@ -43,6 +57,9 @@
   const auto it = worker->runs.find(id);
   if (it == worker->runs.end()) return;
   worker->used = worker->used - RunReservation(it->second);
+  if (IsReleasable(it->second)) {
+    worker->releasable = worker->releasable - RunReservation(it->second);
+  }
   if (it->second.best_effort) worker->best_effort_cpu -= it->second.request.cpu_milli;
   if (it->second.target_tail_ms > 0) {
     worker->serving -= 1;
--- a/src/dispatch/worker_table.h
+++ b/src/dispatch/worker_table.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <string>
+#include <tuple>
 
 #include "base/time.h"
 #include "dispatch/worker.h"
@@ -45,6 +46,20 @@
   int pace = 100;    // processor share ordered last, in percent; -1: unknown, order it again
 };
 
+// What determines a worker's place in a WorkerIndex.
+struct WorkerIndexKey {
+  std::string service;
+  bool serving = false;      // runs latency-critical tasks
+  bool best_effort = false;  // runs best-effort tasks
+  int64_t spare_cpu = 0;     // see SpareCpu()
+
+  friend bool operator==(const WorkerIndexKey& a, const WorkerIndexKey& b) {
+    return std::tie(a.service, a.serving, a.best_effort, a.spare_cpu) ==
+           std::tie(b.service, b.serving, b.best_effort, b.spare_cpu);
+  }
+  friend bool operator!=(const WorkerIndexKey& a, const WorkerIndexKey& b) { return !(a == b); }
+};
+
 // A worker and its runs. Processor time is in thousandths of a core.
 struct WorkerState {
   WorkerInfo info;
@@ -87,10 +102,16 @@
   int64_t best_effort_cpu = 0;  // requested by best-effort runs
   int64_t serving_cpu = 0;      // reserved by runs with a tail target
   int serving = 0;              // number of runs with a tail target
+  // Part of `used` that is reserved by runs which are being stopped or are not perpetual. No
+  // preemption frees more.
+  Resources releasable;
   // Cores in use by best-effort runs, by image, at the last report.
   planning::BatchLoad best_effort_load;
   bool has_new_tail = false;  // a report arrived since the last pace decision
   std::map<RunId, RunState> runs;
+
+  bool indexed = false;      // listed in the index of its owner, under `index_key`
+  WorkerIndexKey index_key;  // changes only while the worker is not listed
 };
 
 // A heartbeat without a usable answer is repeated after this time.
@@ -116,6 +137,7 @@
 void AddRun(WorkerState* worker, const RunId& id, const jobs::Step& step, int priority,
             TimePoint now);
 void RemoveRun(WorkerState* worker, const RunId& id);
+void MarkStopping(WorkerState* worker, RunState* run);
 
 }  // namespace pomelopond::dispatch
 
--- a/src/planning/interference.cc
+++ b/src/planning/interference.cc
@@ -13,7 +13,8 @@
 
 double SlowdownPerCore(const InterferenceTable& table, const std::string& service_class,
                        const std::string& batch_class, double full_confidence) {
-  const auto it = table.find({service_class, batch_class});
+  const auto it =
+      table.find(std::pair<std::string_view, std::string_view>(service_class, batch_class));
   if (it == table.end()) return kPriorSlowdown;
   const double confidence = std::min(1.0, it->second.count / full_confidence);
   return confidence * it->second.mean + (1 - confidence) * kPriorSlowdown;
--- a/src/planning/interference.h
+++ b/src/planning/interference.h
@@ -5,6 +5,8 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -34,8 +36,19 @@
   }
 };
 
+// Orders pairs of classes. Pairs of string views can be looked up, so that a lookup copies no
+// string.
+struct ClassPairLess {
+  using is_transparent = void;
+  template <class A, class B>
+  bool operator()(const A& a, const B& b) const {
+    return std::tie(a.first, a.second) < std::tie(b.first, b.second);
+  }
+};
+
 // Estimates by service class and batch class.
-using InterferenceTable = std::map<std::pair<std::string, std::string>, PairEstimate>;
+using InterferenceTable =
+    std::map<std::pair<std::string, std::string>, PairEstimate, ClassPairLess>;
 
 // Cores in use on a host, by batch class.
 using BatchLoad = std::map<std::string, double>;
--- a/tests/dispatch/simulated_fleet_checks.cc
+++ b/tests/dispatch/simulated_fleet_checks.cc
@@ -61,8 +61,11 @@
     int64_t best_effort_cpu = 0;
     int64_t serving_cpu = 0;
     int serving = 0;
+    Resources releasable;
     for (const auto& [run_id, run] : worker.runs) {
       used = used + RunReservation(run);
+      const bool kept = run.perpetual && run.phase != RunPhase::kStopping;
+      if (!kept) releasable = releasable + RunReservation(run);
       if (run.best_effort) best_effort_cpu += run.request.cpu_milli;
       if (run.target_tail_ms > 0) serving_cpu += run.request.cpu_milli;
       serving += run.target_tail_ms > 0 ? 1 : 0;
@@ -77,9 +80,13 @@
       }
     }
     if (used != worker.used || best_effort_cpu != worker.best_effort_cpu ||
-        serving_cpu != worker.serving_cpu || serving != worker.serving) {
+        serving_cpu != worker.serving_cpu || serving != worker.serving ||
+        releasable != worker.releasable) {
       Violation("capacity in use of " + id);
     }
+    if (!worker.indexed || worker.index_key != IndexKeyOf(worker)) {
+      Violation("place in the index of " + id);
+    }
     if (worker.heartbeat_in_flight != (owner.heartbeats.count(id) > 0)) {
       Violation("heartbeat in flight to " + id);
     }
