Owner: a worker reports twice a second only while its pace may change

Change: it does so while a best-effort run has less than its full share or a tail is too long to raise one; else its report waits for an end up to 1 s. Test: SharingTest.ReportsAreMoreFrequentWhileATailIsLong (0.5 s in both cases before).

--- a/src/dispatch/colocation.cc
+++ b/src/dispatch/colocation.cc
@@ -128,6 +128,14 @@
   return worst;
 }
 
+bool MayNeedPace(const WorkerState& worker) {
+  if (worker.serving == 0 || worker.best_effort_cpu == 0) return false;
+  const bool paced = std::any_of(worker.runs.begin(), worker.runs.end(), [](const auto& it) {
+    return it.second.best_effort && it.second.pace < kFullPace;
+  });
+  return paced || WorstTailRatio(worker) >= kLowTailRatio;
+}
+
 int PaceFor(int pace, double tail) {
   if (tail > 1) return 0;
   if (pace < 0) return kFullPace;
--- a/src/dispatch/colocation.h
+++ b/src/dispatch/colocation.h
@@ -45,6 +45,10 @@
 // ratio most, if any.
 std::optional<RunId> MostInterferingRun(const ColocationModel& model, const WorkerState& worker);
 
+// True when the next tails of the worker may change the pace of a best-effort run on it: a run has
+// less than its full share, or a tail is too long to raise one.
+bool MayNeedPace(const WorkerState& worker);
+
 // New processor share in percent of a best-effort run with share `pace` beside a highest tail ratio
 // of `tail`.
 int PaceFor(int pace, double tail);
--- a/src/dispatch/decide.cc
+++ b/src/dispatch/decide.cc
@@ -12,9 +12,9 @@
 // Lease on a draining worker. It is short, so that the end of the worker's tasks is known soon
 // after the worker is gone.
 constexpr Duration kDrainingLease = std::chrono::milliseconds(1500);
-// Longest wait for a report from a worker with latency-critical and best-effort tasks. A reported
-// tail covers half a second, so the effect of a decision is visible after this time.
-constexpr Duration kColocatedReportWait = std::chrono::milliseconds(500);
+// Longest wait for a report from a worker whose pace may have to change soon. A reported tail
+// covers half a second, so the effect of a decision is visible after this time.
+constexpr Duration kPacedReportWait = std::chrono::milliseconds(500);
 // Minimum time between an order that changes the pace of a run and one that raises it.
 constexpr Duration kPaceInterval = std::chrono::milliseconds(800);
 
@@ -105,8 +105,7 @@
     if (steady && extendable && worker.processed == worker.acknowledged) {
       order.wait = limits_.report_wait;
     }
-    const bool shared = worker.serving > 0 && worker.best_effort_cpu > 0;
-    if (shared) order.wait = std::min(order.wait, kColocatedReportWait);
+    if (MayNeedPace(worker)) order.wait = std::min(order.wait, kPacedReportWait);
     worker.heartbeat_in_flight = true;
     worker.heartbeat_sent_at = now;
     orders->heartbeats.push_back(std::move(order));
--- a/tests/dispatch/colocation_test.cc
+++ b/tests/dispatch/colocation_test.cc
@@ -115,6 +115,17 @@
   }
 }
 
+// Guards against an owner that spends its processor time on reports that change nothing, and
+// against one that hears of a rising tail too late to slow best-effort tasks down.
+TEST_F(SharingTest, ReportsAreMoreFrequentWhileATailIsLong) {
+  ReportTail(kTargetMs / 3);
+  ASSERT_EQ(it.orders.heartbeats.size(), 1U);
+  EXPECT_EQ(it.orders.heartbeats[0].wait, DispatchLimits{}.report_wait);
+  ReportTail(kTargetMs * 4 / 5);
+  ASSERT_EQ(it.orders.heartbeats.size(), 1U);
+  EXPECT_EQ(it.orders.heartbeats[0].wait, DispatchLimits{}.report_wait / 2);
+}
+
 // Guards against placing an image beside a latency-critical task again although its tail latency
 // rose each time before.
 TEST_F(SharingTest, DisturbingImageIsNotPlacedBesideTheServiceAgain) {
