Owner: an answer is passed on without copies of orders and reports

Change: copies of a callback share what it holds, answers are moved, and a run remembers the last report that listed it. Tests: as before; the choices do not change.

--- a/src/dispatch/answers.cc
+++ b/src/dispatch/answers.cc
@@ -84,7 +84,7 @@
   run.call_in_flight = false;
   if (!usable) return;
   if (answer.status == OrderStatus::kAccepted) {
-    RecordStart(order.run.task.job);
+    RecordStart(FindEntry(order.run.task.job));
     run.confirmed_at = now;
     run.incarnation_known = run.incarnation_known || answer.incarnation != 0;
     if (run.phase == RunPhase::kStarting) run.phase = RunPhase::kRunning;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -190,7 +190,7 @@
   // Runs.
   // A worker has confirmed a start of the job. Until then callers are told that the job is pending:
   // a start that was ordered may be refused or never arrive.
-  void RecordStart(const std::string& job);
+  void RecordStart(JobEntry* entry);
   void EndRun(WorkerState* worker, const RunId& id);
   void LoseRun(WorkerState* worker, const RunId& id);
   void MarkRunsLost(WorkerState* worker, TimePoint now);
@@ -202,7 +202,7 @@
   void StopRuns(const jobs::TaskId& id);
   void Adopt(WorkerState* worker, const ActiveRun& active, TimePoint now);
   void UpdateLoads(WorkerState* worker);
-  void StopIfStalled(WorkerState* worker, const RunId& id, TimePoint now);
+  void StopIfStalled(WorkerState* worker, JobEntry* entry, const RunId& id, TimePoint now);
   // True when no report to an earlier owner can follow one that was requested at `sent`.
   bool IsAfterEarlierReports(const WorkerState& worker, TimePoint sent) const;
   void ApplyActiveRuns(WorkerState* worker, const Report& report, TimePoint sent, TimePoint now);
--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -45,11 +45,10 @@
   return std::max(task.last_run, (epoch_ - 1) * kRunsPerEpoch) + 1;
 }
 
-void Dispatcher::RecordStart(const std::string& job) {
-  JobEntry* entry = FindEntry(job);
+void Dispatcher::RecordStart(JobEntry* entry) {
   if (entry == nullptr || entry->state != jobs::JobState::kPending) return;
   entry->state = jobs::JobState::kRunning;
-  MarkDirty(job);
+  MarkDirty(entry->job.id);
 }
 
 void Dispatcher::EndRun(WorkerState* worker, const RunId& id) {
@@ -129,7 +128,7 @@
                           int64_t wall_ms) {
   if (end.sequence <= worker->processed) return false;
   worker->processed = end.sequence;
-  RecordStart(end.id.task.job);
+  RecordStart(FindEntry(end.id.task.job));
   const auto run = worker->runs.find(end.id);
   const Duration took = run == worker->runs.end() ? Duration::zero() : now - run->second.ordered_at;
   EndRun(worker, end.id);
@@ -228,8 +227,8 @@
 }
 
 // Stops a run that gets nowhere, so that its task goes on elsewhere from its checkpoint.
-void Dispatcher::StopIfStalled(WorkerState* worker, const RunId& id, TimePoint now) {
-  JobEntry* entry = FindEntry(id.task.job);
+void Dispatcher::StopIfStalled(WorkerState* worker, JobEntry* entry, const RunId& id,
+                               TimePoint now) {
   const jobs::Step& step = StepOf(*entry, id.task);
   const RunState& run = worker->runs.at(id);
   if (!IsStalled(run, step, ExpectedMs(durations_, step))) return;
@@ -253,26 +252,30 @@
 
 void Dispatcher::ApplyActiveRuns(WorkerState* worker, const Report& report, TimePoint sent,
                                  TimePoint now) {
-  std::set<RunId> seen;
   const Duration covered = std::min<Duration>(now - worker->reported_at, limits_.report_wait);
   worker->reported_at = now;
+  worker->reports += 1;
   for (const ActiveRun& it : report.active) {
-    seen.insert(it.id);
-    if (worker->runs.count(it.id) == 0) Adopt(worker, it, now);
-    RunState& run = worker->runs[it.id];
+    auto place = worker->runs.find(it.id);
+    if (place == worker->runs.end()) {
+      Adopt(worker, it, now);
+      place = worker->runs.find(it.id);
+    }
+    RunState& run = place->second;
+    run.listed_in = worker->reports;
     run.incarnation_known = true;
-    RecordStart(it.id.task.job);
+    JobEntry* entry = FindEntry(it.id.task.job);
+    RecordStart(entry);
     if (run.phase == RunPhase::kStarting) {
       run.phase = RunPhase::kRunning;
       run.confirmed_at = now;
     }
     UpdateProgress(&run, it.percent, covered);
     run.load = it.load;
-    JobEntry* entry = FindEntry(it.id.task.job);
     TaskState* task = entry == nullptr ? nullptr : FindTask(entry, it.id.task);
     if (task == nullptr) continue;
     UpdateCheckpoint(task, it.id, it.checkpoint);
-    StopIfStalled(worker, it.id, now);
+    StopIfStalled(worker, entry, it.id, now);
     const bool wanted = run.phase == RunPhase::kRunning && run.perpetual;
     task->adopted = task->adopted || (wanted && IsAfterEarlierReports(*worker, sent));
   }
@@ -282,7 +285,7 @@
   std::vector<RunId> missing;
   for (const auto& [id, it] : worker->runs) {
     const bool settled = it.phase == RunPhase::kRunning || it.stop_confirmed;
-    if (settled && it.confirmed_at < sent && seen.count(id) == 0) missing.push_back(id);
+    if (settled && it.confirmed_at < sent && it.listed_in != worker->reports) missing.push_back(id);
   }
   for (const RunId& it : missing) {
     Log(LogLevel::kInfo, "dispatch", "run_missing",
--- a/src/dispatch/worker_table.h
+++ b/src/dispatch/worker_table.h
@@ -38,8 +38,9 @@
   // The worker's current incarnation is known to have carried out the start: a report lists the
   // run, or the answer to the start names the incarnation.
   bool incarnation_known = false;
-  TimePoint next_call;  // earliest time of the next order for the run
-  int percent = 0;      // progress, as last reported
+  uint64_t listed_in = 0;  // number of the worker's last report that lists the run
+  TimePoint next_call;     // earliest time of the next order for the run
+  int percent = 0;         // progress, as last reported
   // Time that reports cover without a change of the progress.
   Duration without_progress{};
   int64_t load = 0;  // as last reported; see ActiveRun
@@ -84,6 +85,7 @@
   bool heartbeat_in_flight = false;  // a heartbeat awaits its answer
   TimePoint heartbeat_sent_at;       // when the last heartbeat was sent
   TimePoint reported_at;             // when the last usable report arrived
+  uint64_t reports = 0;              // number of usable reports
   TimePoint next_heartbeat;          // earliest time of the next heartbeat
   int64_t processed = 0;             // highest position of an ended run that has been applied
   int64_t acknowledged = 0;          // highest position of an ended run that is durable
--- a/src/entry/pool_owner.h
+++ b/src/entry/pool_owner.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -93,13 +94,16 @@
   void OnCommitAnswer(const Result<store::CommitResult>& result, TimePoint began);
   void FinishCommit(int64_t revision, TimePoint began);
   void After(Duration delay, std::function<void()> work);
-  // Returns a function that calls `work` with copies of its arguments on the thread of the event
-  // loop, unless the ownership has changed since the call to BindToGeneration().
+  // Returns a function that calls `work` with its arguments on the thread of the event loop, unless
+  // the ownership has changed since the call to BindToGeneration(). Copies of it share `work`,
+  // which often holds an order.
   template <class F>
   auto BindToGeneration(F work) {
-    return [this, generation = generation_, work = std::move(work)](const auto&... args) {
-      loop_->Post([this, generation, work, args...] {
-        if (generation == generation_) work(args...);
+    return [this, generation = generation_,
+            work = std::make_shared<F>(std::move(work))](auto&&... args) {
+      loop_->Post([this, generation, work,
+                   values = std::make_tuple(std::forward<decltype(args)>(args)...)] {
+        if (generation == generation_) std::apply(*work, values);
       });
     };
   }
