Placement: findings of the review of a placement that goes on

Cause, found by a reader who had not seen the work: a turn that goes on at the limit of starts preempted again for the same task; room that a preemption had freed could go to a job of a later turn; the removal of jobs finished long ago ended the placement, so that the pause bounded the rate again; gangs waited behind all tasks of earlier turns at the limit. Change: a task preempts once in a placement; the end of a run on a worker with reserved room lets the next placement begin at once; only the removal of a job with a turn ends the placement; gangs start at the limit as before; the sums of what runs reserve are kept by priority.

--- a/src/dispatch/commits.cc
+++ b/src/dispatch/commits.cc
@@ -113,8 +113,10 @@
 
 void Dispatcher::OnCommitted(const Commit& commit) {
   commit_in_flight_ = false;
-  if (!commit.removed_jobs.empty()) EndPlacement();
-  for (const std::string& it : commit.removed_jobs) jobs_.erase(it);
+  for (const std::string& it : commit.removed_jobs) {
+    if (IsInPlacement(FindEntry(it))) EndPlacement();
+    jobs_.erase(it);
+  }
   const Result<std::vector<WorkerInUse>> in_use =
       DecodeWorkersInUse(commit.workers_in_use.value_or(std::string()));
   if (commit.workers_in_use && in_use.ok()) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -115,8 +115,9 @@
 struct Placement {
   TimePoint began;
   std::vector<PlacementTurn> turns;
-  size_t next = 0;            // the first turn that is not over
-  ReservedCapacity reserved;  // by preemptions
+  size_t next = 0;                       // the first turn that is not over
+  ReservedCapacity reserved;             // by preemptions
+  std::set<jobs::TaskId> preempted_for;  // tasks that wait for runs to stop
   UnplaceableRequests unplaceable;
   std::map<std::string, SpareProcessor> spare_processors;
 };
@@ -234,8 +235,9 @@
   void PlaceTasks(TimePoint now, int64_t wall_ms, Orders* orders);
   void BeginPlacement(TimePoint now, int64_t wall_ms);
   void ContinuePlacement(TimePoint now, int64_t wall_ms, Orders* orders);
-  // The placement refers to jobs, so it ends when jobs are removed.
-  void EndPlacement() { placement_.turns.clear(); }
+  void PlaceGangsAtLimit(TimePoint now, int64_t wall_ms, Orders* orders);
+  bool IsInPlacement(const JobEntry* entry) const;
+  void EndPlacement() { placement_.next = placement_.turns.size(); }
   bool HasWorkingRun(const JobEntry& entry, TimePoint now) const;
   void UpdateIdleTimes(TimePoint now, int64_t wall_ms);
   std::vector<PlacementTurn> TurnsInOrder(TimePoint now, int64_t wall_ms);
@@ -246,7 +248,8 @@
   bool PlaceTask(const PlacementTurn& turn, const jobs::TaskId& id, TimePoint now, Orders* orders);
   PlacementRequest RequestOf(JobEntry* entry, const jobs::TaskId& id) const;
   void RequestPermits(JobEntry* entry, const jobs::TaskId& id, TimePoint now, Orders* orders);
-  bool PreemptFor(const JobEntry& entry, const PlacementRequest& request, TimePoint now);
+  bool PreemptFor(const JobEntry& entry, const jobs::TaskId& id, const PlacementRequest& request,
+                  TimePoint now);
   bool PlaceGangMembers(JobEntry* entry, int occurrence, int step, const std::string& rack,
                         TimePoint now, Orders* orders);
   void PlaceGang(JobEntry* entry, int occurrence, int step, TimePoint now, int64_t wall_ms,
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -66,8 +66,10 @@
   // Most decisions follow an answer that frees no capacity.
   const Duration interval =
       capacity_changed_ ? PlacementPause(placeable_.size()) : kPlacementInterval;
-  if (now >= placement_.began + interval) BeginPlacement(now, wall_ms);
+  const bool begins = now >= placement_.began + interval;
+  if (begins) BeginPlacement(now, wall_ms);
   ContinuePlacement(now, wall_ms, orders);
+  if (begins) PlaceGangsAtLimit(now, wall_ms, orders);
 }
 
 void Dispatcher::BeginPlacement(TimePoint now, int64_t wall_ms) {
@@ -93,6 +95,23 @@
   capacity_changed_ = changed || IsAtStartLimit();
 }
 
+// Gangs start at the limit too. They rarely find room for all members at once, so they must not
+// wait behind tasks that take the room one by one.
+void Dispatcher::PlaceGangsAtLimit(TimePoint now, int64_t wall_ms, Orders* orders) {
+  for (size_t n = placement_.next + 1; n < placement_.turns.size(); ++n) {
+    const PlacementTurn& turn = placement_.turns[n];
+    const std::vector<jobs::Step>& steps = turn.entry->job.steps;
+    const bool has_gang =
+        std::any_of(steps.begin(), steps.end(), [](const jobs::Step& it) { return it.gang; });
+    if (has_gang) PlaceJob(turn, now, wall_ms, orders);
+  }
+}
+
+bool Dispatcher::IsInPlacement(const JobEntry* entry) const {
+  return std::any_of(placement_.turns.begin(), placement_.turns.end(),
+                     [entry](const PlacementTurn& it) { return it.entry == entry; });
+}
+
 // A run that is paused, being stopped or not confirmed in time does nothing for its job.
 bool Dispatcher::HasWorkingRun(const JobEntry& entry, TimePoint now) const {
   if (!HasActiveTask(entry)) return false;
@@ -210,7 +229,7 @@
   WorkerState* worker = ChooseWorker(index_, request, now);
   if (worker == nullptr) {
     RequestPermits(entry, id, now, orders);
-    return !IsFirstRun(turn) && PreemptFor(*entry, request, now);
+    return !IsFirstRun(turn) && PreemptFor(*entry, id, request, now);
   }
   StartRun(worker, entry, {id, NextRun(*task)}, now, orders);
   return true;
@@ -264,11 +283,14 @@
 
 // Returns true when capacity is being freed, so that the next task of the step may request
 // preemption as well.
-bool Dispatcher::PreemptFor(const JobEntry& entry, const PlacementRequest& request, TimePoint now) {
+bool Dispatcher::PreemptFor(const JobEntry& entry, const jobs::TaskId& id,
+                            const PlacementRequest& request, TimePoint now) {
   if (request.step->best_effort) return false;
+  if (placement_.preempted_for.count(id) > 0) return true;
   const std::optional<Preemption> choice =
       ChoosePreemption(workers_, request, entry.job.rules.priority, &placement_.reserved, now);
   if (!choice) return false;
+  placement_.preempted_for.insert(id);
   for (const RunId& it : choice->victims) {
     Log(LogLevel::kInfo, "dispatch", "run_preempted",
         {{"job", it.task.job}, {"run", it.run}, {"worker", choice->worker}, {"for", entry.job.id}});
--- a/src/dispatch/preemption.cc
+++ b/src/dispatch/preemption.cc
@@ -26,7 +26,6 @@
                                                int priority, const Resources& reserved,
                                                TimePoint now) {
   Resources available = FreeCapacity(worker) - reserved;
-  if (!Fits(need, available + worker.releasable)) return std::nullopt;
   std::vector<std::pair<double, RunId>> candidates;
   for (const auto& [id, it] : worker.runs) {
     if (it.phase == RunPhase::kStopping) {
@@ -61,10 +60,13 @@
   std::optional<PreemptionCandidate> best;
   const Resources need = StepReservation(*request.step);
   for (const auto& [id, it] : workers) {
+    const auto found = reserved->find(id);
+    const Resources taken = found == reserved->end() ? Resources{} : found->second;
+    // Most workers cannot make room, which the sums of their runs tell without a look at each.
+    if (!Fits(need, FreeCapacity(it) - taken + MostReleasable(it, priority))) continue;
     if (!IsEligible(it, request, now)) continue;
-    const auto taken = reserved->find(id);
-    const std::optional<PreemptionCandidate> candidate = FindVictims(
-        it, need, priority, taken == reserved->end() ? Resources{} : taken->second, now);
+    const std::optional<PreemptionCandidate> candidate =
+        FindVictims(it, need, priority, taken, now);
     if (!candidate || (best && best->lost_work <= candidate->lost_work)) continue;
     best = candidate;
   }
--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -55,6 +55,11 @@
   capacity_changed_ = true;
   RemoveRun(worker, id);
   Reindex(&index_, worker);
+  // The capacity is meant for the task that has preempted, whose turn may be over.
+  if (placement_.reserved.count(worker->info.id) > 0) {
+    EndPlacement();
+    placement_.began = TimePoint{};
+  }
   JobEntry* entry = FindEntry(id.task.job);
   TaskState* task = entry == nullptr ? nullptr : FindTask(entry, id.task);
   if (task == nullptr) return;
--- a/src/dispatch/worker_table.cc
+++ b/src/dispatch/worker_table.cc
@@ -22,15 +22,36 @@
 
 namespace {
 
-bool IsReleasable(const RunState& run) {
-  return run.phase == RunPhase::kStopping || !run.perpetual;
+// The sum over runs to which the run's reservation belongs, or null.
+Resources* ReleasableSum(WorkerState* worker, const RunState& run) {
+  if (run.phase == RunPhase::kStopping) return &worker->stopping;
+  return run.perpetual ? nullptr : &worker->preemptible[run.priority];
+}
+
+void AddToSum(WorkerState* worker, const RunState& run) {
+  Resources* sum = ReleasableSum(worker, run);
+  if (sum != nullptr) *sum = *sum + RunReservation(run);
+}
+
+void TakeFromSum(WorkerState* worker, const RunState& run) {
+  Resources* sum = ReleasableSum(worker, run);
+  if (sum != nullptr) *sum = *sum - RunReservation(run);
 }
 
 }  // namespace
 
 void MarkStopping(WorkerState* worker, RunState* run) {
-  if (!IsReleasable(*run)) worker->releasable = worker->releasable + RunReservation(*run);
+  TakeFromSum(worker, *run);
   run->phase = RunPhase::kStopping;
+  AddToSum(worker, *run);
+}
+
+Resources MostReleasable(const WorkerState& worker, int priority) {
+  Resources most = worker.stopping;
+  for (auto it = worker.preemptible.upper_bound(priority); it != worker.preemptible.end(); ++it) {
+    most = most + it->second;
+  }
+  return most;
 }
 
 void AddRun(WorkerState* worker, const RunId& id, const jobs::Step& step, int priority,
@@ -46,7 +67,7 @@
   run.ordered_at = now;
   if (!worker->runs.emplace(id, run).second) return;
   worker->used = worker->used + RunReservation(run);
-  if (IsReleasable(run)) worker->releasable = worker->releasable + RunReservation(run);
+  AddToSum(worker, run);
   if (run.best_effort) worker->best_effort_cpu += run.request.cpu_milli;
   if (run.target_tail_ms <= 0) return;
   worker->serving += 1;
@@ -57,9 +78,7 @@
   const auto it = worker->runs.find(id);
   if (it == worker->runs.end()) return;
   worker->used = worker->used - RunReservation(it->second);
-  if (IsReleasable(it->second)) {
-    worker->releasable = worker->releasable - RunReservation(it->second);
-  }
+  TakeFromSum(worker, it->second);
   if (it->second.best_effort) worker->best_effort_cpu -= it->second.request.cpu_milli;
   if (it->second.target_tail_ms > 0) {
     worker->serving -= 1;
--- a/src/dispatch/worker_table.h
+++ b/src/dispatch/worker_table.h
@@ -104,9 +104,10 @@
   int64_t best_effort_cpu = 0;  // requested by best-effort runs
   int64_t serving_cpu = 0;      // reserved by runs with a tail target
   int serving = 0;              // number of runs with a tail target
-  // Part of `used` that is reserved by runs which are being stopped or are not perpetual. No
-  // preemption frees more.
-  Resources releasable;
+  // Parts of `used` that are reserved by runs which are being stopped, and by other runs which are
+  // not perpetual, by the priority of their queue.
+  Resources stopping;
+  std::map<int, Resources> preemptible;
   // Cores in use by best-effort runs, by image, at the last report.
   planning::BatchLoad best_effort_load;
   bool has_new_tail = false;  // a report arrived since the last pace decision
@@ -141,6 +142,9 @@
 void RemoveRun(WorkerState* worker, const RunId& id);
 void MarkStopping(WorkerState* worker, RunState* run);
 
+// Upper bound of what tasks of `priority` can get reserved by stopping runs on the worker.
+Resources MostReleasable(const WorkerState& worker, int priority);
+
 }  // namespace pomelopond::dispatch
 
 #endif  // POMELOPOND_DISPATCH_WORKER_TABLE_H_
--- a/tests/dispatch/choose_worker_test.cc
+++ b/tests/dispatch/choose_worker_test.cc
@@ -184,7 +184,7 @@
     ReservedCapacity reserved;
     std::map<std::string, WorkerState> unbounded = it.workers;
     for (auto& [id, worker] : unbounded) {
-      worker.releasable = {kMaxResourceAmount, kMaxResourceAmount, kMaxResourceAmount};
+      worker.stopping = {kMaxResourceAmount, kMaxResourceAmount, kMaxResourceAmount};
     }
     const auto choice = ChoosePreemption(it.workers, request, 0, &reserved, kNow);
     ReservedCapacity unused;
--- a/tests/dispatch/placement_test.cc
+++ b/tests/dispatch/placement_test.cc
@@ -65,5 +65,45 @@
   EXPECT_TRUE(it_.orders.starts.empty());
 }
 
+// Guards against a removal of jobs finished long ago that bounds the start rate.
+TEST_F(PlacementTest, RemovalOfOtherJobsDoesNotEndThePlacement) {
+  jobs::JobProgress finished;
+  finished.state = jobs::JobState::kCompleted;
+  it_.dispatcher.AddJob(MakeJob(IdOf(kJobs), {MakeStep(1)}), finished, false);
+  Commit removal;
+  removal.removed_jobs = {IdOf(kJobs)};
+  it_.dispatcher.OnCommitted(removal);
+  Answer(kAnswered);
+  it_.Decide();
+  EXPECT_EQ(it_.orders.starts.size(), static_cast<size_t>(kAnswered));
+}
+
+// Guards against a task that stops more runs each time its job's turn goes on.
+TEST(PreemptingPlacementTest, TaskPreemptsOnceInAPlacement) {
+  DispatchLimits limits;
+  limits.max_starts_in_flight = 1;
+  Scenario it(1, limits);
+  it.AddWorkers({MakeWorker("w1", 4000), MakeWorker("w2", 1000)});
+  jobs::Job victim = MakeJob(IdOf(0), {MakeStep(2, 2000)});
+  victim.rules.priority = 2;
+  it.dispatcher.AddJob(victim, {}, false);
+  for (int n = 0; n < 2; ++n) {
+    it.Advance(milliseconds(50));
+    it.Decide();
+    it.ConfirmStarts();
+  }
+  // The first step waits for room on w1; the tasks of the second one fit w2 one at a time.
+  it.dispatcher.AddJob(MakeJob(IdOf(1), {MakeStep(1, 2000), MakeStep(3, 100)}), {}, false);
+  it.Advance(milliseconds(50));
+  it.Decide();
+  EXPECT_EQ(it.orders.stops.size(), 1U);
+  for (int n = 0; n < 2; ++n) {
+    ASSERT_EQ(it.orders.starts.size(), 1U);
+    it.ConfirmStarts();
+    it.Decide();
+    EXPECT_TRUE(it.orders.stops.empty());
+  }
+}
+
 }  // namespace
 }  // namespace pomelopond::dispatch
--- a/tests/dispatch/simulated_fleet_checks.cc
+++ b/tests/dispatch/simulated_fleet_checks.cc
@@ -61,11 +61,14 @@
     int64_t best_effort_cpu = 0;
     int64_t serving_cpu = 0;
     int serving = 0;
-    Resources releasable;
+    Resources stopping;
+    std::map<int, Resources> preemptible;
     for (const auto& [run_id, run] : worker.runs) {
       used = used + RunReservation(run);
-      const bool kept = run.perpetual && run.phase != RunPhase::kStopping;
-      if (!kept) releasable = releasable + RunReservation(run);
+      const bool stops = run.phase == RunPhase::kStopping;
+      if (stops) stopping = stopping + RunReservation(run);
+      Resources& of_priority = preemptible[run.priority];
+      if (!stops && !run.perpetual) of_priority = of_priority + RunReservation(run);
       if (run.best_effort) best_effort_cpu += run.request.cpu_milli;
       if (run.target_tail_ms > 0) serving_cpu += run.request.cpu_milli;
       serving += run.target_tail_ms > 0 ? 1 : 0;
@@ -81,9 +84,15 @@
     }
     if (used != worker.used || best_effort_cpu != worker.best_effort_cpu ||
         serving_cpu != worker.serving_cpu || serving != worker.serving ||
-        releasable != worker.releasable) {
+        stopping != worker.stopping) {
       Violation("capacity in use of " + id);
     }
+    for (const auto& [priority, sum] : preemptible) {
+      const auto found = worker.preemptible.find(priority);
+      if (sum != (found == worker.preemptible.end() ? Resources{} : found->second)) {
+        Violation("what runs of priority " + std::to_string(priority) + " reserve on " + id);
+      }
+    }
     if (!worker.indexed || worker.index_key != IndexKeyOf(worker)) {
       Violation("place in the index of " + id);
     }
