Placement: freed room for a preemption does not make placements more frequent

A new placement at each end of a run on a worker with reserved room would cost a small owner all its processor time while much is preempted: a placement of 2,500 waiting jobs takes several ms. The placement ends, so that no later turn takes the room, and the next one begins after the usual pause.

--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -56,10 +56,7 @@
   RemoveRun(worker, id);
   Reindex(&index_, worker);
   // The capacity is meant for the task that has preempted, whose turn may be over.
-  if (placement_.reserved.count(worker->info.id) > 0) {
-    EndPlacement();
-    placement_.began = TimePoint{};
-  }
+  if (placement_.reserved.count(worker->info.id) > 0) EndPlacement();
   JobEntry* entry = FindEntry(id.task.job);
   TaskState* task = entry == nullptr ? nullptr : FindTask(entry, id.task);
   if (task == nullptr) return;
