--- a/tests/dispatch/placement_test.cc
+++ b/tests/dispatch/placement_test.cc
@@ -2,6 +2,8 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "tests/dispatch/scenario.h"
 
@@ -78,32 +80,74 @@
   EXPECT_EQ(it_.orders.starts.size(), static_cast<size_t>(kAnswered));
 }
 
-// Guards against a task that stops more runs each time its job's turn goes on.
-TEST(PreemptingPlacementTest, TaskPreemptsOnceInAPlacement) {
-  DispatchLimits limits;
-  limits.max_starts_in_flight = 1;
-  Scenario it(1, limits);
-  it.AddWorkers({MakeWorker("w1", 4000), MakeWorker("w2", 1000)});
-  jobs::Job victim = MakeJob(IdOf(0), {MakeStep(2, 2000)});
-  victim.rules.priority = 2;
-  it.dispatcher.AddJob(victim, {}, false);
-  for (int n = 0; n < 2; ++n) {
-    it.Advance(milliseconds(50));
-    it.Decide();
-    it.ConfirmStarts();
+jobs::Job JobOf(int n, int priority, std::vector<jobs::Step> steps) {
+  jobs::Job job = MakeJob(IdOf(n), std::move(steps));
+  job.rules.priority = priority;
+  return job;
+}
+
+// One start order in flight. w1 is full of two runs of low priority; many jobs fit no worker, so
+// that the next placement begins only after a pause.
+class PreemptingPlacementTest : public testing::Test {
+ protected:
+  PreemptingPlacementTest() : it_(1, OneStart()) {
+    it_.AddWorkers({MakeWorker("w1", 4000), MakeWorker("w2", 1000)});
+    it_.dispatcher.AddJob(JobOf(0, 2, {MakeStep(2, 2000)}), {}, false);
+    for (int n = 0; n < 2; ++n) {
+      it_.Advance(milliseconds(50));
+      it_.Decide();
+      victims_.push_back(it_.Started().at(0));
+      it_.ConfirmStarts();
+    }
+    for (int n = 10; n < kJobs; ++n) {
+      it_.dispatcher.AddJob(JobOf(n, 4, {MakeStep(1, 100000)}), {}, false);
+    }
+  }
+
+  static DispatchLimits OneStart() {
+    DispatchLimits limits;
+    limits.max_starts_in_flight = 1;
+    return limits;
   }
+
+  Scenario it_;
+  std::vector<RunId> victims_;
+};
+
+// Guards against a task that stops more runs each time its job's turn goes on.
+TEST_F(PreemptingPlacementTest, TaskPreemptsOnceInAPlacement) {
   // The first step waits for room on w1; the tasks of the second one fit w2 one at a time.
-  it.dispatcher.AddJob(MakeJob(IdOf(1), {MakeStep(1, 2000), MakeStep(3, 100)}), {}, false);
-  it.Advance(milliseconds(50));
-  it.Decide();
-  EXPECT_EQ(it.orders.stops.size(), 1U);
+  it_.dispatcher.AddJob(JobOf(1, 0, {MakeStep(1, 2000), MakeStep(3, 100)}), {}, false);
+  it_.Advance(milliseconds(50));
+  it_.Decide();
+  EXPECT_EQ(it_.orders.stops.size(), 1U);
   for (int n = 0; n < 2; ++n) {
-    ASSERT_EQ(it.orders.starts.size(), 1U);
-    it.ConfirmStarts();
-    it.Decide();
-    EXPECT_TRUE(it.orders.stops.empty());
+    ASSERT_EQ(it_.orders.starts.size(), 1U);
+    it_.ConfirmStarts();
+    it_.Decide();
+    EXPECT_TRUE(it_.orders.stops.empty());
   }
 }
 
+// Guards against room that a preemption has freed and a less urgent job takes.
+TEST_F(PreemptingPlacementTest, FreedRoomGoesToTheTaskThatPreempted) {
+  it_.dispatcher.AddJob(JobOf(1, 0, {MakeStep(1, 2000)}), {}, false);
+  it_.dispatcher.AddJob(JobOf(2, 1, {MakeStep(1, 100)}), {}, false);
+  it_.dispatcher.AddJob(JobOf(3, 3, {MakeStep(1, 1500)}), {}, false);
+  it_.Advance(milliseconds(50));
+  it_.Decide();
+  ASSERT_EQ(it_.orders.stops.size(), 1U);
+  const RunId stopped = it_.orders.stops[0].run;
+  const RunId kept = stopped == victims_[0] ? victims_[1] : victims_[0];
+  it_.Report("w1", {{kept, "", 10, 0}}, {End(1, stopped, EndKind::kStopped)});
+  it_.ConfirmStarts();
+  it_.Decide();
+  EXPECT_TRUE(it_.orders.starts.empty());
+  it_.Advance(milliseconds(50));
+  it_.Decide();
+  ASSERT_EQ(it_.orders.starts.size(), 1U);
+  EXPECT_EQ(it_.orders.starts[0].run.task.job, IdOf(1));
+}
+
 }  // namespace
 }  // namespace pomelopond::dispatch
