--- a/src/dispatch/commits.cc
+++ b/src/dispatch/commits.cc
@@ -114,6 +114,7 @@
 void Dispatcher::OnCommitted(const Commit& commit) {
   commit_in_flight_ = false;
   for (const std::string& it : commit.removed_jobs) {
+    // The placement refers to its jobs.
     if (IsInPlacement(FindEntry(it))) EndPlacement();
     jobs_.erase(it);
   }
