--- a/tests/dispatch/choose_worker_test.cc
+++ b/tests/dispatch/choose_worker_test.cc
@@ -38,8 +38,8 @@
   bool Chance(int percent) { return Draw(0, 99) < percent; }
 
   jobs::Step DrawStep() {
-    jobs::Step step = MakeStep(1, Draw(1, 12) * 500);
-    step.request.memory_mb = Draw(1, 8) * 1000;
+    jobs::Step step = MakeStep(1, Draw(1, 12) * int64_t{500});
+    step.request.memory_mb = Draw(1, 8) * int64_t{1000};
     step.image = ImageOf(Draw(0, kImages - 1));
     const int kind = Draw(0, 2);
     step.best_effort = kind == 0;
@@ -88,7 +88,7 @@
   void AddWorker(int n) {
     const std::string id = "w" + std::to_string(n);
     WorkerState& state = workers[id];
-    state.info = MakeWorker(id, Draw(1, 4) * 8000);
+    state.info = MakeWorker(id, Draw(1, 4) * int64_t{8000});
     state.info.rack = "rack-" + std::to_string(Draw(0, 3));
     state.registered = true;
     state.recorded = true;
