--- a/src/dispatch/choose_worker.cc
+++ b/src/dispatch/choose_worker.cc
@@ -83,8 +83,9 @@
 bool IsBestInOrder(const Score& score, const jobs::Step& step) {
   // The index does not know which images a worker serves.
   if (!step.best_effort && step.target_tail_ms > 0) return false;
-  const auto& [suspect, outside_preferred_rack, third, fourth, amount] = score;
-  const bool long_tail = step.best_effort && third;
+  const bool suspect = std::get<0>(score);
+  const bool outside_preferred_rack = std::get<1>(score);
+  const bool long_tail = step.best_effort && std::get<2>(score);
   return !suspect && !outside_preferred_rack && !long_tail;
 }
 
--- a/src/dispatch/worker_table.cc
+++ b/src/dispatch/worker_table.cc
@@ -1,25 +1,6 @@
 #include "dispatch/worker_table.h"
 
 namespace pomelopond::dispatch {
-
-int64_t EstimatedClockMs(const WorkerState& worker, TimePoint now) {
-  return worker.clock_ms +
-         std::chrono::duration_cast<std::chrono::milliseconds>(now - worker.clock_at).count();
-}
-
-TimePoint LatestLocalTime(const WorkerState& worker, int64_t end_ms) {
-  const double left_us = static_cast<double>(end_ms - worker.clock_ms) * 1000 / kMinClockRate;
-  return worker.clock_at + Duration(static_cast<int64_t>(left_us)) + kTimerSlack;
-}
-
-Resources FreeCapacity(const WorkerState& worker) { return worker.info.capacity - worker.used; }
-
-Resources RunReservation(const RunState& run) {
-  Resources amount = run.request;
-  if (run.best_effort) amount.cpu_milli = 0;
-  return amount;
-}
-
 namespace {
 
 // The sum over runs to which the run's reservation belongs, or null.
@@ -40,6 +21,24 @@
 
 }  // namespace
 
+int64_t EstimatedClockMs(const WorkerState& worker, TimePoint now) {
+  return worker.clock_ms +
+         std::chrono::duration_cast<std::chrono::milliseconds>(now - worker.clock_at).count();
+}
+
+TimePoint LatestLocalTime(const WorkerState& worker, int64_t end_ms) {
+  const double left_us = static_cast<double>(end_ms - worker.clock_ms) * 1000 / kMinClockRate;
+  return worker.clock_at + Duration(static_cast<int64_t>(left_us)) + kTimerSlack;
+}
+
+Resources FreeCapacity(const WorkerState& worker) { return worker.info.capacity - worker.used; }
+
+Resources RunReservation(const RunState& run) {
+  Resources amount = run.request;
+  if (run.best_effort) amount.cpu_milli = 0;
+  return amount;
+}
+
 void MarkStopping(WorkerState* worker, RunState* run) {
   TakeFromSum(worker, *run);
   run->phase = RunPhase::kStopping;
--- a/tests/dispatch/choose_worker_test.cc
+++ b/tests/dispatch/choose_worker_test.cc
@@ -175,6 +175,25 @@
   }
 }
 
+// Guards against a bound that skips a worker on which a run is being stopped already.
+TEST(ChooseWorkerTest, RoomOfARunThatStopsNeedsNoFurtherVictim) {
+  RandomWorkers it(0, 1);
+  WorkerState& worker = it.workers["w1"];
+  worker.info = MakeWorker("w1", 4000);
+  worker.registered = worker.recorded = worker.contacted = true;
+  jobs::Step step = MakeStep(1, 4000);
+  step.perpetual = true;
+  const RunId id{{"0000000000000001", 0, 0, 0}, 1};
+  AddRun(&worker, id, step, 0, kNow);
+  const PlacementRequest request = it.RequestFor(step);
+  ReservedCapacity reserved;
+  EXPECT_FALSE(ChoosePreemption(it.workers, request, 0, &reserved, kNow).has_value());
+  MarkStopping(&worker, &worker.runs.at(id));
+  const auto choice = ChoosePreemption(it.workers, request, 0, &reserved, kNow);
+  ASSERT_TRUE(choice.has_value());
+  EXPECT_TRUE(choice->victims.empty());
+}
+
 // Guards against a bound that skips a worker on which runs of lower priority can make room.
 TEST(ChooseWorkerTest, WorkersThatPreemptionPassesOverCannotMakeRoom) {
   RandomWorkers it(350, 11);
--- a/tests/dispatch/colocation_test.cc
+++ b/tests/dispatch/colocation_test.cc
@@ -126,6 +126,17 @@
   EXPECT_EQ(it.orders.heartbeats[0].wait, DispatchLimits{}.report_wait / 2);
 }
 
+// Guards against a best-effort task that stays slowed down for longer than its neighbours need.
+TEST_F(SharingTest, ReportsAreMoreFrequentWhileARunIsPaced) {
+  ReportTail(kTargetMs * 95 / 100);
+  ASSERT_EQ(it.orders.paces.size(), 1U);
+  it.dispatcher.OnPaced(it.orders.paces[0], it.Accepted(), it.now);
+  ReportTail(kTargetMs / 3);
+  EXPECT_TRUE(it.orders.paces.empty());
+  ASSERT_EQ(it.orders.heartbeats.size(), 1U);
+  EXPECT_EQ(it.orders.heartbeats[0].wait, DispatchLimits{}.report_wait / 2);
+}
+
 // Guards against placing an image beside a latency-critical task again although its tail latency
 // rose each time before.
 TEST_F(SharingTest, DisturbingImageIsNotPlacedBesideTheServiceAgain) {
--- a/tests/dispatch/dispatcher_test.cc
+++ b/tests/dispatch/dispatcher_test.cc
@@ -64,5 +64,24 @@
   EXPECT_EQ(it.dispatcher.workers().at("w1").acknowledged, 1);
 }
 
+// Guards against a task that waits for ever for a run that its worker no longer knows.
+TEST(MissingRunTest, RunThatTheNextReportDoesNotListHasEnded) {
+  Scenario it;
+  it.AddWorkers({MakeWorker("w1")});
+  it.dispatcher.AddJob(MakeJob("00000000000000aa", {MakeStep(1)}), {}, false);
+  it.Decide();
+  ASSERT_EQ(it.orders.starts.size(), 1U);
+  const RunId run = it.orders.starts[0].run;
+  it.ConfirmStarts();
+  it.Report("w1", {{run, "", 10, 0}}, {});
+  it.Advance(std::chrono::milliseconds(100));
+  it.Decide();
+  it.Report("w1", {}, {});
+  it.Advance(std::chrono::milliseconds(100));
+  it.Decide();
+  ASSERT_EQ(it.orders.starts.size(), 1U);
+  EXPECT_EQ(it.orders.starts[0].run.run, run.run + 1);
+}
+
 }  // namespace
 }  // namespace pomelopond::dispatch
--- a/tests/dispatch/placement_test.cc
+++ b/tests/dispatch/placement_test.cc
@@ -1,6 +1,7 @@
 // Placements that reach the limit of start orders in flight.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <string>
 #include <utility>
 #include <vector>
@@ -18,13 +19,19 @@
 
 std::string IdOf(int n) { return "000000000000" + std::to_string(1000 + n); }
 
-class PlacementTest : public testing::Test {
+class StartLimitTest : public testing::Test {
  protected:
-  PlacementTest() {
+  StartLimitTest() {
     it_.AddWorkers({MakeWorker("w1", 1000000), MakeWorker("w2", 1000000)});
     for (int n = 0; n < kJobs; ++n) {
       it_.dispatcher.AddJob(MakeJob(IdOf(n), {MakeStep(1)}), {}, false);
     }
+    // These fit no worker. They keep the pause long when the others are gone.
+    for (int n = 0; n < kJobs; ++n) {
+      jobs::Job job = MakeJob(IdOf(2 * kJobs + n), {MakeStep(1, 10000000)});
+      job.rules.priority = 4;
+      it_.dispatcher.AddJob(job, {}, false);
+    }
     it_.Advance(milliseconds(50));
     it_.Decide();
     first_ = it_.orders.starts;
@@ -41,7 +48,7 @@
 };
 
 // Guards against a start rate that is bounded by the pause between placements.
-TEST_F(PlacementTest, AnsweredStartsAreFollowedByOthersAtOnce) {
+TEST_F(StartLimitTest, AnsweredStartsAreFollowedByOthersAtOnce) {
   ASSERT_EQ(first_.size(), static_cast<size_t>(DispatchLimits{}.max_starts_in_flight));
   Answer(kAnswered);
   it_.Decide();
@@ -49,7 +56,7 @@
 }
 
 // Guards against a placement that goes on with the jobs as they were when it began.
-TEST_F(PlacementTest, JobsCancelledMeanwhileAreNotStarted) {
+TEST_F(StartLimitTest, JobsCancelledMeanwhileAreNotStarted) {
   for (int n = 0; n < kJobs; ++n) it_.dispatcher.CancelJob(IdOf(n), it_.WallMs());
   Answer(kAnswered);
   it_.Decide();
@@ -57,7 +64,7 @@
 }
 
 // Guards against a placement that goes on with a job that no longer exists.
-TEST_F(PlacementTest, RemovedJobsAreNotStarted) {
+TEST_F(StartLimitTest, RemovedJobsAreNotStarted) {
   for (int n = 0; n < kJobs; ++n) it_.dispatcher.CancelJob(IdOf(n), it_.WallMs());
   Commit removal;
   for (int n = 0; n < kJobs; ++n) removal.removed_jobs.push_back(IdOf(n));
@@ -68,7 +75,7 @@
 }
 
 // Guards against a removal of jobs finished long ago that bounds the start rate.
-TEST_F(PlacementTest, RemovalOfOtherJobsDoesNotEndThePlacement) {
+TEST_F(StartLimitTest, RemovalOfOtherJobsDoesNotEndThePlacement) {
   jobs::JobProgress finished;
   finished.state = jobs::JobState::kCompleted;
   it_.dispatcher.AddJob(MakeJob(IdOf(kJobs), {MakeStep(1)}), finished, false);
@@ -80,6 +87,22 @@
   EXPECT_EQ(it_.orders.starts.size(), static_cast<size_t>(kAnswered));
 }
 
+// Guards against a gang that waits until all single tasks of more urgent jobs have started.
+TEST_F(StartLimitTest, GangsStartAtTheLimit) {
+  jobs::Step gang = MakeStep(2);
+  gang.gang = true;
+  jobs::Job job = MakeJob(IdOf(kJobs), {gang});
+  job.rules.priority = 1;
+  it_.dispatcher.AddJob(job, {}, false);
+  Answer(kAnswered);
+  it_.Advance(milliseconds(50));
+  it_.Decide();
+  const std::vector<RunId> started = it_.Started();
+  const auto members = std::count_if(started.begin(), started.end(),
+                                     [](const RunId& it) { return it.task.job == IdOf(kJobs); });
+  EXPECT_EQ(members, 2);
+}
+
 jobs::Job JobOf(int n, int priority, std::vector<jobs::Step> steps) {
   jobs::Job job = MakeJob(IdOf(n), std::move(steps));
   job.rules.priority = priority;
