Logs: why a job that has waited for long has no run

Change: event=pool tells the unserved share of the waiting jobs and counts of starts, ends and placements; event=job_waits tells every 2 s for three jobs what keeps their tasks off the workers; event=run_over each run of those jobs.

--- a/src/dispatch/answers.cc
+++ b/src/dispatch/answers.cc
@@ -87,6 +87,7 @@
     RecordStart(FindEntry(order.run.task.job));
     run.confirmed_at = now;
     run.incarnation_known = run.incarnation_known || answer.incarnation != 0;
+    if (run.started_at == TimePoint{}) run.started_at = now;
     if (run.phase == RunPhase::kStarting) run.phase = RunPhase::kRunning;
     return;
   }
@@ -107,7 +108,7 @@
   if (run.phase == RunPhase::kRunning) return;
   // An earlier order without an answer may still take effect unless the run is stopped on the
   // worker.
-  if (run.outcome_unknown) return RequestStop(worker, order.run);
+  if (run.outcome_unknown) return RequestStop(worker, order.run, StopReason::kUncertain);
   EndRun(worker, order.run);
 }
 
--- a/src/dispatch/choose_worker.cc
+++ b/src/dispatch/choose_worker.cc
@@ -150,6 +150,24 @@
                       [&worker](const RunLocation& it) { return it.worker == worker.info.id; });
 }
 
+Obstacle ObstacleOn(const WorkerState& worker, const PlacementRequest& request, TimePoint now) {
+  if (!AcceptsTasks(worker, now)) return Obstacle::kUnavailable;
+  if (!IsEligible(worker, request, now)) return Obstacle::kIneligible;
+  if (!Fits(StepReservation(*request.step), FreeCapacity(worker))) return Obstacle::kReservation;
+  if (!HasCapacityFor(worker, request)) return Obstacle::kProcessor;
+  if (KeepsTailsShort(worker, request)) return Obstacle::kNone;
+  return WorstTailRatio(worker) > kHighTailRatio ? Obstacle::kTail : Obstacle::kExpectedTail;
+}
+
+std::map<Obstacle, int> CountObstacles(const std::map<std::string, WorkerState>& workers,
+                                       const PlacementRequest& request, TimePoint now) {
+  std::map<Obstacle, int> out;
+  for (const auto& [id, it] : workers) {
+    if (it.info.service == request.service) out[ObstacleOn(it, request, now)] += 1;
+  }
+  return out;
+}
+
 std::vector<std::string> RacksByFreeCapacity(const std::map<std::string, WorkerState>& workers,
                                              const PlacementRequest& request, TimePoint now) {
   std::map<std::string, int64_t> available;
--- a/src/dispatch/choose_worker.h
+++ b/src/dispatch/choose_worker.h
@@ -40,6 +40,23 @@
 // True when the worker may run the task, regardless of its free capacity.
 bool IsEligible(const WorkerState& worker, const PlacementRequest& request, TimePoint now);
 
+// What keeps a task off a worker: the first condition that does not hold.
+enum class Obstacle {
+  kNone,
+  kUnavailable,   // the worker accepts no tasks at present
+  kIneligible,    // another service or rack, a label, a permit or a limit
+  kReservation,   // too little memory, accelerators or unreserved processor time
+  kProcessor,     // others have requested the processor time
+  kTail,          // a tail is too long
+  kExpectedTail,  // a tail would become too long
+};
+
+Obstacle ObstacleOn(const WorkerState& worker, const PlacementRequest& request, TimePoint now);
+
+// Number of the service's workers by what keeps the task off them.
+std::map<Obstacle, int> CountObstacles(const std::map<std::string, WorkerState>& workers,
+                                       const PlacementRequest& request, TimePoint now);
+
 // Amount that one task of the step reserves of a worker's capacity. Best-effort tasks reserve no
 // processor time.
 Resources StepReservation(const jobs::Step& step);
--- a/src/dispatch/decide.cc
+++ b/src/dispatch/decide.cc
@@ -154,7 +154,9 @@
     const std::optional<StartOrder> order = MakeStartOrder(worker, id, now);
     if (!order) {
       // An earlier start order may still take effect, but it cannot be sent again.
-      if (now < last_proof_ + limits_.lease_horizon) RequestStop(worker, id);
+      if (now < last_proof_ + limits_.lease_horizon) {
+        RequestStop(worker, id, StopReason::kUncertain);
+      }
       continue;
     }
     run.call_in_flight = true;
@@ -170,7 +172,7 @@
       JobEntry* entry = FindEntry(id.task.job);
       if (entry == nullptr || FindTask(entry, id.task) == nullptr) continue;
       const jobs::Step& step = StepOf(*entry, id.task);
-      if (step.perpetual || step.checkpoint) RequestStop(&worker, id);
+      if (step.perpetual || step.checkpoint) RequestStop(&worker, id, StopReason::kDraining);
     }
   }
 }
@@ -183,12 +185,12 @@
     const double tail = WorstTailRatio(worker);
     const std::optional<RunId> interfering =
         tail > 1 ? MostInterferingRun(colocation_, worker) : std::nullopt;
-    if (interfering) RequestStop(&worker, *interfering);
+    if (interfering) RequestStop(&worker, *interfering, StopReason::kTail);
     for (auto& [id, run] : worker.runs) {
       if (!run.best_effort || run.phase != RunPhase::kRunning || run.call_in_flight) continue;
       const int pace = PaceFor(run.pace, tail);
       if (pace == run.pace || (pace > run.pace && now < run.next_call)) continue;
-      run.pace = pace;
+      RecordPace(&run, pace, now);
       run.call_in_flight = true;
       run.next_call = now + kPaceInterval;
       orders->paces.push_back({AddressOf(worker), epoch_, id, pace});
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -42,7 +42,7 @@
 }
 
 Dispatcher::Dispatcher(const DispatchLimits& limits, int64_t epoch, TimePoint now)
-    : limits_(limits), epoch_(epoch), took_over_(now), last_proof_(now) {}
+    : limits_(limits), epoch_(epoch), took_over_(now), last_proof_(now), service_checked_at_(now) {}
 
 void Dispatcher::OnOwnershipProof(TimePoint at) { last_proof_ = std::max(last_proof_, at); }
 
@@ -212,6 +212,14 @@
     out.longest_idle = now - *entry.idle_since;
     out.idle_job = id;
   }
+  for (const auto& [id, it] : placeable_) {
+    out.unserved_share += it->unserved_share / static_cast<double>(placeable_.size());
+    out.worst_unserved_share = std::max(out.worst_unserved_share, it->unserved_share);
+  }
+  out.starts = starts_;
+  out.ends = ends_;
+  out.placements = placements_;
+  out.limited_placements = limited_placements_;
   out.jobs_revision = jobs_revision_;
   out.unreconciled_workers = static_cast<int>(unreconciled_.size());
   for (const auto& [id, it] : workers_) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -18,6 +18,7 @@
 #include "dispatch/colocation.h"
 #include "dispatch/job_rank.h"
 #include "dispatch/job_table.h"
+#include "dispatch/job_wait.h"
 #include "dispatch/lease_bounds.h"
 #include "dispatch/preemption.h"
 #include "dispatch/unplaceable_requests.h"
@@ -81,12 +82,19 @@
 
 // Snapshot of the pool for logs and metrics. Processor time is in thousandths of a core.
 struct PoolSummary {
-  int jobs = 0;                      // jobs that are not finished
-  int waiting_tasks = 0;             // tasks without a run, ready or not
-  int withheld_tasks = 0;            // of these, tasks withheld until all workers are reconciled
-  int pending_jobs = 0;              // jobs that callers are told to be pending
-  int unconfirmed_jobs = 0;          // of these, jobs with a start that is not confirmed
-  int64_t jobs_revision = 0;         // store revision up to which all jobs are known
+  int jobs = 0;               // jobs that are not finished
+  int waiting_tasks = 0;      // tasks without a run, ready or not
+  int withheld_tasks = 0;     // of these, tasks withheld until all workers are reconciled
+  int pending_jobs = 0;       // jobs that callers are told to be pending
+  int unconfirmed_jobs = 0;   // of these, jobs with a start that is not confirmed
+  int64_t jobs_revision = 0;  // store revision up to which all jobs are known
+  double unserved_share = 0;  // mean of the jobs with waiting tasks; see JobEntry
+  double worst_unserved_share = 0;
+  // Since this owner took over.
+  int64_t starts = 0;                // start orders for new runs
+  int64_t ends = 0;                  // reported ends of runs
+  int64_t placements = 0;            // placements that began
+  int64_t limited_placements = 0;    // of these, placements that met the limit of starts in flight
   int idle_jobs = 0;                 // jobs without a run although a task could start
   Duration longest_idle{};           // longest time that one of them has been idle
   std::string idle_job;              // id of that job
@@ -116,6 +124,7 @@
   TimePoint began;
   std::vector<PlacementTurn> turns;
   size_t next = 0;                       // the first turn that is not over
+  bool limited = false;                  // it has met the limit of start orders in flight
   ReservedCapacity reserved;             // by preemptions
   std::set<jobs::TaskId> preempted_for;  // tasks that wait for runs to stop
   UnplaceableRequests unplaceable;
@@ -183,6 +192,9 @@
   const JobEntry* FindJob(const std::string& id) const;
   WaitingCounts CurrentWaitingCounts(int64_t wall_ms) const;
   PoolSummary Summary(TimePoint now) const;
+  // The waiting jobs with the highest unserved shares, the highest one first. From then on the ends
+  // of their runs leave a line each, for some time.
+  std::vector<JobWait> ExplainWaits(TimePoint now, int64_t wall_ms);
 
  private:
   void MarkDirty(const std::string& job);
@@ -198,7 +210,7 @@
   // The worker has started again under its id.
   void HandleRestart(WorkerState* worker, TimePoint now);
   void ForgetIncarnation(WorkerState* worker, TimePoint now);
-  void RequestStop(WorkerState* worker, const RunId& id);
+  void RequestStop(WorkerState* worker, const RunId& id, StopReason reason);
   void StopAllRuns(JobEntry* entry);
   void StopRuns(const jobs::TaskId& id);
   void Adopt(WorkerState* worker, const ActiveRun& active, TimePoint now);
@@ -212,6 +224,8 @@
   void RecordFailure(JobEntry* entry, const RunId& id, int64_t wall_ms);
   void FinishTask(JobEntry* entry, const jobs::TaskId& id, int64_t wall_ms);
   void FinishJob(JobEntry* entry, jobs::JobState state, int64_t wall_ms);
+  void LogWatchedRun(const WorkerState& worker, const EndedRun& end, const RunState& run,
+                     TimePoint now);
   bool HandleAnswer(WorkerState* worker, const Answer& answer, TimePoint now);
   void DropPermit(const StartOrder& order);
   void RecordNoAnswer(WorkerState* worker, TimePoint now);
@@ -292,8 +306,14 @@
   Placement placement_;           // the last one
   // Ids of all workers with runs whose start or stop is not confirmed, and of some others.
   std::set<std::string> unsettled_workers_;
-  std::map<std::string, JobEntry*> placeable_;  // jobs with waiting tasks, by id
-  std::set<std::string> unreconciled_;          // inherited workers that have not reported yet
+  std::map<std::string, JobEntry*> placeable_;     // jobs with waiting tasks, by id
+  std::map<std::string, TimePoint> watched_jobs_;  // whose runs leave lines, until when
+  TimePoint service_checked_at_;                   // when unserved shares were last updated
+  int64_t starts_ = 0;
+  int64_t ends_ = 0;
+  int64_t placements_ = 0;
+  int64_t limited_placements_ = 0;
+  std::set<std::string> unreconciled_;  // inherited workers that have not reported yet
   bool reconciliation_logged_ = false;
   bool workers_changed_ = false;  // the durable list of workers in use is outdated
 
--- a/src/dispatch/job_table.cc
+++ b/src/dispatch/job_table.cc
@@ -59,6 +59,10 @@
   return progress;
 }
 
+void ForgetRun(JobEntry* entry, const RunState* run) {
+  entry->runs.erase(std::remove(entry->runs.begin(), entry->runs.end(), run), entry->runs.end());
+}
+
 StepState* StepStateOf(JobEntry* entry, const jobs::TaskId& id) {
   if (id.occurrence < 0 || static_cast<size_t>(id.occurrence) >= entry->steps.size()) {
     return nullptr;
--- a/src/dispatch/job_table.h
+++ b/src/dispatch/job_table.h
@@ -11,7 +11,7 @@
 
 #include "base/time.h"
 #include "dispatch/permit.h"
-#include "dispatch/worker.h"
+#include "dispatch/worker_table.h"
 #include "jobs/progress.h"
 
 namespace pomelopond::dispatch {
@@ -58,12 +58,20 @@
   int64_t revision = 0;     // store revision of the job's record; 0: precedes this owner
   Estimates estimates;
   TimePoint estimates_valid_until;  // the estimates are computed again after this time
+  // Active runs of all its tasks, as their workers' tables hold them.
+  std::vector<const RunState*> runs;
+  // Moving average of the share of time without a run that a worker has confirmed, while a task
+  // could start. Unlike `idle_since` it does not begin anew with each short run.
+  double unserved_share = 0;
   // Since when a task could start while no run worked for the job; unset if that is not so.
   std::optional<TimePoint> idle_since;
   // Indexed by occurrence, then step.
   std::vector<std::vector<StepState>> steps;
 };
 
+// Removes the run from the job's active ones.
+void ForgetRun(JobEntry* entry, const RunState* run);
+
 JobEntry MakeEntry(jobs::Job job, const jobs::JobProgress& progress, bool inherited);
 
 jobs::JobProgress ProgressOf(const JobEntry& entry);
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -27,14 +27,6 @@
   return std::min<Duration>(kPausePerJob * (waiting_jobs - kJobsWithoutPause), kPlacementInterval);
 }
 
-// Time within which a worker confirms the start of a run, unless its answers get lost.
-constexpr Duration kConfirmationTime = std::chrono::seconds(1);
-
-bool IsWorking(const RunState& run, TimePoint now) {
-  if (run.phase == RunPhase::kStopping || (run.best_effort && run.pace == 0)) return false;
-  return run.phase == RunPhase::kRunning || now < run.ordered_at + kConfirmationTime;
-}
-
 bool IsFirstRun(const PlacementTurn& turn) {
   return std::get<TurnKind>(turn.rank) == TurnKind::kFirstRun;
 }
@@ -75,6 +67,7 @@
 void Dispatcher::BeginPlacement(TimePoint now, int64_t wall_ms) {
   placement_ = {};
   placement_.began = now;
+  placements_ += 1;
   placement_.spare_processors = SpareProcessors(workers_, now);
   UpdateIdleTimes(now, wall_ms);
   placement_.turns = TurnsInOrder(now, wall_ms);
@@ -90,6 +83,10 @@
     if (IsAtStartLimit() && !IsFirstRun(turn)) break;
     placement_.next += 1;
   }
+  if (IsAtStartLimit() && !placement_.limited) {
+    placement_.limited = true;
+    limited_placements_ += 1;
+  }
   // The starts of this placement free no capacity. At the limit, more tasks may be placeable once
   // some starts are answered.
   capacity_changed_ = changed || IsAtStartLimit();
@@ -118,29 +115,15 @@
   // While most of the pool is in use no first run follows, so the cheap answer is enough.
   const auto spare = placement_.spare_processors.find(entry.job.rules.service);
   if (spare == placement_.spare_processors.end() || !IsUnderused(spare->second)) return true;
-  jobs::TaskId id{entry.job.id, 0, 0, 0};
-  for (const std::vector<StepState>& steps : entry.steps) {
-    id.step = 0;
-    for (const StepState& step : steps) {
-      id.index = 0;
-      for (const TaskState& task : step.tasks) {
-        for (const RunLocation& it : task.runs) {
-          const auto worker = workers_.find(it.worker);
-          if (worker == workers_.end()) continue;
-          const auto run = worker->second.runs.find({id, it.run});
-          if (run != worker->second.runs.end() && IsWorking(run->second, now)) return true;
-        }
-        id.index += 1;
-      }
-      id.step += 1;
-    }
-    id.occurrence += 1;
-  }
-  return false;
+  return std::any_of(entry.runs.begin(), entry.runs.end(),
+                     [now](const RunState* it) { return IsWorking(*it, now); });
 }
 
 void Dispatcher::UpdateIdleTimes(TimePoint now, int64_t wall_ms) {
+  const Duration passed = now - service_checked_at_;
+  service_checked_at_ = now;
   for (const auto& [id, entry] : placeable_) {
+    UpdateUnservedShare(entry, passed, wall_ms);
     const bool idle = !HasWorkingRun(*entry, now) && HasReadyTask(*entry, wall_ms);
     if (!idle) entry->idle_since.reset();
     if (idle && !entry->idle_since) entry->idle_since = now;
@@ -294,7 +277,7 @@
   for (const RunId& it : choice->victims) {
     Log(LogLevel::kInfo, "dispatch", "run_preempted",
         {{"job", it.task.job}, {"run", it.run}, {"worker", choice->worker}, {"for", entry.job.id}});
-    RequestStop(&workers_[choice->worker], it);
+    RequestStop(&workers_[choice->worker], it, StopReason::kPreempted);
   }
   return true;
 }
@@ -307,6 +290,7 @@
   unsettled_workers_.insert(worker->info.id);
   if (task->runs.empty()) StepStateOf(entry, id.task)->waiting -= 1;
   task->runs.push_back({id.run, worker->info.id});
+  entry->runs.push_back(&worker->runs.at(id));
   if (task->first_run == 0) task->first_run = id.run;
   task->last_run = id.run;
   UpdatePlaceable(entry);
@@ -314,6 +298,7 @@
   if (!order) return EndRun(worker, id);
   worker->runs[id].call_in_flight = true;
   starts_in_flight_ += 1;
+  starts_ += 1;
   orders->starts.push_back(*order);
 }
 
--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -15,23 +15,6 @@
 // Interval of heartbeats while the ended runs of the last report are not durable, or the worker's
 // lease is bounded.
 constexpr Duration kUncommittedRetry = std::chrono::milliseconds(500);
-const char* EndName(EndKind kind) {
-  switch (kind) {
-    case EndKind::kDone:
-      return "done";
-    case EndKind::kFailed:
-      return "failed";
-    case EndKind::kStopped:
-      return "stopped";
-    case EndKind::kLeaseExpired:
-      return "lease_expired";
-    case EndKind::kGangBroken:
-      return "gang_broken";
-    case EndKind::kGangIncomplete:
-      return "gang_incomplete";
-  }
-  return "unknown";
-}
 
 void UpdateCheckpoint(TaskState* task, const RunId& id, const std::string& checkpoint) {
   if (checkpoint.empty() || task->progress.done || id.run < task->progress.checkpoint_run) return;
@@ -53,11 +36,13 @@
 
 void Dispatcher::EndRun(WorkerState* worker, const RunId& id) {
   capacity_changed_ = true;
+  JobEntry* entry = FindEntry(id.task.job);
+  const auto run = worker->runs.find(id);
+  if (entry != nullptr && run != worker->runs.end()) ForgetRun(entry, &run->second);
   RemoveRun(worker, id);
   Reindex(&index_, worker);
   // The capacity is meant for the task that has preempted, whose turn may be over.
   if (placement_.reserved.count(worker->info.id) > 0) EndPlacement();
-  JobEntry* entry = FindEntry(id.task.job);
   TaskState* task = entry == nullptr ? nullptr : FindTask(entry, id.task);
   if (task == nullptr) return;
   const auto place = std::find_if(task->runs.begin(), task->runs.end(), [&](const RunLocation& it) {
@@ -70,10 +55,11 @@
   UpdatePlaceable(entry);
 }
 
-void Dispatcher::RequestStop(WorkerState* worker, const RunId& id) {
+void Dispatcher::RequestStop(WorkerState* worker, const RunId& id, StopReason reason) {
   const auto it = worker->runs.find(id);
   if (it == worker->runs.end() || it->second.phase == RunPhase::kStopping) return;
   MarkStopping(worker, &it->second);
+  it->second.stop_reason = reason;
   it->second.next_call = TimePoint{};
   unsettled_workers_.insert(worker->info.id);
 }
@@ -83,7 +69,7 @@
   const TaskState* task = FindTask(entry, id);
   for (const RunLocation& it : task->runs) {
     WorkerState* worker = FindWorker(it.worker);
-    if (worker != nullptr) RequestStop(worker, {id, it.run});
+    if (worker != nullptr) RequestStop(worker, {id, it.run}, StopReason::kJobOver);
   }
 }
 
@@ -130,9 +116,11 @@
                           int64_t wall_ms) {
   if (end.sequence <= worker->processed) return false;
   worker->processed = end.sequence;
+  ends_ += 1;
   RecordStart(FindEntry(end.id.task.job));
   const auto run = worker->runs.find(end.id);
   const Duration took = run == worker->runs.end() ? Duration::zero() : now - run->second.ordered_at;
+  if (run != worker->runs.end()) LogWatchedRun(*worker, end, run->second, now);
   EndRun(worker, end.id);
   JobEntry* entry = FindEntry(end.id.task.job);
   TaskState* task = entry == nullptr ? nullptr : FindTask(entry, end.id.task);
@@ -156,7 +144,7 @@
          {"index", end.id.task.index},
          {"run", end.id.run},
          {"worker", worker->info.id},
-         {"end", EndName(end.kind)}});
+         {"end", EndKindName(end.kind)}});
   }
   if (step.perpetual || task->progress.done) return true;
   if (end.kind == EndKind::kFailed) RecordFailure(entry, end.id, wall_ms);
@@ -195,6 +183,7 @@
   Reindex(&index_, worker);
   RunState& run = worker->runs[active.id];
   run.confirmed_at = now;
+  run.started_at = now;
   run.phase = RunPhase::kRunning;
   run.pace = step.best_effort ? -1 : 100;
   const bool wanted = task != nullptr && !jobs::IsFinal(entry->state) && !task->progress.done &&
@@ -210,10 +199,11 @@
     if (task->runs.empty() && !task->progress.done)
       StepStateOf(entry, active.id.task)->waiting -= 1;
     task->runs.push_back({active.id.run, worker->info.id});
+    entry->runs.push_back(&run);
     task->last_run = std::max(task->last_run, active.id.run);
     UpdatePlaceable(entry);
   }
-  if (!wanted) RequestStop(worker, active.id);
+  if (!wanted) RequestStop(worker, active.id, StopReason::kUnwanted);
 }
 
 void Dispatcher::UpdateLoads(WorkerState* worker) {
@@ -236,7 +226,7 @@
   if (!IsStalled(run, step, ExpectedMs(durations_, step))) return;
   Log(LogLevel::kInfo, "dispatch", "run_stalled",
       {{"job", id.task.job}, {"run", id.run}, {"worker", worker->info.id}, {"pace", run.pace}});
-  RequestStop(worker, id);
+  RequestStop(worker, id, StopReason::kStalled);
   // Best-effort runs also stall for want of processor time, which is no fault of the worker.
   if (run.best_effort) return;
   FindTask(entry, id.task)->failed_on.insert(worker->info.id);
@@ -271,6 +261,7 @@
     if (run.phase == RunPhase::kStarting) {
       run.phase = RunPhase::kRunning;
       run.confirmed_at = now;
+      run.started_at = now;
     }
     UpdateProgress(&run, it.percent, covered);
     run.load = it.load;
--- a/src/dispatch/worker.h
+++ b/src/dispatch/worker.h
@@ -67,6 +67,8 @@
   kGangIncomplete,  // the other members of the gang did not start in time
 };
 
+const char* EndKindName(EndKind kind);
+
 struct EndedRun {
   int64_t sequence = 0;  // position in the worker's list of ended runs
   RunId id;
--- a/src/dispatch/worker_table.cc
+++ b/src/dispatch/worker_table.cc
@@ -3,6 +3,9 @@
 namespace pomelopond::dispatch {
 namespace {
 
+// Time within which a worker confirms the start of a run, unless its answers get lost.
+constexpr Duration kConfirmationTime = std::chrono::seconds(1);
+
 // The sum over runs to which the run's reservation belongs, or null.
 Resources* ReleasableSum(WorkerState* worker, const RunState& run) {
   if (run.phase == RunPhase::kStopping) return &worker->stopping;
@@ -21,6 +24,28 @@
 
 }  // namespace
 
+const char* StopReasonName(StopReason reason) {
+  switch (reason) {
+    case StopReason::kNone:
+      return "none";
+    case StopReason::kJobOver:
+      return "job_over";
+    case StopReason::kPreempted:
+      return "preempted";
+    case StopReason::kTail:
+      return "tail";
+    case StopReason::kStalled:
+      return "stalled";
+    case StopReason::kDraining:
+      return "draining";
+    case StopReason::kUnwanted:
+      return "unwanted";
+    case StopReason::kUncertain:
+      return "uncertain";
+  }
+  return "unknown";
+}
+
 int64_t EstimatedClockMs(const WorkerState& worker, TimePoint now) {
   return worker.clock_ms +
          std::chrono::duration_cast<std::chrono::milliseconds>(now - worker.clock_at).count();
@@ -45,6 +70,17 @@
   AddToSum(worker, *run);
 }
 
+void RecordPace(RunState* run, int pace, TimePoint now) {
+  if (run->pace == 0) run->paused_for += now - run->paused_at;
+  if (pace == 0) run->paused_at = now;
+  run->pace = pace;
+}
+
+bool IsWorking(const RunState& run, TimePoint now) {
+  if (run.phase == RunPhase::kStopping || (run.best_effort && run.pace == 0)) return false;
+  return run.phase == RunPhase::kRunning || now < run.ordered_at + kConfirmationTime;
+}
+
 Resources MostReleasable(const WorkerState& worker, int priority) {
   Resources most = worker.stopping;
   for (auto it = worker.preemptible.upper_bound(priority); it != worker.preemptible.end(); ++it) {
--- a/src/dispatch/worker_table.h
+++ b/src/dispatch/worker_table.h
@@ -20,6 +20,20 @@
   kStopping,  // must end; the worker has not reported the end yet
 };
 
+// Why the owner stops a run.
+enum class StopReason {
+  kNone,
+  kJobOver,    // the task is done, or its job is finished or cancelled
+  kPreempted,  // a task of a more urgent queue needs the capacity
+  kTail,       // it lengthens a tail over its target
+  kStalled,    // its reports show no progress
+  kDraining,   // its worker shuts down soon
+  kUnwanted,   // another run of the task is wanted, or none
+  kUncertain,  // its start can neither be confirmed nor sent again
+};
+
+const char* StopReasonName(StopReason reason);
+
 // A run on a worker. Fields without a comment are those of its step or job.
 struct RunState {
   RunPhase phase = RunPhase::kStarting;
@@ -31,6 +45,7 @@
   int64_t target_tail_ms = 0;
   std::string image;
   TimePoint ordered_at;          // when the start was ordered or the run was adopted
+  TimePoint started_at{};        // when the worker first confirmed the start
   TimePoint confirmed_at;        // when the worker last confirmed a start or a stop
   bool call_in_flight = false;   // a start, stop or pace order awaits its answer
   bool outcome_unknown = false;  // a start got no answer and may still take effect
@@ -43,8 +58,11 @@
   int percent = 0;         // progress, as last reported
   // Time that reports cover without a change of the progress.
   Duration without_progress{};
-  int64_t load = 0;  // as last reported; see ActiveRun
-  int pace = 100;    // processor share ordered last, in percent; -1: unknown, order it again
+  int64_t load = 0;       // as last reported; see ActiveRun
+  int pace = 100;         // processor share ordered last, in percent; -1: unknown, order it again
+  TimePoint paused_at;    // when the pace was last set to 0
+  Duration paused_for{};  // how long it was 0 before that
+  StopReason stop_reason = StopReason::kNone;
 };
 
 // What determines a worker's place in a WorkerIndex.
@@ -141,6 +159,12 @@
             TimePoint now);
 void RemoveRun(WorkerState* worker, const RunId& id);
 void MarkStopping(WorkerState* worker, RunState* run);
+// The owner orders `pace` for the run.
+void RecordPace(RunState* run, int pace, TimePoint now);
+
+// True when the run makes progress for its job, as far as the owner can tell: it is neither paused
+// nor being stopped, and its start is confirmed or was ordered a moment ago.
+bool IsWorking(const RunState& run, TimePoint now);
 
 // Upper bound of what tasks of `priority` can get reserved by stopping runs on the worker.
 Resources MostReleasable(const WorkerState& worker, int priority);
--- a/src/entry/pool_owner.cc
+++ b/src/entry/pool_owner.cc
@@ -17,6 +17,32 @@
 constexpr Duration kMaxDecisionInterval = std::chrono::milliseconds(50);
 constexpr Duration kSummaryInterval = std::chrono::seconds(2);
 
+int Permille(double share) { return static_cast<int>(share * 1000); }
+
+void LogWait(const dispatch::JobWait& wait) {
+  using dispatch::Obstacle;
+  const auto workers = [&wait](Obstacle it) {
+    const auto found = wait.obstacles.find(it);
+    return found == wait.obstacles.end() ? 0 : found->second;
+  };
+  Log(LogLevel::kInfo, "owner", "job_waits",
+      {{"job", wait.job},
+       {"age_ms", wait.age_ms},
+       {"unserved_permille", Permille(wait.unserved_share)},
+       {"ready", wait.ready_tasks},
+       {"starting", wait.starting},
+       {"running", wait.running},
+       {"paused", wait.paused},
+       {"stopping", wait.stopping},
+       {"workers_fit", workers(Obstacle::kNone)},
+       {"workers_unavailable", workers(Obstacle::kUnavailable)},
+       {"workers_ineligible", workers(Obstacle::kIneligible)},
+       {"workers_reserved", workers(Obstacle::kReservation)},
+       {"workers_requested", workers(Obstacle::kProcessor)},
+       {"workers_long_tail", workers(Obstacle::kTail)},
+       {"workers_expected_tail", workers(Obstacle::kExpectedTail)}});
+}
+
 double RandomDraw() {
   static thread_local std::mt19937 random{std::random_device{}()};
   return std::uniform_real_distribution<double>(0, 1)(random);
@@ -217,6 +243,12 @@
        {"pending_jobs", it.pending_jobs},
        {"unconfirmed_jobs", it.unconfirmed_jobs},
        {"jobs_revision", it.jobs_revision},
+       {"unserved_permille", Permille(it.unserved_share)},
+       {"worst_unserved_permille", Permille(it.worst_unserved_share)},
+       {"starts", it.starts},
+       {"ends", it.ends},
+       {"placements", it.placements},
+       {"limited_placements", it.limited_placements},
        {"idle_jobs", it.idle_jobs},
        {"longest_idle_ms",
         std::chrono::duration_cast<std::chrono::milliseconds>(it.longest_idle).count()},
@@ -232,6 +264,7 @@
        {"paced", it.paced_runs},
        {"strained", it.high_tail_workers},
        {"free_cpu", it.free_cpu}});
+  for (const dispatch::JobWait& wait : dispatcher_->ExplainWaits(now, WallClockMs())) LogWait(wait);
 }
 
 void PoolOwner::Send(const dispatch::Orders& orders) {
