A late job is owed two runs at work, and the next one at once

Cause: a late job in an underused pool was owed one run, half a second after the last one had ended, by the owner's clock. Its place was given to other late jobs meanwhile, so it had nothing at work for a fifth of the time, and any delay on the way lengthened that. Change: a late job is owed two runs at work, without a wait; all first runs come before all second ones. A tail that is expected up to its target does not keep an owed run off a worker; after half a second without a run no expected tail does, as before.

--- a/src/dispatch/colocation.h
+++ b/src/dispatch/colocation.h
@@ -22,6 +22,8 @@
 // A best-effort task is placed on a worker only if the expected tails stay at or below this share
 // of their targets.
 inline constexpr double kMaxExpectedTailRatio = 0.8;
+// The same for a run that its job is owed: no tail is expected to miss its target.
+inline constexpr double kMaxOwedTailRatio = 1;
 // While a tail is above this share of its target, best-effort tasks run at half their processor
 // share at most, and no more of them are placed on the worker.
 inline constexpr double kHighTailRatio = 0.9;
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -214,6 +214,7 @@
   }
   for (const auto& [id, it] : placeable_) {
     out.unserved_share += it->unserved_share / static_cast<double>(placeable_.size());
+    out.held_up_jobs += IsHeldUp(*it) ? 1 : 0;
     out.worst_unserved_share = std::max(out.worst_unserved_share, it->unserved_share);
   }
   out.starts = starts_;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -90,6 +90,7 @@
   int64_t jobs_revision = 0;  // store revision up to which all jobs are known
   double unserved_share = 0;  // mean of the jobs with waiting tasks; see JobEntry
   double worst_unserved_share = 0;
+  int held_up_jobs = 0;  // jobs whose runs are all paused or being stopped
   // Since this owner took over.
   int64_t starts = 0;                // start orders for new runs
   int64_t ends = 0;                  // reported ends of runs
--- a/src/dispatch/job_rank.cc
+++ b/src/dispatch/job_rank.cc
@@ -103,9 +103,32 @@
   return entry.idle_since && now - *entry.idle_since >= kIdlePatience;
 }
 
-TurnRank FirstRunRank(const JobEntry& entry) {
-  return {entry.job.rules.priority, TurnKind::kFirstRun, false,
-          entry.idle_since.value_or(TimePoint{}).time_since_epoch().count()};
+int WorkingRuns(const JobEntry& entry, TimePoint now) {
+  return static_cast<int>(std::count_if(entry.runs.begin(), entry.runs.end(),
+                                        [now](const RunState* it) { return IsWorking(*it, now); }));
+}
+
+std::optional<int> RunsOwed(TurnKind kind) {
+  if (kind == TurnKind::kFirstRun) return 1;
+  if (kind == TurnKind::kSecondRun) return 2;
+  return std::nullopt;
+}
+
+std::vector<TurnKind> OwedTurns(const JobEntry& entry, TimePoint now, int64_t wall_ms) {
+  if (LatenessOf(entry.estimates, entry, wall_ms) == Lateness::kOnTime) {
+    if (IsIdleForLong(entry, now)) return {TurnKind::kFirstRun};
+    return {};
+  }
+  if (entry.idle_since) return {TurnKind::kFirstRun, TurnKind::kSecondRun};
+  if (WorkingRuns(entry, now) >= *RunsOwed(TurnKind::kSecondRun)) return {};
+  return {TurnKind::kSecondRun};
+}
+
+TurnRank OwedRunRank(const JobEntry& entry, TurnKind kind) {
+  const int64_t order = kind == TurnKind::kFirstRun
+                            ? entry.idle_since.value_or(TimePoint{}).time_since_epoch().count()
+                            : entry.job.accepted_ms;
+  return {entry.job.rules.priority, kind, false, order};
 }
 
 }  // namespace pomelopond::dispatch
--- a/src/dispatch/job_rank.h
+++ b/src/dispatch/job_rank.h
@@ -3,8 +3,10 @@
 #define POMELOPOND_DISPATCH_JOB_RANK_H_
 
 #include <map>
+#include <optional>
 #include <string>
 #include <tuple>
+#include <vector>
 
 #include "dispatch/job_table.h"
 
@@ -39,10 +41,11 @@
 
 // What a job gets in its turn of a placement. The values are in the order of the turns.
 enum class TurnKind {
-  kOnTime,    // all that a job on time needs
-  kFirstRun,  // one run for a job that is idle for long in an underused pool
-  kLate,      // all that a late job needs
-  kTooLate,   // all that a job that is too late needs
+  kOnTime,     // all that a job on time needs
+  kFirstRun,   // one run for a job that has none at work, in an underused pool
+  kSecondRun,  // a second one for a late job, so that the end of one run does not stop its progress
+  kLate,       // all that a late job needs
+  kTooLate,    // all that a job that is too late needs
 };
 
 // Turns with the smaller rank come first. The rank compares, in this order:
@@ -62,8 +65,18 @@
 inline constexpr Duration kIdlePatience = std::chrono::milliseconds(500);
 bool IsIdleForLong(const JobEntry& entry, TimePoint now);
 
-// Rank of the turn for a first run.
-TurnRank FirstRunRank(const JobEntry& entry);
+// Number of the job's runs that are at work.
+int WorkingRuns(const JobEntry& entry, TimePoint now);
+
+// The runs at work that the turn provides for: turns for a first or a second run end with them.
+// Nothing for other turns.
+std::optional<int> RunsOwed(TurnKind kind);
+
+// Kinds of the turns that the job has in an underused pool besides its own one.
+std::vector<TurnKind> OwedTurns(const JobEntry& entry, TimePoint now, int64_t wall_ms);
+
+// Rank of the turn for a first or second run.
+TurnRank OwedRunRank(const JobEntry& entry, TurnKind kind);
 
 }  // namespace pomelopond::dispatch
 
--- a/src/dispatch/job_wait.cc
+++ b/src/dispatch/job_wait.cc
@@ -70,9 +70,15 @@
 }
 
 bool IsServed(const JobEntry& entry) {
-  return std::any_of(entry.runs.begin(), entry.runs.end(), [](const RunState* it) {
-    return it->phase == RunPhase::kRunning && !IsPaused(*it);
-  });
+  return std::any_of(entry.runs.begin(), entry.runs.end(),
+                     [](const RunState* it) { return it->started_at != TimePoint{}; });
+}
+
+bool IsHeldUp(const JobEntry& entry) {
+  return IsServed(entry) &&
+         std::none_of(entry.runs.begin(), entry.runs.end(), [](const RunState* it) {
+           return it->phase == RunPhase::kRunning && !IsPaused(*it);
+         });
 }
 
 void UpdateUnservedShare(JobEntry* entry, Duration passed, int64_t wall_ms) {
--- a/src/dispatch/job_wait.h
+++ b/src/dispatch/job_wait.h
@@ -36,9 +36,12 @@
 // Figures of the job without its obstacles.
 JobWait WaitOf(const JobEntry& entry, int64_t wall_ms);
 
-// True when a worker has confirmed a run of the job that is not paused.
+// True when a worker has confirmed the start of a run of the job and not reported its end.
 bool IsServed(const JobEntry& entry);
 
+// True when all such runs of the job are paused or being stopped.
+bool IsHeldUp(const JobEntry& entry);
+
 // Advances the moving average of `unserved_share` by `passed`.
 void UpdateUnservedShare(JobEntry* entry, Duration passed, int64_t wall_ms);
 
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -27,8 +27,15 @@
   return std::min<Duration>(kPausePerJob * (waiting_jobs - kJobsWithoutPause), kPlacementInterval);
 }
 
-bool IsFirstRun(const PlacementTurn& turn) {
-  return std::get<TurnKind>(turn.rank) == TurnKind::kFirstRun;
+// True when the turn is for a first or second run only.
+bool IsOwedRun(const PlacementTurn& turn) {
+  return RunsOwed(std::get<TurnKind>(turn.rank)).has_value();
+}
+
+// True when the job has the runs that the turn is for.
+bool HasOwedRuns(const PlacementTurn& turn, TimePoint now) {
+  const std::optional<int> owed = RunsOwed(std::get<TurnKind>(turn.rank));
+  return owed && WorkingRuns(*turn.entry, now) >= *owed;
 }
 
 }  // namespace
@@ -80,7 +87,7 @@
     const PlacementTurn& turn = placement_.turns[placement_.next];
     if (!jobs::IsFinal(turn.entry->state)) PlaceJob(turn, now, wall_ms, orders);
     // At the limit tasks of the job may be left.
-    if (IsAtStartLimit() && !IsFirstRun(turn)) break;
+    if (IsAtStartLimit() && !IsOwedRun(turn)) break;
     placement_.next += 1;
   }
   if (IsAtStartLimit() && !placement_.limited) {
@@ -140,9 +147,10 @@
       entry->estimates_valid_until = now + kEstimateInterval;
     }
     turns.push_back({RankOf(entry->estimates, *entry, wall_ms), entry});
-    if (!IsIdleForLong(*entry, now)) continue;
     if (!IsUnderused(placement_.spare_processors[entry->job.rules.service])) continue;
-    turns.push_back({FirstRunRank(*entry), entry});
+    for (const TurnKind it : OwedTurns(*entry, now, wall_ms)) {
+      turns.push_back({OwedRunRank(*entry, it), entry});
+    }
   }
   std::stable_sort(turns.begin(), turns.end(),
                    [](const PlacementTurn& a, const PlacementTurn& b) { return a.rank < b.rank; });
@@ -155,7 +163,7 @@
   for (int k = 0; k < static_cast<int>(entry.steps.size()); ++k) {
     if (wall_ms < DueMs(entry.job, k)) continue;
     for (int s = 0; s < static_cast<int>(entry.job.steps.size()); ++s) {
-      if (IsFirstRun(turn) && !entry.idle_since) return;
+      if (HasOwedRuns(turn, now)) return;
       if (entry.steps[static_cast<size_t>(k)][static_cast<size_t>(s)].waiting == 0) continue;
       if (IsReady(entry, k, s)) PlaceStep(turn, k, s, now, wall_ms, orders);
     }
@@ -167,11 +175,11 @@
   JobEntry* entry = turn.entry;
   const jobs::Step& what = entry->job.steps[static_cast<size_t>(step)];
   if (what.gang) return PlaceGang(entry, occurrence, step, now, wall_ms, orders);
-  if (what.best_effort && !IsFirstRun(turn) && !entry->job.rules.needs_permits) {
+  if (what.best_effort && !IsOwedRun(turn) && !entry->job.rules.needs_permits) {
     const SpareProcessor& spare = placement_.spare_processors[entry->job.rules.service];
     if (what.request.cpu_milli > spare.most) return RecordWanted(turn, what, now);
   }
-  if (IsUnplaceable(placement_.unplaceable, *entry, what, IsFirstRun(turn))) return;
+  if (IsUnplaceable(placement_.unplaceable, *entry, what, IsOwedRun(turn))) return;
   jobs::TaskId id{entry->job.id, occurrence, step, 0};
   const StepState* state = StepStateOf(entry, id);
   for (id.index = 0; id.index < static_cast<int>(state->tasks.size()); ++id.index) {
@@ -179,13 +187,13 @@
     if (task.progress.done || !task.runs.empty() || IsWithheld(*entry, task)) continue;
     if (IsAtStartLimit()) return;
     const bool placed = PlaceTask(turn, id, now, orders);
-    if (placed && IsFirstRun(turn)) return;
+    if (placed && IsOwedRun(turn)) return;
     if (placed) continue;
     // If the queue requires permits, the task may have failed for want of a permit, so tasks of
     // other steps may still find a worker.
     if (entry->job.rules.needs_permits) return;
     if (what.best_effort) RecordWanted(turn, what, now);
-    return RecordUnplaceable(&placement_.unplaceable, *entry, what, IsFirstRun(turn));
+    return RecordUnplaceable(&placement_.unplaceable, *entry, what, IsOwedRun(turn));
   }
 }
 
@@ -202,17 +210,21 @@
   const TaskState* task = FindTask(entry, id);
   PlacementRequest request = RequestOf(entry, id);
   request.task = task;
-  if (IsFirstRun(turn)) {
-    // Until every job on time has got its processor time, first runs share none of it.
+  if (IsOwedRun(turn)) {
+    // Until every job on time has got its processor time, owed runs share none of it.
     request.shares_processor = !placement_.spare_processors[request.service].wanted;
-    // Only reported tails count. Otherwise an image that is expected to exceed the targets on all
-    // workers would wait forever. Where it does exceed them, it is slowed down and stopped.
-    request.max_expected_tail = std::numeric_limits<double>::infinity();
+    request.max_expected_tail = kMaxOwedTailRatio;
+    // In the end only reported tails count. Otherwise an image that is expected to exceed the
+    // targets on all workers would wait forever. Where it does exceed them, it is slowed down and
+    // stopped.
+    if (IsIdleForLong(*entry, now)) {
+      request.max_expected_tail = std::numeric_limits<double>::infinity();
+    }
   }
   WorkerState* worker = ChooseWorker(index_, request, now);
   if (worker == nullptr) {
     RequestPermits(entry, id, now, orders);
-    return !IsFirstRun(turn) && PreemptFor(*entry, id, request, now);
+    return !IsOwedRun(turn) && PreemptFor(*entry, id, request, now);
   }
   StartRun(worker, entry, {id, NextRun(*task)}, now, orders);
   return true;
--- a/src/entry/pool_owner.cc
+++ b/src/entry/pool_owner.cc
@@ -245,6 +245,7 @@
        {"jobs_revision", it.jobs_revision},
        {"unserved_permille", Permille(it.unserved_share)},
        {"worst_unserved_permille", Permille(it.worst_unserved_share)},
+       {"held_up_jobs", it.held_up_jobs},
        {"starts", it.starts},
        {"ends", it.ends},
        {"placements", it.placements},
