Placement: turns in a heap, tails of a worker kept, service sampled

Callers saw: with 1,000 late jobs in a pool of 350 workers some stay without a run, as the owner's processor bounds its starts (half a core, all of it used). Cause: each placement sorted all turns, though it seldom comes to the last ones, and computed the expected tails of a worker anew for each task that it tried there. Change: turns are in a heap; what expected tails need is kept with the worker until its runs or its report change; gangs are known by job.

--- a/src/dispatch/choose_worker.cc
+++ b/src/dispatch/choose_worker.cc
@@ -34,8 +34,7 @@
 double ExpectedTailRatio(const WorkerState& worker, const PlacementRequest& request) {
   if (worker.serving == 0) return 0;
   const double cores = static_cast<double>(request.step->request.cpu_milli) / 1000;
-  return dispatch::ExpectedTailRatio(*request.colocation, worker, request.step->image, cores,
-                                     request.max_expected_tail);
+  return dispatch::ExpectedTailRatio(*request.colocation, worker, request.step->image, cores);
 }
 
 // Best-effort tasks that share too little processor time all complete late, so later ones wait.
@@ -47,7 +46,7 @@
 
 bool KeepsTailsShort(const WorkerState& worker, const PlacementRequest& request) {
   if (!request.step->best_effort || worker.serving == 0) return true;
-  return WorstTailRatio(worker) <= kHighTailRatio &&
+  return !HasLongTail(*request.colocation, worker) &&
          ExpectedTailRatio(worker, request) <= request.max_expected_tail;
 }
 
@@ -156,7 +155,7 @@
   if (!Fits(StepReservation(*request.step), FreeCapacity(worker))) return Obstacle::kReservation;
   if (!HasCapacityFor(worker, request)) return Obstacle::kProcessor;
   if (KeepsTailsShort(worker, request)) return Obstacle::kNone;
-  return WorstTailRatio(worker) > kHighTailRatio ? Obstacle::kTail : Obstacle::kExpectedTail;
+  return HasLongTail(*request.colocation, worker) ? Obstacle::kTail : Obstacle::kExpectedTail;
 }
 
 std::map<Obstacle, int> CountObstacles(const std::map<std::string, WorkerState>& workers,
--- a/src/dispatch/colocation.cc
+++ b/src/dispatch/colocation.cc
@@ -46,12 +46,10 @@
   return mean;
 }
 
-// Expected slowdown of tasks of `served` by the best-effort runs of the worker and a further task
-// of `image` with `cores`.
+// Expected slowdown of tasks of `served` by the best-effort runs of the worker.
 double ExpectedSlowdown(const ColocationModel& model, const WorkerState& worker,
-                        const std::string& served, const std::string& image, double cores) {
-  double slowdown =
-      cores * planning::SlowdownPerCore(model.slowdown, served, image, kPairConfidence);
+                        const std::string& served) {
+  double slowdown = 0;
   for (const auto& [id, it] : worker.runs) {
     if (!it.best_effort) continue;
     slowdown += static_cast<double>(it.request.cpu_milli) / kMilli *
@@ -60,6 +58,33 @@
   return slowdown;
 }
 
+ServedImage* FindServed(std::vector<ServedImage>* images, const std::string& image) {
+  const auto it = std::find_if(images->begin(), images->end(), [&image](const ServedImage& served) {
+    return served.image == image;
+  });
+  return it == images->end() ? nullptr : &*it;
+}
+
+// A placement asks for the tails of many workers for each task, most of which have not changed.
+const TailSummary& TailsOf(const ColocationModel& model, const WorkerState& worker) {
+  TailSummary& tails = worker.tails;
+  if (tails.valid) return tails;
+  tails = {};
+  tails.valid = true;
+  tails.worst_ratio = WorstTailRatio(worker);
+  for (const auto& [id, it] : worker.runs) {
+    if (it.target_tail_ms <= 0) continue;
+    ServedImage* served = FindServed(&tails.images, it.image);
+    if (served == nullptr) {
+      tails.images.push_back({it.image, 0, ExpectedSlowdown(model, worker, it.image)});
+      served = &tails.images.back();
+    }
+    const double ratio = BaselineTailMs(model, it) / static_cast<double>(it.target_tail_ms);
+    served->baseline_ratio = std::max(served->baseline_ratio, ratio);
+  }
+  return tails;
+}
+
 }  // namespace
 
 double WorstTailRatio(const WorkerState& worker) {
@@ -90,23 +115,20 @@
 }
 
 double ExpectedTailRatio(const ColocationModel& model, const WorkerState& worker,
-                         const std::string& image, double cores, double limit) {
+                         const std::string& image, double cores) {
   double worst = 0;
-  const std::string* served = nullptr;  // the image that `slowdown` is for
-  double slowdown = 0;
-  for (const auto& [id, it] : worker.runs) {
-    if (it.target_tail_ms <= 0) continue;
-    if (served == nullptr || *served != it.image) {
-      served = &it.image;
-      slowdown = ExpectedSlowdown(model, worker, it.image, image, cores);
-    }
-    const double tail = BaselineTailMs(model, it) * (1 + slowdown);
-    worst = std::max(worst, tail / static_cast<double>(it.target_tail_ms));
-    if (worst > limit) break;
+  for (const ServedImage& it : TailsOf(model, worker).images) {
+    const double per_core =
+        planning::SlowdownPerCore(model.slowdown, it.image, image, kPairConfidence);
+    worst = std::max(worst, it.baseline_ratio * (1 + it.slowdown + cores * per_core));
   }
   return worst;
 }
 
+bool HasLongTail(const ColocationModel& model, const WorkerState& worker) {
+  return TailsOf(model, worker).worst_ratio > kHighTailRatio;
+}
+
 std::optional<RunId> MostInterferingRun(const ColocationModel& model, const WorkerState& worker) {
   const RunState* served = nullptr;
   for (const auto& [id, it] : worker.runs) {
--- a/src/dispatch/colocation.h
+++ b/src/dispatch/colocation.h
@@ -37,11 +37,12 @@
                        const planning::BatchLoad& before);
 
 // Expected highest ratio of tail latency to target if a best-effort task of `image` with `cores`
-// joins the worker. Above `limit` it is a lower bound of that ratio: the placement of a waiting
-// task asks for it on every worker.
+// joins the worker. It follows the model as of the last change of the worker's runs or loads.
 double ExpectedTailRatio(const ColocationModel& model, const WorkerState& worker,
-                         const std::string& image, double cores,
-                         double limit = kMaxExpectedTailRatio);
+                         const std::string& image, double cores);
+
+// True when a tail on the worker is above kHighTailRatio.
+bool HasLongTail(const ColocationModel& model, const WorkerState& worker);
 
 // The best-effort run that is expected to slow down the latency-critical task with the highest tail
 // ratio most, if any.
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -113,7 +113,8 @@
   int64_t free_cpu = 0;
 };
 
-// Turn of a job in a placement. A turn for a first run ends when a task of the job has a run.
+// Turn of a job in a placement. A turn for a first or second run ends once the job has as many runs
+// at work.
 struct PlacementTurn {
   TurnRank rank;
   JobEntry* entry = nullptr;
@@ -123,8 +124,9 @@
 // on as answers arrive.
 struct Placement {
   TimePoint began;
+  // Those that are not over: a heap with the next one in front. With many waiting jobs a placement
+  // seldom comes to its last turns, so they are not sorted.
   std::vector<PlacementTurn> turns;
-  size_t next = 0;                       // the first turn that is not over
   bool limited = false;                  // it has met the limit of start orders in flight
   ReservedCapacity reserved;             // by preemptions
   std::set<jobs::TaskId> preempted_for;  // tasks that wait for runs to stop
@@ -252,10 +254,10 @@
   void ContinuePlacement(TimePoint now, int64_t wall_ms, Orders* orders);
   void PlaceGangsAtLimit(TimePoint now, int64_t wall_ms, Orders* orders);
   bool IsInPlacement(const JobEntry* entry) const;
-  void EndPlacement() { placement_.next = placement_.turns.size(); }
+  void EndPlacement() { placement_.turns.clear(); }
   bool HasWorkingRun(const JobEntry& entry, TimePoint now) const;
   void UpdateIdleTimes(TimePoint now, int64_t wall_ms);
-  std::vector<PlacementTurn> TurnsInOrder(TimePoint now, int64_t wall_ms);
+  std::vector<PlacementTurn> CollectTurns(TimePoint now, int64_t wall_ms);
   void PlaceJob(const PlacementTurn& turn, TimePoint now, int64_t wall_ms, Orders* orders);
   void PlaceStep(const PlacementTurn& turn, int occurrence, int step, TimePoint now,
                  int64_t wall_ms, Orders* orders);
--- a/src/dispatch/job_table.cc
+++ b/src/dispatch/job_table.cc
@@ -25,6 +25,8 @@
   entry.finished_ms = progress.finished_ms;
   entry.inherited = inherited;
   for (int n = 0; n < jobs::Occurrences(job); ++n) entry.steps.push_back(MakeSteps(job));
+  entry.has_gang =
+      std::any_of(job.steps.begin(), job.steps.end(), [](const jobs::Step& it) { return it.gang; });
   entry.job = std::move(job);
   for (const auto& [key, it] : progress.tasks) {
     const auto& [occurrence, step, index] = key;
--- a/src/dispatch/job_table.h
+++ b/src/dispatch/job_table.h
@@ -55,6 +55,7 @@
   jobs::JobState state = jobs::JobState::kPending;
   int64_t finished_ms = 0;  // milliseconds since the Unix epoch
   bool inherited = false;   // accepted before this owner took over
+  bool has_gang = false;    // a step is a gang
   int64_t revision = 0;     // store revision of the job's record; 0: precedes this owner
   Estimates estimates;
   TimePoint estimates_valid_until;  // the estimates are computed again after this time
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -1,6 +1,8 @@
 // Placement: which waiting task starts on which worker, in the order of the jobs' turns.
 #include <algorithm>
+#include <iterator>
 #include <limits>
+#include <tuple>
 
 #include "base/log.h"
 #include "dispatch/choose_worker.h"
@@ -19,6 +21,8 @@
 // them all, so without a pause an owner with many of them would do little else.
 constexpr Duration kPausePerJob = std::chrono::microseconds(20);
 constexpr size_t kJobsWithoutPause = 50;
+// Interval of the samples from which a job's unserved share is computed.
+constexpr Duration kServiceCheckInterval = std::chrono::milliseconds(200);
 // Number of workers in a permit order, unless many tasks wait.
 constexpr size_t kDefaultPermitWorkers = 30;
 
@@ -27,6 +31,11 @@
   return std::min<Duration>(kPausePerJob * (waiting_jobs - kJobsWithoutPause), kPlacementInterval);
 }
 
+// The order of turns; those of equal rank follow the order of the job ids.
+bool IsLater(const PlacementTurn& a, const PlacementTurn& b) {
+  return std::tie(b.rank, b.entry->job.id) < std::tie(a.rank, a.entry->job.id);
+}
+
 // True when the turn is for a first or second run only.
 bool IsOwedRun(const PlacementTurn& turn) {
   return RunsOwed(std::get<TurnKind>(turn.rank)).has_value();
@@ -77,18 +86,20 @@
   placements_ += 1;
   placement_.spare_processors = SpareProcessors(workers_, now);
   UpdateIdleTimes(now, wall_ms);
-  placement_.turns = TurnsInOrder(now, wall_ms);
+  placement_.turns = CollectTurns(now, wall_ms);
+  std::make_heap(placement_.turns.begin(), placement_.turns.end(), IsLater);
   capacity_changed_ = false;
 }
 
 void Dispatcher::ContinuePlacement(TimePoint now, int64_t wall_ms, Orders* orders) {
   const bool changed = capacity_changed_;
-  while (placement_.next < placement_.turns.size() && !IsAtStartLimit()) {
-    const PlacementTurn& turn = placement_.turns[placement_.next];
+  while (!placement_.turns.empty() && !IsAtStartLimit()) {
+    const PlacementTurn turn = placement_.turns.front();
     if (!jobs::IsFinal(turn.entry->state)) PlaceJob(turn, now, wall_ms, orders);
     // At the limit tasks of the job may be left.
     if (IsAtStartLimit() && !IsOwedRun(turn)) break;
-    placement_.next += 1;
+    std::pop_heap(placement_.turns.begin(), placement_.turns.end(), IsLater);
+    placement_.turns.pop_back();
   }
   if (IsAtStartLimit() && !placement_.limited) {
     placement_.limited = true;
@@ -102,13 +113,14 @@
 // Gangs start at the limit too. They rarely find room for all members at once, so they must not
 // wait behind tasks that take the room one by one.
 void Dispatcher::PlaceGangsAtLimit(TimePoint now, int64_t wall_ms, Orders* orders) {
-  for (size_t n = placement_.next + 1; n < placement_.turns.size(); ++n) {
-    const PlacementTurn& turn = placement_.turns[n];
-    const std::vector<jobs::Step>& steps = turn.entry->job.steps;
-    const bool has_gang =
-        std::any_of(steps.begin(), steps.end(), [](const jobs::Step& it) { return it.gang; });
-    if (has_gang) PlaceJob(turn, now, wall_ms, orders);
-  }
+  if (placement_.turns.empty()) return;
+  std::vector<PlacementTurn> gangs;
+  std::copy_if(std::next(placement_.turns.begin()), placement_.turns.end(),
+               std::back_inserter(gangs),
+               [](const PlacementTurn& it) { return it.entry->has_gang; });
+  std::sort(gangs.begin(), gangs.end(),
+            [](const PlacementTurn& a, const PlacementTurn& b) { return IsLater(b, a); });
+  for (const PlacementTurn& it : gangs) PlaceJob(it, now, wall_ms, orders);
 }
 
 bool Dispatcher::IsInPlacement(const JobEntry* entry) const {
@@ -128,16 +140,17 @@
 
 void Dispatcher::UpdateIdleTimes(TimePoint now, int64_t wall_ms) {
   const Duration passed = now - service_checked_at_;
-  service_checked_at_ = now;
+  const bool check_service = passed >= kServiceCheckInterval;
+  if (check_service) service_checked_at_ = now;
   for (const auto& [id, entry] : placeable_) {
-    UpdateUnservedShare(entry, passed, wall_ms);
+    if (check_service) UpdateUnservedShare(entry, passed, wall_ms);
     const bool idle = !HasWorkingRun(*entry, now) && HasReadyTask(*entry, wall_ms);
     if (!idle) entry->idle_since.reset();
     if (idle && !entry->idle_since) entry->idle_since = now;
   }
 }
 
-std::vector<PlacementTurn> Dispatcher::TurnsInOrder(TimePoint now, int64_t wall_ms) {
+std::vector<PlacementTurn> Dispatcher::CollectTurns(TimePoint now, int64_t wall_ms) {
   std::vector<PlacementTurn> turns;
   turns.reserve(placeable_.size());
   for (const auto& [id, entry] : placeable_) {
@@ -152,8 +165,6 @@
       turns.push_back({OwedRunRank(*entry, it), entry});
     }
   }
-  std::stable_sort(turns.begin(), turns.end(),
-                   [](const PlacementTurn& a, const PlacementTurn& b) { return a.rank < b.rank; });
   return turns;
 }
 
--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -207,6 +207,7 @@
 }
 
 void Dispatcher::UpdateLoads(WorkerState* worker) {
+  worker->tails.valid = false;
   const planning::BatchLoad before = std::move(worker->best_effort_load);
   worker->best_effort_load.clear();
   for (const auto& [id, it] : worker->runs) {
--- a/src/dispatch/worker_table.cc
+++ b/src/dispatch/worker_table.cc
@@ -66,6 +66,7 @@
 
 void MarkStopping(WorkerState* worker, RunState* run) {
   TakeFromSum(worker, *run);
+  worker->tails.valid = false;
   run->phase = RunPhase::kStopping;
   AddToSum(worker, *run);
 }
@@ -101,6 +102,7 @@
   run.image = step.image;
   run.ordered_at = now;
   if (!worker->runs.emplace(id, run).second) return;
+  worker->tails.valid = false;
   worker->used = worker->used + RunReservation(run);
   AddToSum(worker, run);
   if (run.best_effort) worker->best_effort_cpu += run.request.cpu_milli;
@@ -112,6 +114,7 @@
 void RemoveRun(WorkerState* worker, const RunId& id) {
   const auto it = worker->runs.find(id);
   if (it == worker->runs.end()) return;
+  worker->tails.valid = false;
   worker->used = worker->used - RunReservation(it->second);
   TakeFromSum(worker, it->second);
   if (it->second.best_effort) worker->best_effort_cpu -= it->second.request.cpu_milli;
--- a/src/dispatch/worker_table.h
+++ b/src/dispatch/worker_table.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 #include <tuple>
+#include <vector>
 
 #include "base/time.h"
 #include "dispatch/worker.h"
@@ -65,6 +66,20 @@
   StopReason stop_reason = StopReason::kNone;
 };
 
+// The latency-critical runs of one image on a worker.
+struct ServedImage {
+  std::string image;
+  double baseline_ratio = 0;  // highest ratio of the tail without best-effort tasks to its target
+  double slowdown = 0;        // expected from the best-effort runs on the worker
+};
+
+// Tails of a worker, as its runs, its last report and the interference model tell.
+struct TailSummary {
+  bool valid = false;
+  double worst_ratio = 0;  // highest reported ratio of a tail to its target
+  std::vector<ServedImage> images;
+};
+
 // What determines a worker's place in a WorkerIndex.
 struct WorkerIndexKey {
   std::string service;
@@ -130,6 +145,8 @@
   planning::BatchLoad best_effort_load;
   bool has_new_tail = false;  // a report arrived since the last pace decision
   std::map<RunId, RunState> runs;
+  // Computed when a placement asks for it; a change of `runs` or a report makes it invalid.
+  mutable TailSummary tails;
 
   bool indexed = false;      // listed in the index of its owner, under `index_key`
   WorkerIndexKey index_key;  // changes only while the worker is not listed
--- a/tests/dispatch/choose_worker_test.cc
+++ b/tests/dispatch/choose_worker_test.cc
@@ -139,8 +139,7 @@
     double tail = 0;
     if (step.best_effort && it.serving > 0) {
       tail = ExpectedTailRatio(*request.colocation, it, step.image,
-                               static_cast<double>(step.request.cpu_milli) / 1000,
-                               request.max_expected_tail);
+                               static_cast<double>(step.request.cpu_milli) / 1000);
       if (WorstTailRatio(it) > kHighTailRatio || tail > request.max_expected_tail) continue;
     }
     const bool shares = request.shares_processor;
