A job keeps its idle time while its runs do nothing for it

Cause, found by the model of owed runs: the end of one run of a job began its idle time anew while its other runs were paused, being stopped or unconfirmed. So it went to the end of the order of first runs. Test: StalledRunTest.EndOfARunThatDidNothingKeepsTheIdleTime, 0 in place of 500 ms before.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -255,6 +255,7 @@
   void PlaceGangsAtLimit(TimePoint now, int64_t wall_ms, Orders* orders);
   bool IsInPlacement(const JobEntry* entry) const;
   void EndPlacement() { placement_.turns.clear(); }
+  bool IsInUnderusedPool(const JobEntry& entry) const;
   bool HasWorkingRun(const JobEntry& entry, TimePoint now) const;
   void UpdateIdleTimes(TimePoint now, int64_t wall_ms);
   std::vector<PlacementTurn> CollectTurns(TimePoint now, int64_t wall_ms);
@@ -263,6 +264,7 @@
                  int64_t wall_ms, Orders* orders);
   void RecordWanted(const PlacementTurn& turn, const jobs::Step& step, TimePoint now);
   bool PlaceTask(const PlacementTurn& turn, const jobs::TaskId& id, TimePoint now, Orders* orders);
+  void AdmitOwedRun(const JobEntry& entry, TimePoint now, PlacementRequest* request);
   PlacementRequest RequestOf(JobEntry* entry, const jobs::TaskId& id) const;
   void RequestPermits(JobEntry* entry, const jobs::TaskId& id, TimePoint now, Orders* orders);
   bool PreemptFor(const JobEntry& entry, const jobs::TaskId& id, const PlacementRequest& request,
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -128,14 +128,16 @@
                      [entry](const PlacementTurn& it) { return it.entry == entry; });
 }
 
+bool Dispatcher::IsInUnderusedPool(const JobEntry& entry) const {
+  const auto spare = placement_.spare_processors.find(entry.job.rules.service);
+  return spare != placement_.spare_processors.end() && IsUnderused(spare->second);
+}
+
 // A run that is paused, being stopped or not confirmed in time does nothing for its job.
 bool Dispatcher::HasWorkingRun(const JobEntry& entry, TimePoint now) const {
   if (!HasActiveTask(entry)) return false;
   // While most of the pool is in use no first run follows, so the cheap answer is enough.
-  const auto spare = placement_.spare_processors.find(entry.job.rules.service);
-  if (spare == placement_.spare_processors.end() || !IsUnderused(spare->second)) return true;
-  return std::any_of(entry.runs.begin(), entry.runs.end(),
-                     [now](const RunState* it) { return IsWorking(*it, now); });
+  return !IsInUnderusedPool(entry) || WorkingRuns(entry, now) > 0;
 }
 
 void Dispatcher::UpdateIdleTimes(TimePoint now, int64_t wall_ms) {
@@ -160,7 +162,7 @@
       entry->estimates_valid_until = now + kEstimateInterval;
     }
     turns.push_back({RankOf(entry->estimates, *entry, wall_ms), entry});
-    if (!IsUnderused(placement_.spare_processors[entry->job.rules.service])) continue;
+    if (!IsInUnderusedPool(*entry)) continue;
     for (const TurnKind it : OwedTurns(*entry, now, wall_ms)) {
       turns.push_back({OwedRunRank(*entry, it), entry});
     }
@@ -221,17 +223,7 @@
   const TaskState* task = FindTask(entry, id);
   PlacementRequest request = RequestOf(entry, id);
   request.task = task;
-  if (IsOwedRun(turn)) {
-    // Until every job on time has got its processor time, owed runs share none of it.
-    request.shares_processor = !placement_.spare_processors[request.service].wanted;
-    request.max_expected_tail = kMaxOwedTailRatio;
-    // In the end only reported tails count. Otherwise an image that is expected to exceed the
-    // targets on all workers would wait forever. Where it does exceed them, it is slowed down and
-    // stopped.
-    if (IsIdleForLong(*entry, now)) {
-      request.max_expected_tail = std::numeric_limits<double>::infinity();
-    }
-  }
+  if (IsOwedRun(turn)) AdmitOwedRun(*entry, now, &request);
   WorkerState* worker = ChooseWorker(index_, request, now);
   if (worker == nullptr) {
     RequestPermits(entry, id, now, orders);
@@ -241,6 +233,17 @@
   return true;
 }
 
+// An owed run is admitted where a further run of a late job is not.
+void Dispatcher::AdmitOwedRun(const JobEntry& entry, TimePoint now, PlacementRequest* request) {
+  // Until every job on time has got its processor time, owed runs share none of it.
+  request->shares_processor = !placement_.spare_processors[request->service].wanted;
+  request->max_expected_tail = kMaxOwedTailRatio;
+  // In the end only reported tails count. Otherwise an image that is expected to exceed the targets
+  // on all workers would wait forever. Where it does exceed them, it is slowed down and stopped.
+  if (!IsIdleForLong(entry, now)) return;
+  request->max_expected_tail = std::numeric_limits<double>::infinity();
+}
+
 PlacementRequest Dispatcher::RequestOf(JobEntry* entry, const jobs::TaskId& id) const {
   PlacementRequest request;
   request.service = entry->job.rules.service;
@@ -319,6 +322,7 @@
   UpdatePlaceable(entry);
   const std::optional<StartOrder> order = MakeStartOrder(worker, id, now);
   if (!order) return EndRun(worker, id);
+  entry->idle_since.reset();
   worker->runs[id].call_in_flight = true;
   starts_in_flight_ += 1;
   starts_ += 1;
--- a/tests/dispatch/stalled_run_test.cc
+++ b/tests/dispatch/stalled_run_test.cc
@@ -175,5 +175,33 @@
   EXPECT_TRUE(started);
 }
 
+// Guards against a job that loses its place in the order of first runs each time that one of its
+// runs ends while the others do nothing for it.
+TEST(StalledRunTest, EndOfARunThatDidNothingKeepsTheIdleTime) {
+  Scenario it;
+  it.AddWorkers({MakeWorker("w1"), MakeWorker("w2")});
+  jobs::Step whole_worker = ShortStep();
+  whole_worker.replicas = 3;
+  whole_worker.request.memory_mb = 60000;
+  whole_worker.best_effort = true;
+  it.dispatcher.AddJob(MakeJob(kJob, {whole_worker}), {}, false);
+  it.Decide();
+  ASSERT_EQ(it.orders.starts.size(), 2U);
+  const StartOrder unanswered = it.orders.starts[0];
+  it.Advance(milliseconds(1500));
+  it.Decide();
+  it.Advance(milliseconds(400));
+  it.Decide();
+  ASSERT_EQ(it.dispatcher.Summary(it.now).longest_idle, milliseconds(400));
+  WorkerInfo leaving = MakeWorker(unanswered.to.worker);
+  leaving.draining = true;
+  it.dispatcher.UpdateWorker(leaving, it.now);
+  it.Report(leaving.id, {}, {End(1, unanswered.run, EndKind::kStopped)});
+  it.Advance(milliseconds(100));
+  it.Decide();
+  ASSERT_TRUE(it.orders.starts.empty());
+  EXPECT_EQ(it.dispatcher.Summary(it.now).longest_idle, milliseconds(500));
+}
+
 }  // namespace
 }  // namespace pomelopond::dispatch
