--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -217,6 +217,7 @@
     out.held_up_jobs += IsHeldUp(*it) ? 1 : 0;
     out.worst_unserved_share = std::max(out.worst_unserved_share, it->unserved_share);
   }
+  out.run_lines_left_out = run_lines_left_out_;
   out.starts = starts_;
   out.ends = ends_;
   out.placements = placements_;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -90,7 +90,8 @@
   int64_t jobs_revision = 0;  // store revision up to which all jobs are known
   double unserved_share = 0;  // mean of the jobs with waiting tasks; see JobEntry
   double worst_unserved_share = 0;
-  int held_up_jobs = 0;  // jobs whose runs are all paused or being stopped
+  int held_up_jobs = 0;  // jobs whose runs are all paused, being stopped or on silent workers
+  int64_t run_lines_left_out = 0;  // lines about runs of explained jobs, for their number
   // Since this owner took over.
   int64_t starts = 0;                // start orders for new runs
   int64_t ends = 0;                  // reported ends of runs
@@ -314,6 +315,8 @@
   std::map<std::string, JobEntry*> placeable_;     // jobs with waiting tasks, by id
   std::map<std::string, TimePoint> watched_jobs_;  // whose runs leave lines, until when
   TimePoint service_checked_at_;                   // when unserved shares were last updated
+  int run_lines_left_ = 0;
+  int64_t run_lines_left_out_ = 0;
   int64_t starts_ = 0;
   int64_t ends_ = 0;
   int64_t placements_ = 0;
--- a/src/dispatch/job_rank.cc
+++ b/src/dispatch/job_rank.cc
@@ -104,8 +104,10 @@
 }
 
 int WorkingRuns(const JobEntry& entry, TimePoint now) {
-  return static_cast<int>(std::count_if(entry.runs.begin(), entry.runs.end(),
-                                        [now](const RunState* it) { return IsWorking(*it, now); }));
+  return static_cast<int>(
+      std::count_if(entry.runs.begin(), entry.runs.end(), [now](const JobRun& it) {
+        return it.worker->unanswered_calls == 0 && IsWorking(*it.run, now);
+      }));
 }
 
 std::optional<int> RunsOwed(TurnKind kind) {
@@ -119,9 +121,10 @@
     if (IsIdleForLong(entry, now)) return {TurnKind::kFirstRun};
     return {};
   }
-  if (entry.idle_since) return {TurnKind::kFirstRun, TurnKind::kSecondRun};
-  if (WorkingRuns(entry, now) >= *RunsOwed(TurnKind::kSecondRun)) return {};
-  return {TurnKind::kSecondRun};
+  const int working = WorkingRuns(entry, now);
+  if (working == 0) return {TurnKind::kFirstRun, TurnKind::kSecondRun};
+  if (working < *RunsOwed(TurnKind::kSecondRun)) return {TurnKind::kSecondRun};
+  return {};
 }
 
 TurnRank OwedRunRank(const JobEntry& entry, TurnKind kind) {
--- a/src/dispatch/job_rank.h
+++ b/src/dispatch/job_rank.h
@@ -65,7 +65,7 @@
 inline constexpr Duration kIdlePatience = std::chrono::milliseconds(500);
 bool IsIdleForLong(const JobEntry& entry, TimePoint now);
 
-// Number of the job's runs that are at work.
+// Number of the job's runs that are at work, on workers that answer.
 int WorkingRuns(const JobEntry& entry, TimePoint now);
 
 // The runs at work that the turn provides for: turns for a first or a second run end with them.
--- a/src/dispatch/job_table.cc
+++ b/src/dispatch/job_table.cc
@@ -62,7 +62,9 @@
 }
 
 void ForgetRun(JobEntry* entry, const RunState* run) {
-  entry->runs.erase(std::remove(entry->runs.begin(), entry->runs.end(), run), entry->runs.end());
+  entry->runs.erase(std::remove_if(entry->runs.begin(), entry->runs.end(),
+                                   [run](const JobRun& it) { return it.run == run; }),
+                    entry->runs.end());
 }
 
 StepState* StepStateOf(JobEntry* entry, const jobs::TaskId& id) {
--- a/src/dispatch/job_table.h
+++ b/src/dispatch/job_table.h
@@ -50,6 +50,12 @@
   bool has_deadline = true;  // false for perpetual and recurring jobs
 };
 
+// An active run of a job and its worker, in the table of workers.
+struct JobRun {
+  const RunState* run = nullptr;
+  const WorkerState* worker = nullptr;
+};
+
 struct JobEntry {
   jobs::Job job;
   jobs::JobState state = jobs::JobState::kPending;
@@ -59,10 +65,10 @@
   int64_t revision = 0;     // store revision of the job's record; 0: precedes this owner
   Estimates estimates;
   TimePoint estimates_valid_until;  // the estimates are computed again after this time
-  // Active runs of all its tasks, as their workers' tables hold them.
-  std::vector<const RunState*> runs;
-  // Moving average of the share of time without a run that a worker has confirmed, while a task
-  // could start. Unlike `idle_since` it does not begin anew with each short run.
+  // Active runs of all its tasks.
+  std::vector<JobRun> runs;
+  // Moving average of the share of time in which a task could start and no run was at work, as
+  // confirmed by a worker that answers. Unlike `idle_since` it does not begin anew with each run.
   double unserved_share = 0;
   // Since when a task could start while no run worked for the job; unset if that is not so.
   std::optional<TimePoint> idle_since;
--- a/src/dispatch/job_wait.cc
+++ b/src/dispatch/job_wait.cc
@@ -19,6 +19,8 @@
 constexpr double kLowUnservedShare = 0.1;
 // The ends of an explained job's runs leave lines for this time.
 constexpr Duration kWatchTime = std::chrono::seconds(20);
+// Lines about runs between two looks at the waiting jobs.
+constexpr int kRunLinesPerLook = 40;
 
 bool IsPaused(const RunState& run) { return run.best_effort && run.pace == 0; }
 
@@ -60,7 +62,7 @@
   wait.age_ms = wall_ms - entry.job.accepted_ms;
   wait.unserved_share = entry.unserved_share;
   wait.ready_tasks = CountReadyTasks(entry, wall_ms);
-  for (const RunState* it : entry.runs) {
+  for (const auto& [it, worker] : entry.runs) {
     if (it->phase == RunPhase::kStarting) wait.starting += 1;
     if (it->phase == RunPhase::kStopping) wait.stopping += 1;
     if (it->phase != RunPhase::kRunning) continue;
@@ -70,15 +72,16 @@
 }
 
 bool IsServed(const JobEntry& entry) {
-  return std::any_of(entry.runs.begin(), entry.runs.end(),
-                     [](const RunState* it) { return it->started_at != TimePoint{}; });
+  return std::any_of(entry.runs.begin(), entry.runs.end(), [](const JobRun& it) {
+    return it.run->phase == RunPhase::kRunning && !IsPaused(*it.run) &&
+           it.worker->unanswered_calls == 0;
+  });
 }
 
 bool IsHeldUp(const JobEntry& entry) {
-  return IsServed(entry) &&
-         std::none_of(entry.runs.begin(), entry.runs.end(), [](const RunState* it) {
-           return it->phase == RunPhase::kRunning && !IsPaused(*it);
-         });
+  return !IsServed(entry) &&
+         std::any_of(entry.runs.begin(), entry.runs.end(),
+                     [](const JobRun& it) { return it.run->started_at != TimePoint{}; });
 }
 
 void UpdateUnservedShare(JobEntry* entry, Duration passed, int64_t wall_ms) {
@@ -89,6 +92,7 @@
 }
 
 std::vector<JobWait> Dispatcher::ExplainWaits(TimePoint now, int64_t wall_ms) {
+  run_lines_left_ = kRunLinesPerLook;
   std::vector<std::pair<double, JobEntry*>> waiting;
   for (const auto& [id, it] : placeable_) {
     if (it->unserved_share >= kLowUnservedShare) waiting.emplace_back(it->unserved_share, it);
@@ -121,6 +125,9 @@
     return it == TimePoint{} ? -1 : Milliseconds(now - it);
   };
   if (watched_jobs_.count(end.id.task.job) == 0) return;
+  if (run_lines_left_ == 0) run_lines_left_out_ += 1;
+  if (run_lines_left_ == 0) return;
+  run_lines_left_ -= 1;
   const Duration paused = run.paused_for + (run.pace == 0 ? now - run.paused_at : Duration{});
   Log(LogLevel::kInfo, "dispatch", "run_over",
       {{"job", end.id.task.job},
--- a/src/dispatch/job_wait.h
+++ b/src/dispatch/job_wait.h
@@ -36,10 +36,11 @@
 // Figures of the job without its obstacles.
 JobWait WaitOf(const JobEntry& entry, int64_t wall_ms);
 
-// True when a worker has confirmed the start of a run of the job and not reported its end.
+// True when a run of the job is at work on a worker that answers: confirmed, not paused and not
+// being stopped.
 bool IsServed(const JobEntry& entry);
 
-// True when all such runs of the job are paused or being stopped.
+// True when the job is not served though workers have confirmed runs of it.
 bool IsHeldUp(const JobEntry& entry);
 
 // Advances the moving average of `unserved_share` by `passed`.
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -94,12 +94,14 @@
 void Dispatcher::ContinuePlacement(TimePoint now, int64_t wall_ms, Orders* orders) {
   const bool changed = capacity_changed_;
   while (!placement_.turns.empty() && !IsAtStartLimit()) {
-    const PlacementTurn turn = placement_.turns.front();
-    if (!jobs::IsFinal(turn.entry->state)) PlaceJob(turn, now, wall_ms, orders);
-    // At the limit tasks of the job may be left.
-    if (IsAtStartLimit() && !IsOwedRun(turn)) break;
     std::pop_heap(placement_.turns.begin(), placement_.turns.end(), IsLater);
+    const PlacementTurn turn = placement_.turns.back();
     placement_.turns.pop_back();
+    if (!jobs::IsFinal(turn.entry->state)) PlaceJob(turn, now, wall_ms, orders);
+    if (!IsAtStartLimit() || IsOwedRun(turn)) continue;
+    // Tasks of the job may be left.
+    placement_.turns.push_back(turn);
+    std::push_heap(placement_.turns.begin(), placement_.turns.end(), IsLater);
   }
   if (IsAtStartLimit() && !placement_.limited) {
     placement_.limited = true;
@@ -147,8 +149,9 @@
   for (const auto& [id, entry] : placeable_) {
     if (check_service) UpdateUnservedShare(entry, passed, wall_ms);
     const bool idle = !HasWorkingRun(*entry, now) && HasReadyTask(*entry, wall_ms);
-    if (!idle) entry->idle_since.reset();
     if (idle && !entry->idle_since) entry->idle_since = now;
+    // A start that is refused must not set the job back in the order of first runs.
+    if (!idle && (IsServed(*entry) || !IsInUnderusedPool(*entry))) entry->idle_since.reset();
   }
 }
 
@@ -240,7 +243,7 @@
   request->max_expected_tail = kMaxOwedTailRatio;
   // In the end only reported tails count. Otherwise an image that is expected to exceed the targets
   // on all workers would wait forever. Where it does exceed them, it is slowed down and stopped.
-  if (!IsIdleForLong(entry, now)) return;
+  if (!IsIdleForLong(entry, now) || !entry.runs.empty()) return;
   request->max_expected_tail = std::numeric_limits<double>::infinity();
 }
 
@@ -316,13 +319,12 @@
   unsettled_workers_.insert(worker->info.id);
   if (task->runs.empty()) StepStateOf(entry, id.task)->waiting -= 1;
   task->runs.push_back({id.run, worker->info.id});
-  entry->runs.push_back(&worker->runs.at(id));
+  entry->runs.push_back({&worker->runs.at(id), worker});
   if (task->first_run == 0) task->first_run = id.run;
   task->last_run = id.run;
   UpdatePlaceable(entry);
   const std::optional<StartOrder> order = MakeStartOrder(worker, id, now);
   if (!order) return EndRun(worker, id);
-  entry->idle_since.reset();
   worker->runs[id].call_in_flight = true;
   starts_in_flight_ += 1;
   starts_ += 1;
--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -199,7 +199,7 @@
     if (task->runs.empty() && !task->progress.done)
       StepStateOf(entry, active.id.task)->waiting -= 1;
     task->runs.push_back({active.id.run, worker->info.id});
-    entry->runs.push_back(&run);
+    entry->runs.push_back({&run, worker});
     task->last_run = std::max(task->last_run, active.id.run);
     UpdatePlaceable(entry);
   }
--- a/src/entry/pool_owner.cc
+++ b/src/entry/pool_owner.cc
@@ -246,6 +246,7 @@
        {"unserved_permille", Permille(it.unserved_share)},
        {"worst_unserved_permille", Permille(it.worst_unserved_share)},
        {"held_up_jobs", it.held_up_jobs},
+       {"run_lines_left_out", it.run_lines_left_out},
        {"starts", it.starts},
        {"ends", it.ends},
        {"placements", it.placements},
