--- a/tests/dispatch/placement_test.cc
+++ b/tests/dispatch/placement_test.cc
@@ -172,5 +172,74 @@
   EXPECT_EQ(it_.orders.starts[0].run.task.job, IdOf(1));
 }
 
+// Guards against a placement that removes its present turn twice, when a start that cannot be sent
+// ends the placement.
+TEST(PlacementTest, StartThatCannotBeSentEndsThePlacementOnce) {
+  const std::string adopted = "00000000000000a1";
+  Scenario first;
+  first.AddWorkers({MakeWorker("w1")});
+  Scenario it(2);
+  it.Inherit(first.durable);
+  jobs::Step step = MakeStep(1);
+  step.best_effort = true;
+  step.request.memory_mb = 63000;
+  jobs::Job old = MakeJob(adopted, {step});
+  old.rules.priority = 5;
+  it.dispatcher.AddJob(old, {}, true);
+  it.dispatcher.UpdateWorker(MakeWorker("w1"), it.now);
+  it.CommitAll();
+  it.Decide();
+  // The report names no clock, so no lease can be ordered.
+  HeartbeatOrder order;
+  order.to = {"w1", it.dispatcher.workers().at("w1").info.endpoint};
+  const Report report{{OrderStatus::kAccepted, 0, 1}, {{{{adopted, 0, 0, 0}, 1}, "", 10, 0}}, {}};
+  it.dispatcher.OnReport(order, report, it.now, it.WallMs());
+  jobs::Step large = MakeStep(1);
+  large.request.memory_mb = 63500;
+  jobs::Job urgent = MakeJob("00000000000000a2", {large});
+  urgent.rules.priority = 1;
+  it.dispatcher.AddJob(urgent, {}, false);
+  jobs::Job small = MakeJob("00000000000000a3", {MakeStep(1)});
+  small.rules.priority = 2;
+  it.dispatcher.AddJob(small, {}, false);
+  it.Advance(std::chrono::milliseconds(100));
+  it.Decide();
+  EXPECT_TRUE(it.orders.starts.empty());
+  EXPECT_EQ(it.orders.stops.size(), 1U);
+}
+
+// Guards against the use of a removed job's strings (seen by the address sanitizer): a placement
+// that pauses goes on after jobs whose turns are over were removed.
+TEST(PlacementTest, GoesOnAfterTheRemovalOfAJobWhoseTurnIsOver) {
+  DispatchLimits limits;
+  limits.max_starts_in_flight = 1;
+  limits.finished_retention = Duration::zero();
+  Scenario it(1, limits);
+  it.AddWorkers({MakeWorker("w1")});
+  jobs::Step nowhere = MakeStep(1);
+  nowhere.required_label = "a-label-that-does-not-fit-into-a-small-string";
+  const std::string removed = "00000000000000a1";
+  it.dispatcher.AddJob(MakeJob(removed, {nowhere}), {}, false);
+  jobs::Job placed = MakeJob("00000000000000a2", {MakeStep(2)});
+  placed.rules.priority = 1;
+  it.dispatcher.AddJob(placed, {}, false);
+  // With that many waiting jobs a placement goes on for up to 50 ms.
+  for (int n = 0; n < 2500; ++n) {
+    jobs::Job other = MakeJob("000000000000" + std::to_string(1000 + n), {nowhere});
+    other.rules.priority = 2;
+    it.dispatcher.AddJob(other, {}, false);
+  }
+  it.Advance(std::chrono::seconds(1));
+  it.Decide();
+  ASSERT_EQ(it.orders.starts.size(), 1U);
+  it.dispatcher.CancelJob(removed, it.WallMs());
+  it.CommitAll();
+  ASSERT_EQ(it.dispatcher.FindJob(removed), nullptr);
+  it.ConfirmStarts();
+  it.Advance(std::chrono::milliseconds(10));
+  it.Decide();
+  EXPECT_EQ(it.orders.starts.size(), 1U);
+}
+
 }  // namespace
 }  // namespace pomelopond::dispatch
