--- a/bench/dispatch_load.cc
+++ b/bench/dispatch_load.cc
@@ -13,7 +13,6 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
-#include <ctime>
 #include <cxxopts.hpp>
 #include <deque>
 #include <random>
@@ -21,6 +20,7 @@
 #include <vector>
 
 #include "bench/support/bench_result.h"
+#include "bench/support/dispatch_bench.h"
 #include "tests/dispatch/scenario.h"
 
 namespace pomelopond::bench {
@@ -31,8 +31,6 @@
 using dispatch::RunId;
 using dispatch::Scenario;
 
-// An owner limited to 10% of a core spends at most half of that on 100 task ends per second.
-constexpr double kMaxDecisionUs = 500;
 constexpr int kEnds = 2000;
 constexpr int kServingPerWorker = 5;
 constexpr int64_t kServingCpu = 6400;
@@ -46,8 +44,6 @@
 constexpr int kTakeoverTasksPerStep = 20;
 constexpr int64_t kTakeoverWorkerCpu = 64000;
 constexpr int64_t kTakeoverTaskCpu = 8000;
-// After this time a decision places waiting tasks again, however many they are.
-constexpr Duration kBetweenPlacements = std::chrono::milliseconds(50);
 // Time between two messages to the new owner.
 constexpr Duration kBetweenReports = std::chrono::milliseconds(10);
 constexpr Duration kBetweenAnswers = std::chrono::milliseconds(2);
@@ -64,16 +60,6 @@
   int starts = 0;
 };
 
-// Returns the CPU time of this process in microseconds. Unlike wall time, other programs do not
-// affect it.
-double ProcessorUs() { return static_cast<double>(std::clock()) / CLOCKS_PER_SEC * 1e6; }
-
-std::string JobId(int n) {
-  char id[17];
-  std::snprintf(id, sizeof(id), "%016x", n);
-  return id;
-}
-
 jobs::Step ServingStep(int workers) {
   jobs::Step step = dispatch::MakeStep(workers * kServingPerWorker, kServingCpu);
   step.perpetual = true;
@@ -88,24 +74,7 @@
   step.checkpoint = true;
   step.estimate_ms = 1700;
   step.image = "filling-" + std::to_string(n % kImages);
-  jobs::Step second = step;
-  second.after = {0};
-  jobs::Job job = dispatch::MakeJob(JobId(n), {step, second});
-  job.rules.priority = 2;
-  job.rules.stretch = 2;
-  job.rules.target_duration_ms = 1000;
-  job.accepted_ms = dispatch::kWallStart;
-  return job;
-}
-
-// Starts waiting tasks until a decision starts none.
-void StartAllThatFit(Scenario* it) {
-  do {
-    it->Advance(kBetweenPlacements);
-    it->Decide();
-    it->ConfirmStarts();
-    it->CommitAll();
-  } while (!it->orders.starts.empty());
+  return TwoStepJob(n, step, 2, 0);
 }
 
 std::vector<ActiveRun> ActiveOn(const Scenario& it, const std::string& worker,
@@ -175,14 +144,7 @@
   jobs::Step step = dispatch::MakeStep(kTakeoverTasksPerStep, kTakeoverTaskCpu);
   step.estimate_ms = 1700;
   step.image = "image-" + std::to_string(n % kImages);
-  jobs::Step second = step;
-  second.after = {0};
-  jobs::Job job = dispatch::MakeJob(JobId(n), {step, second});
-  job.rules.priority = n % 3;
-  job.rules.stretch = 2;
-  job.rules.target_duration_ms = 1000;
-  job.accepted_ms = dispatch::kWallStart - int64_t{n} * 10;
-  return job;
+  return TwoStepJob(n, step, n % 3, int64_t{n} * 10);
 }
 
 struct Takeover {
