A refused start does not begin the idle time anew

Cause: a job without further tasks lost its idle time with the order of a start, before the worker had confirmed it. Change: a confirmed run at work ends the idle time, nothing else. Test: StalledRunTest.RefusedStartsKeepTheIdleTime fails without it.

--- a/src/dispatch/answers.cc
+++ b/src/dispatch/answers.cc
@@ -84,11 +84,11 @@
   run.call_in_flight = false;
   if (!usable) return;
   if (answer.status == OrderStatus::kAccepted) {
-    RecordStart(FindEntry(order.run.task.job));
     run.confirmed_at = now;
     run.incarnation_known = run.incarnation_known || answer.incarnation != 0;
     if (run.started_at == TimePoint{}) run.started_at = now;
     if (run.phase == RunPhase::kStarting) run.phase = RunPhase::kRunning;
+    RecordConfirmedRun(FindEntry(order.run.task.job));
     return;
   }
   if (answer.status == OrderStatus::kNoAnswer) {
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -92,7 +92,6 @@
       for (const StepState& it : steps) waiting = waiting || it.waiting > 0;
     }
   }
-  if (!waiting) entry->idle_since.reset();
   if (waiting) {
     placeable_.emplace(entry->job.id, entry);
     capacity_changed_ = true;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -208,6 +208,7 @@
   // A worker has confirmed a start of the job. Until then callers are told that the job is pending:
   // a start that was ordered may be refused or never arrive.
   void RecordStart(JobEntry* entry);
+  void RecordConfirmedRun(JobEntry* entry);
   void EndRun(WorkerState* worker, const RunId& id);
   void LoseRun(WorkerState* worker, const RunId& id);
   void MarkRunsLost(WorkerState* worker, TimePoint now);
--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -28,6 +28,12 @@
   return std::max(task.last_run, (epoch_ - 1) * kRunsPerEpoch) + 1;
 }
 
+void Dispatcher::RecordConfirmedRun(JobEntry* entry) {
+  RecordStart(entry);
+  // The next placement sets it again if the runs of the job do nothing for it.
+  if (entry != nullptr && IsServed(*entry)) entry->idle_since.reset();
+}
+
 void Dispatcher::RecordStart(JobEntry* entry) {
   if (entry == nullptr || entry->state != jobs::JobState::kPending) return;
   entry->state = jobs::JobState::kRunning;
@@ -258,12 +264,12 @@
     run.listed_in = worker->reports;
     run.incarnation_known = true;
     JobEntry* entry = FindEntry(it.id.task.job);
-    RecordStart(entry);
     if (run.phase == RunPhase::kStarting) {
       run.phase = RunPhase::kRunning;
       run.confirmed_at = now;
       run.started_at = now;
     }
+    RecordConfirmedRun(entry);
     UpdateProgress(&run, it.percent, covered);
     run.load = it.load;
     TaskState* task = entry == nullptr ? nullptr : FindTask(entry, it.id.task);
