--- a/spec/owed_runs.pml
+++ b/spec/owed_runs.pml
@@ -6,7 +6,7 @@
  * stopped makes its task wait again, so that no job completes. The owner learns of ends by reports, which come at any
  * later time. A placement is one step, while the code may go on with one for 50 ms. A paused run ends without being
  * resumed. A refused start is an end here. Rows with -DTAILS keep the tasks of one job, chosen anew in each placement,
- * off all workers. Row lost-turn is an open fault of the code (docs/verification.md, "Faults").
+ * off all workers. Row lost-turn was a fault of the code (docs/verification.md, "Faults").
  *
  * verify: owed_runs                 | owed_runs | safety   | -             |
  * verify: owed_runs/second-runs     | owed_runs | safety   | -             | -DROOM=4
