Placement: turns are sorted as far as it comes; nothing is owed before all workers have reported

Change: the first 128 turns are sorted at first, the others when the placement comes to them. A job is owed runs only once all workers have reported to this owner.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -119,15 +119,16 @@
 struct PlacementTurn {
   TurnRank rank;
   JobEntry* entry = nullptr;
+  size_t position = 0;  // among all turns as collected; decides between equal ranks
 };
 
 // A placement takes the turns in order. At the limit of start orders in flight it pauses, and goes
 // on as answers arrive.
 struct Placement {
   TimePoint began;
-  // Those that are not over: a heap with the next one in front. With many waiting jobs a placement
-  // seldom comes to its last turns, so they are not sorted.
   std::vector<PlacementTurn> turns;
+  size_t next = 0;                       // the first turn that is not over
+  size_t sorted = 0;                     // number of turns at the begin that are in order
   bool limited = false;                  // it has met the limit of start orders in flight
   ReservedCapacity reserved;             // by preemptions
   std::set<jobs::TaskId> preempted_for;  // tasks that wait for runs to stop
@@ -256,7 +257,7 @@
   void ContinuePlacement(TimePoint now, int64_t wall_ms, Orders* orders);
   void PlaceGangsAtLimit(TimePoint now, int64_t wall_ms, Orders* orders);
   bool IsInPlacement(const JobEntry* entry) const;
-  void EndPlacement() { placement_.turns.clear(); }
+  void EndPlacement() { placement_.next = placement_.turns.size(); }
   bool IsInUnderusedPool(const JobEntry& entry) const;
   bool HasWorkingRun(const JobEntry& entry, TimePoint now) const;
   void UpdateIdleTimes(TimePoint now, int64_t wall_ms);
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -21,6 +21,8 @@
 // them all, so without a pause an owner with many of them would do little else.
 constexpr Duration kPausePerJob = std::chrono::microseconds(20);
 constexpr size_t kJobsWithoutPause = 50;
+// Number of turns that a placement sorts before it needs more.
+constexpr size_t kTurnsSortedFirst = 128;
 // Interval of the samples from which a job's unserved share is computed.
 constexpr Duration kServiceCheckInterval = std::chrono::milliseconds(200);
 // Number of workers in a permit order, unless many tasks wait.
@@ -31,9 +33,20 @@
   return std::min<Duration>(kPausePerJob * (waiting_jobs - kJobsWithoutPause), kPlacementInterval);
 }
 
-// The order of turns; those of equal rank follow the order of the job ids.
-bool IsLater(const PlacementTurn& a, const PlacementTurn& b) {
-  return std::tie(b.rank, b.entry->job.id) < std::tie(a.rank, a.entry->job.id);
+bool ComesBefore(const PlacementTurn& a, const PlacementTurn& b) {
+  return std::tie(a.rank, a.position) < std::tie(b.rank, b.position);
+}
+
+// Puts the next turn in its place. At the limit of starts a placement comes to its first turns
+// only.
+void SortNextTurns(Placement* placement) {
+  if (placement->next < placement->sorted) return;
+  const auto begin = placement->turns.begin() + static_cast<std::ptrdiff_t>(placement->sorted);
+  const size_t left = placement->turns.size() - placement->sorted;
+  const size_t n = placement->sorted == 0 ? std::min(kTurnsSortedFirst, left) : left;
+  std::partial_sort(begin, begin + static_cast<std::ptrdiff_t>(n), placement->turns.end(),
+                    ComesBefore);
+  placement->sorted += n;
 }
 
 // True when the turn is for a first or second run only.
@@ -87,21 +100,20 @@
   placement_.spare_processors = SpareProcessors(workers_, now);
   UpdateIdleTimes(now, wall_ms);
   placement_.turns = CollectTurns(now, wall_ms);
-  std::make_heap(placement_.turns.begin(), placement_.turns.end(), IsLater);
   capacity_changed_ = false;
 }
 
 void Dispatcher::ContinuePlacement(TimePoint now, int64_t wall_ms, Orders* orders) {
   const bool changed = capacity_changed_;
-  while (!placement_.turns.empty() && !IsAtStartLimit()) {
-    std::pop_heap(placement_.turns.begin(), placement_.turns.end(), IsLater);
-    const PlacementTurn turn = placement_.turns.back();
-    placement_.turns.pop_back();
+  while (placement_.next < placement_.turns.size() && !IsAtStartLimit()) {
+    SortNextTurns(&placement_);
+    const size_t present = placement_.next;
+    const PlacementTurn& turn = placement_.turns[present];
+    placement_.next += 1;
     if (!jobs::IsFinal(turn.entry->state)) PlaceJob(turn, now, wall_ms, orders);
-    if (!IsAtStartLimit() || IsOwedRun(turn)) continue;
-    // Tasks of the job may be left.
-    placement_.turns.push_back(turn);
-    std::push_heap(placement_.turns.begin(), placement_.turns.end(), IsLater);
+    // At the limit tasks of the job may be left, unless its start has ended the placement.
+    const bool over = placement_.next > present + 1;
+    if (IsAtStartLimit() && !IsOwedRun(turn) && !over) placement_.next = present;
   }
   if (IsAtStartLimit() && !placement_.limited) {
     placement_.limited = true;
@@ -115,13 +127,12 @@
 // Gangs start at the limit too. They rarely find room for all members at once, so they must not
 // wait behind tasks that take the room one by one.
 void Dispatcher::PlaceGangsAtLimit(TimePoint now, int64_t wall_ms, Orders* orders) {
-  if (placement_.turns.empty()) return;
+  if (placement_.next >= placement_.turns.size()) return;
+  const auto begin = placement_.turns.begin() + static_cast<std::ptrdiff_t>(placement_.next) + 1;
   std::vector<PlacementTurn> gangs;
-  std::copy_if(std::next(placement_.turns.begin()), placement_.turns.end(),
-               std::back_inserter(gangs),
+  std::copy_if(begin, placement_.turns.end(), std::back_inserter(gangs),
                [](const PlacementTurn& it) { return it.entry->has_gang; });
-  std::sort(gangs.begin(), gangs.end(),
-            [](const PlacementTurn& a, const PlacementTurn& b) { return IsLater(b, a); });
+  std::sort(gangs.begin(), gangs.end(), ComesBefore);
   for (const PlacementTurn& it : gangs) PlaceJob(it, now, wall_ms, orders);
 }
 
@@ -164,10 +175,10 @@
       entry->estimates = EstimatesOf(durations_, *entry);
       entry->estimates_valid_until = now + kEstimateInterval;
     }
-    turns.push_back({RankOf(entry->estimates, *entry, wall_ms), entry});
-    if (!IsInUnderusedPool(*entry)) continue;
+    turns.push_back({RankOf(entry->estimates, *entry, wall_ms), entry, turns.size()});
+    if (!IsInUnderusedPool(*entry) || !IsReconciled(*entry)) continue;
     for (const TurnKind it : OwedTurns(*entry, now, wall_ms)) {
-      turns.push_back({OwedRunRank(*entry, it), entry});
+      turns.push_back({OwedRunRank(*entry, it), entry, turns.size()});
     }
   }
   return turns;
