Read-through: idle time after an unconfirmed done task, the end of a placement, strings of classes

- A task that was done before its start was confirmed left its job idle since that start, so the job came first and ignored expected tails too early.
A done task ends the idle time: StalledRunTest.DoneTaskEndsTheIdleTimeWithoutAConfirmedStart fails without it.
- A placement that ended during its last turn went on with that turn at the limit of starts.
It says now that it has ended, in place of a comparison of positions.
- TaskClass refers to the job's strings again: a removed job ends the placement, so they were protected twice and the test passed without either of the two.
It fails now when the removal does not end the placement (address sanitizer, heap-use-after-free).

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -97,7 +97,7 @@
   int64_t ends = 0;                  // reported ends of runs
   int64_t placements = 0;            // placements that began
   int64_t limited_placements = 0;    // of these, placements that met the limit of starts in flight
-  int idle_jobs = 0;                 // jobs without a run although a task could start
+  int idle_jobs = 0;                 // jobs without a run at work although a task could start
   Duration longest_idle{};           // longest time that one of them has been idle
   std::string idle_job;              // id of that job
   int runs = 0;                      // runs on all workers
@@ -129,6 +129,7 @@
   std::vector<PlacementTurn> turns;
   size_t next = 0;                       // the first turn that is not over
   size_t sorted = 0;                     // number of turns at the begin that are in order
+  bool ended = false;                    // no further turn is taken
   bool limited = false;                  // it has met the limit of start orders in flight
   ReservedCapacity reserved;             // by preemptions
   std::set<jobs::TaskId> preempted_for;  // tasks that wait for runs to stop
@@ -257,7 +258,7 @@
   void ContinuePlacement(TimePoint now, int64_t wall_ms, Orders* orders);
   void PlaceGangsAtLimit(TimePoint now, int64_t wall_ms, Orders* orders);
   bool IsInPlacement(const JobEntry* entry) const;
-  void EndPlacement() { placement_.next = placement_.turns.size(); }
+  void EndPlacement() { placement_.ended = true; }
   bool IsInUnderusedPool(const JobEntry& entry) const;
   bool HasWorkingRun(const JobEntry& entry, TimePoint now) const;
   void UpdateIdleTimes(TimePoint now, int64_t wall_ms);
--- a/src/dispatch/job_table.h
+++ b/src/dispatch/job_table.h
@@ -70,7 +70,8 @@
   // Moving average of the share of time in which a task could start and no run was at work, as
   // confirmed by a worker that answers. Unlike `idle_since` it does not begin anew with each run.
   double unserved_share = 0;
-  // Since when a task could start while no run worked for the job; unset if that is not so.
+  // Since when a task could start while no run worked for the job, until a worker confirms a run at
+  // work or a task is done; unset if that is not so.
   std::optional<TimePoint> idle_since;
   // Indexed by occurrence, then step.
   std::vector<std::vector<StepState>> steps;
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -105,15 +105,14 @@
 
 void Dispatcher::ContinuePlacement(TimePoint now, int64_t wall_ms, Orders* orders) {
   const bool changed = capacity_changed_;
-  while (placement_.next < placement_.turns.size() && !IsAtStartLimit()) {
+  while (!placement_.ended && placement_.next < placement_.turns.size() && !IsAtStartLimit()) {
     SortNextTurns(&placement_);
     const size_t present = placement_.next;
     const PlacementTurn& turn = placement_.turns[present];
     placement_.next += 1;
     if (!jobs::IsFinal(turn.entry->state)) PlaceJob(turn, now, wall_ms, orders);
-    // At the limit tasks of the job may be left, unless its start has ended the placement.
-    const bool over = placement_.next > present + 1;
-    if (IsAtStartLimit() && !IsOwedRun(turn) && !over) placement_.next = present;
+    // At the limit tasks of the job may be left.
+    if (IsAtStartLimit() && !IsOwedRun(turn)) placement_.next = present;
   }
   if (IsAtStartLimit() && !placement_.limited) {
     placement_.limited = true;
@@ -127,7 +126,7 @@
 // Gangs start at the limit too. They rarely find room for all members at once, so they must not
 // wait behind tasks that take the room one by one.
 void Dispatcher::PlaceGangsAtLimit(TimePoint now, int64_t wall_ms, Orders* orders) {
-  if (placement_.next >= placement_.turns.size()) return;
+  if (placement_.ended || placement_.next >= placement_.turns.size()) return;
   const auto begin = placement_.turns.begin() + static_cast<std::ptrdiff_t>(placement_.next) + 1;
   std::vector<PlacementTurn> gangs;
   std::copy_if(begin, placement_.turns.end(), std::back_inserter(gangs),
--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -105,6 +105,8 @@
   TaskState* task = FindTask(entry, id);
   if (task->progress.done) return;
   StepState* step = StepStateOf(entry, id);
+  // Progress of the job, even if the run has ended before its start was confirmed.
+  entry->idle_since.reset();
   task->progress.done = true;
   task->progress.checkpoint.clear();
   step->done += 1;
--- a/src/dispatch/unplaceable_requests.h
+++ b/src/dispatch/unplaceable_requests.h
@@ -4,7 +4,7 @@
 #define POMELOPOND_DISPATCH_UNPLACEABLE_REQUESTS_H_
 
 #include <map>
-#include <string>
+#include <string_view>
 #include <tuple>
 #include <vector>
 
@@ -15,12 +15,12 @@
 
 // Properties, besides the amounts of resources, that determine which workers a task may use and
 // which runs it may preempt. The image matters for best-effort tasks only; the workers for other
-// tasks don't depend on it. The job may be removed while a class of it is in use.
+// tasks don't depend on it. The string views refer to the job, whose removal ends the placement.
 struct TaskClass {
-  std::string service;
-  std::string required_label;
+  std::string_view service;
+  std::string_view required_label;
   bool best_effort = false;
-  std::string best_effort_image;
+  std::string_view best_effort_image;
   bool owed_run = false;  // preempts no run and has wider limits
   bool perpetual = false;
   int priority = 0;
--- a/tests/dispatch/stalled_run_test.cc
+++ b/tests/dispatch/stalled_run_test.cc
@@ -225,6 +225,24 @@
   EXPECT_EQ(it.orders.starts[0].to.worker, "w3");
 }
 
+// Guards against a job that is taken to be idle since its first start, after a task that was done
+// before its start was confirmed.
+TEST(StalledRunTest, DoneTaskEndsTheIdleTimeWithoutAConfirmedStart) {
+  Scenario it;
+  it.AddWorkers({MakeWorker("w1", 1000)});
+  jobs::Step step = ShortStep();
+  step.replicas = 4;
+  step.best_effort = true;
+  step.request.memory_mb = 60000;
+  it.dispatcher.AddJob(MakeJob(kJob, {step}), {}, false);
+  it.Decide();
+  ASSERT_EQ(it.orders.starts.size(), 1U);
+  it.Advance(milliseconds(900));
+  it.Report("w1", {}, {End(1, it.orders.starts[0].run, EndKind::kDone)});
+  it.Decide();
+  EXPECT_EQ(it.dispatcher.Summary(it.now).longest_idle, Duration::zero());
+}
+
 // Guards against a job that goes to the end of the order of first runs each time that a worker
 // refuses its start.
 TEST(StalledRunTest, RefusedStartsKeepTheIdleTime) {
