Calls to workers over a connection pool with one thread

Cause: an owner's calls go through cpprest, one client object a connection: tasks, streams and a timer for each call, and wake-ups between pool threads.

Change: http::ConnectionPool keeps all connections to workers on one epoll thread. A call takes one write, one read and one look at the idle connection; deadlines share one epoll timeout in steps of 20 ms; calls that follow each other closely are collected for 1 ms.

--- /dev/null
+++ b/src/http/connection_pool.cc
@@ -0,0 +1,141 @@
+#include "http/connection_pool.h"
+
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <mutex>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "http/internal/pool_reactor.h"
+
+namespace pomelopond::http {
+
+class ConnectionPool::Impl {
+ public:
+  explicit Impl(const ConnectionPoolOptions& options)
+      : options_(options),
+        wake_fd_(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)),
+        reactor_(options, wake_fd_),
+        thread_([this] { Run(); }) {}
+
+  ~Impl() {
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      work_.stops = true;
+      Wake();
+    }
+    thread_.join();
+    close(wake_fd_);
+  }
+
+  void Send(PoolCallPtr call) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    work_.calls.push_back(std::move(call));
+    Wake();
+  }
+
+  void CloseIdle() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    work_.closes_idle = true;
+    Wake();
+  }
+
+  size_t max_answer_bytes() const { return options_.max_answer_bytes; }
+
+ private:
+  // What other threads have asked for.
+  struct Work {
+    std::vector<PoolCallPtr> calls;
+    bool closes_idle = false;
+    bool stops = false;
+
+    bool empty() const { return calls.empty() && !closes_idle && !stops; }
+  };
+
+  // Requires the lock. The thread looks for work by itself unless it sleeps.
+  void Wake() {
+    if (!std::exchange(sleeps_, false)) return;
+    const uint64_t one = 1;
+    (void)!write(wake_fd_, &one, sizeof(one));
+  }
+
+  bool BeginSleep() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    sleeps_ = work_.empty();
+    return sleeps_;
+  }
+
+  void TakeWork(Work* work) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    sleeps_ = false;
+    work->calls.swap(work_.calls);
+    work->closes_idle = std::exchange(work_.closes_idle, false);
+    work->stops = work_.stops;
+  }
+
+  void Run();
+  // Returns false once the pool ends.
+  bool RunOnce();
+  void Stop(Work* work);
+
+  const ConnectionPoolOptions options_;
+  const int wake_fd_;
+  PoolReactor reactor_;  // used by thread_ only
+  TimePoint last_ = Now();
+  Work taken_;
+
+  std::mutex mutex_;  // guards the members below; a leaf in every lock order
+  Work work_;
+  bool sleeps_ = false;
+  std::thread thread_;
+};
+
+void ConnectionPool::Impl::Run() {
+  while (RunOnce()) {
+  }
+}
+
+bool ConnectionPool::Impl::RunOnce() {
+  reactor_.Wait(BeginSleep(), last_);
+  TakeWork(&taken_);
+  const TimePoint now = Now();
+  bool has_work = reactor_.HandleReady(now) || !taken_.calls.empty();
+  for (PoolCallPtr& it : taken_.calls) reactor_.Start(std::move(it), now);
+  taken_.calls.clear();
+  if (taken_.closes_idle) reactor_.CloseIdle();
+  if (taken_.stops) {
+    Stop(&taken_);
+    return false;
+  }
+  const bool is_busy = has_work && now - last_ < 2 * options_.coalescing;
+  last_ = now;
+  if (is_busy) std::this_thread::sleep_for(options_.coalescing);
+  return true;
+}
+
+void ConnectionPool::Impl::Stop(Work* work) {
+  do {
+    const TimePoint now = Now();
+    reactor_.EndAll(now);
+    for (PoolCallPtr& it : work->calls) it->Finish(ResultCode::kTargetUnreachable, {}, now);
+    work->calls.clear();
+    TakeWork(work);
+  } while (!work->calls.empty());
+}
+
+ConnectionPool::ConnectionPool(const ConnectionPoolOptions& options)
+    : impl_(std::make_unique<Impl>(options)) {}
+
+ConnectionPool::~ConnectionPool() = default;
+
+void ConnectionPool::Send(const ServerLane& lane, const HttpRequest& request, Duration timeout,
+                          HttpCallback done) {
+  impl_->Send(std::make_unique<PoolCall>(lane, request, timeout, std::move(done),
+                                         impl_->max_answer_bytes(), Now()));
+}
+
+void ConnectionPool::CloseIdle() { impl_->CloseIdle(); }
+
+}  // namespace pomelopond::http
--- /dev/null
+++ b/src/http/internal/pool_lane.h
@@ -0,0 +1,38 @@
+// The connections of a ConnectionPool to one server.
+#ifndef POMELOPOND_HTTP_INTERNAL_POOL_LANE_H_
+#define POMELOPOND_HTTP_INTERNAL_POOL_LANE_H_
+
+#include <list>
+#include <memory>
+#include <vector>
+
+#include "http/internal/pool_call.h"
+
+namespace pomelopond::http {
+
+enum class ConnectionState { kConnecting, kWriting, kReading, kIdle, kClosed };
+
+struct PoolConnection {
+  int fd = -1;
+  ConnectionState state = ConnectionState::kConnecting;
+  uint32_t watched = 0;  // epoll events
+  bool closes = false;   // after the answer to its call
+  size_t written = 0;    // bytes of the request
+  PoolLane* lane = nullptr;
+  PoolCallPtr call;  // null while idle
+  TimePoint idle_since;
+};
+
+struct PoolLane {
+  int max_connections = 1;
+  std::vector<std::unique_ptr<PoolConnection>> connections;
+  std::list<PoolCallPtr> waiting;  // for a connection, oldest first
+};
+
+// Returns false if the server has closed the idle connection or has sent unsolicited bytes: a late
+// or duplicate answer, which would be taken for the answer to the next request.
+bool IsReusable(const PoolConnection& connection);
+
+}  // namespace pomelopond::http
+
+#endif  // POMELOPOND_HTTP_INTERNAL_POOL_LANE_H_
