Share one decision among the answers of 5 ms; look at the waiting counts twice a second

Dispatcher::NextCommit counted the waiting jobs anew in each call while the counts were unchanged, over all jobs and the finished ones that are kept for 150 s.

Change: EventLoop takes a pause. Functions that are posted within it after a batch share the next batch, and posting them wakes no thread; a function after a quiet time still runs at once, and Stop() ends the pause. PoolOwner passes 5 ms, so an order waits at most that much longer. The counts are compared with the written ones every 500 ms, whether they have changed or not.

--- a/apps/scheduler/home_shard_cache.cc
+++ b/apps/scheduler/home_shard_cache.cc
@@ -23,7 +23,7 @@
                                StoreAvailability* store_availability)
     : store_availability_(store_availability),
       store_(store, timeout),
-      loop_(kIdleInterval, [] {}) {}
+      loop_({kIdleInterval, {}}, [] {}) {}
 
 std::optional<std::string> HomeShardCache::FindCached(const std::string& job) {
   const std::lock_guard<std::mutex> lock(mutex_);
--- a/src/dispatch/commits.cc
+++ b/src/dispatch/commits.cc
@@ -16,7 +16,8 @@
 // A removed job has three keys. The remaining five entries are the condition, the term, the workers
 // in use, the lease bounds and the waiting counts.
 static_assert(kMaxJobsInCommit + 3 * kMaxRemovedInCommit + 5 <= store::kMaxTransactionEntries);
-// Minimum time between commits of the waiting counts.
+// Minimum time between two looks at the waiting counts, which go through all jobs. Also the one
+// between commits of them.
 constexpr Duration kCountsInterval = std::chrono::milliseconds(500);
 
 // Time between commits of the lease bounds, which shrink as time passes.
@@ -78,10 +79,10 @@
     commit.workers_in_use = EncodeWorkersInUse(commit.generation, now);
   }
   if (now >= lease_bounds_due_) commit.lease_bounds = NextLeaseBounds(commit.generation, now);
-  if (now - counts_written_at_ >= kCountsInterval) {
+  if (now - counts_checked_at_ >= kCountsInterval) {
+    counts_checked_at_ = now;
     WaitingCounts counts = CurrentWaitingCounts(wall_ms);
     if (counts != written_counts_) {
-      counts_written_at_ = now;
       commit.waiting_counts = Encode(counts);
       written_counts_ = std::move(counts);
     }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -368,7 +368,7 @@
   LeaseBounds written_bounds_;
   TimePoint lease_bounds_due_;  // when the lease bounds are compared with the written ones
   WaitingCounts written_counts_;
-  TimePoint counts_written_at_;
+  TimePoint counts_checked_at_;  // when the waiting counts were last compared with the written ones
   std::deque<std::pair<int64_t, std::string>> finished_;  // finished_ms and job id
 };
 
--- a/src/entry/pool_owner.cc
+++ b/src/entry/pool_owner.cc
@@ -15,6 +15,9 @@
 
 // Maximum time between two decisions of the dispatcher.
 constexpr Duration kMaxDecisionInterval = std::chrono::milliseconds(50);
+// Answers that arrive within this time of a decision share the next one. It is short beside the
+// time that an order takes.
+constexpr Duration kMinDecisionInterval = std::chrono::milliseconds(5);
 // A host that could not load the state leaves the pool to slower ones for this time.
 constexpr Duration kRequestRest = std::chrono::seconds(30);
 constexpr Duration kSummaryInterval = std::chrono::seconds(2);
@@ -62,7 +65,8 @@
 }
 
 void PoolOwner::Start() {
-  loop_ = std::make_unique<EventLoop>(kMaxDecisionInterval, [this] { Tick(); });
+  const EventLoopTimes times{kMaxDecisionInterval, kMinDecisionInterval};
+  loop_ = std::make_unique<EventLoop>(times, [this] { Tick(); });
   WatchHandlers handlers;
   handlers.on_list = [this](const std::vector<store::Item>& items) {
     loop_->Post([this, items] { OnOwnerKeys(items); });
