Refused starts: exponential backoff with jitter, one start a try

Cause: a worker that refuses starts was tried again after a fixed 300 ms, with as many orders as its free capacity takes.

Change: the pause doubles with each refusal in a row, from 0.4 s to 1.6 s, the upper half at random by the order's number. After a pause a single start is sent until it is answered. An accepted start, a new incarnation and, after a refusal for want of room, a reported end clear it. The pause of suspect workers stays as it was.

Conclusion: orders to refusing workers are bounded and recovered workers get work within 1.6 s and an answer.

--- a/src/dispatch/answers.cc
+++ b/src/dispatch/answers.cc
@@ -9,8 +9,6 @@
 
 // Start and stop orders are repeated after this time.
 constexpr Duration kCallRetry = std::chrono::milliseconds(200);
-// A worker that refused a task is offered no task for this time.
-constexpr Duration kRefusalBackoff = std::chrono::milliseconds(300);
 // Answers that the mean answer time of start orders covers.
 constexpr int kAveragedAnswers = 64;
 
@@ -99,6 +97,8 @@
     answered_starts_ += 1;
     start_time_ += now - run.ordered_at;
   }
+  SetRefusals(worker, AfterStartAnswer(worker->refusals, answer.status, order.sent_at, now,
+                                       RefusalDraw(order.number)));
   if (answer.status == OrderStatus::kAccepted) {
     run.confirmed_at = now;
     run.incarnation_known = run.incarnation_known || answer.incarnation != 0;
@@ -113,9 +113,6 @@
     return;
   }
   if (answer.status == OrderStatus::kNoPermit) DropPermit(order);
-  if (answer.status == OrderStatus::kNoCapacity || answer.status == OrderStatus::kUnhealthy) {
-    worker->backoff_until = std::max(worker->backoff_until, now + kRefusalBackoff);
-  }
   Log(LogLevel::kInfo, "dispatch", "start_refused",
       {{"job", order.run.task.job},
        {"run", order.run.run},
--- a/src/dispatch/decide.cc
+++ b/src/dispatch/decide.cc
@@ -169,6 +169,7 @@
   }
   order.number = ++last_start_order_;
   order.sent_at = now;
+  SetRefusals(worker, AfterStartOrder(worker->refusals, now));
   if (!worker->runs.at(id).outcome_unknown) timely_starts_.emplace(order.number, now);
   return order;
 }
--- a/src/dispatch/failures.cc
+++ b/src/dispatch/failures.cc
@@ -43,7 +43,8 @@
   for (int n = kFailuresBeforeBackoff; n < worker->failures && backoff < kMaxFailureBackoff; ++n) {
     backoff *= 2;
   }
-  worker->backoff_until = std::max(worker->backoff_until, now + kSuspectRetryInterval);
+  worker->suspect_retry_at = now + kSuspectRetryInterval;
+  worker->backoff_until = std::max(worker->backoff_until, worker->suspect_retry_at);
   worker->suspect_until =
       std::max(worker->suspect_until, now + std::min(backoff, kMaxFailureBackoff));
 }
--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -124,6 +124,7 @@
                           int64_t wall_ms) {
   if (end.sequence <= worker->processed) return false;
   worker->processed = end.sequence;
+  SetRefusals(worker, AfterEndedRun(worker->refusals));
   ends_ += 1;
   RecordStart(FindEntry(end.id.task.job));
   const auto run = worker->runs.find(end.id);
--- a/src/dispatch/worker_table.cc
+++ b/src/dispatch/worker_table.cc
@@ -1,5 +1,7 @@
 #include "dispatch/worker_table.h"
 
+#include <algorithm>
+
 namespace pomelopond::dispatch {
 namespace {
 
@@ -74,6 +76,11 @@
   AddToSum(worker, *run);
 }
 
+void SetRefusals(WorkerState* worker, const RefusalBackoff& refusals) {
+  worker->refusals = refusals;
+  worker->backoff_until = std::max(worker->suspect_retry_at, refusals.until);
+}
+
 void RecordLoad(RunState* run, int64_t load) {
   run->load = load;
   if (run->target_tail_ms <= 0) return;
--- a/src/dispatch/worker_table.h
+++ b/src/dispatch/worker_table.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "dispatch/refusal_backoff.h"
 #include "dispatch/worker.h"
 #include "jobs/job.h"
 #include "planning/interference.h"
@@ -130,8 +131,10 @@
   // A call got no answer since the last report, so the worker may have started again under its id.
   // Answers to other orders don't tell, as they don't name the incarnation.
   bool may_have_restarted = false;
-  int failures = 0;         // consecutive failed runs
-  TimePoint backoff_until;  // accepts no task before this time
+  int failures = 0;            // consecutive failed runs
+  TimePoint backoff_until;     // accepts no task before this time
+  TimePoint suspect_retry_at;  // earliest time of the next task on a suspect worker
+  RefusalBackoff refusals;
   // Until then the worker accepts only perpetual tasks that fit on no other worker.
   TimePoint suspect_until;
 
@@ -183,6 +186,8 @@
             TimePoint now);
 void RemoveRun(WorkerState* worker, const RunId& id);
 void MarkStopping(WorkerState* worker, RunState* run);
+// Replaces the refusals of the worker and updates the time before which it accepts no task.
+void SetRefusals(WorkerState* worker, const RefusalBackoff& refusals);
 // Records the load that a report gives for the run.
 void RecordLoad(RunState* run, int64_t load);
 // The owner orders `pace` for the run.
