--- a/src/http/connection_pool.cc
+++ b/src/http/connection_pool.cc
@@ -101,7 +101,15 @@
   reactor_.Wait(BeginSleep(), last_);
   TakeWork(&taken_);
   const TimePoint now = Now();
-  bool has_work = reactor_.HandleReady(now) || !taken_.calls.empty();
+  const bool has_answers = reactor_.HandleReady(now);
+  // Handling the answers took time, in which a server may have closed a connection. One look at all
+  // connections costs less than one at each that is used.
+  while (has_answers && !taken_.calls.empty()) {
+    reactor_.Wait(false, now);
+    reactor_.HandleReady(now);
+    if (!reactor_.may_have_more()) break;
+  }
+  const bool has_work = has_answers || !taken_.calls.empty();
   for (PoolCallPtr& it : taken_.calls) reactor_.Start(std::move(it), now);
   taken_.calls.clear();
   if (taken_.closes_idle) reactor_.CloseIdle();
--- a/src/http/internal/answer_parser.h
+++ b/src/http/internal/answer_parser.h
@@ -45,6 +45,7 @@
   size_t on_chunk_body_impl(uint64_t, Text body, Error&) override;
   void on_finish_impl(Error&) override {}
 
+  const size_t max_body_bytes_;
   HttpResponse response_;
   std::string unparsed_;  // bytes of an element that is not complete
   bool has_excess_ = false;
--- a/src/http/internal/pool_lane.h
+++ b/src/http/internal/pool_lane.h
@@ -29,10 +29,6 @@
   std::list<PoolCallPtr> waiting;  // for a connection, oldest first
 };
 
-// Returns false if the server has closed the idle connection or has sent unsolicited bytes: a late
-// or duplicate answer, which would be taken for the answer to the next request.
-bool IsReusable(const PoolConnection& connection);
-
 }  // namespace pomelopond::http
 
 #endif  // POMELOPOND_HTTP_INTERNAL_POOL_LANE_H_
--- a/src/http/internal/pool_reactor.cc
+++ b/src/http/internal/pool_reactor.cc
@@ -37,12 +37,6 @@
 
 }  // namespace
 
-bool IsReusable(const PoolConnection& connection) {
-  char byte = 0;
-  const ssize_t n = recv(connection.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 PoolReactor::PoolReactor(const ConnectionPoolOptions& options, int wake_fd)
     : options_(options), epoll_(epoll_create1(EPOLL_CLOEXEC)), wake_fd_(wake_fd), buf_(kReadBytes) {
   epoll_event event{};
@@ -80,8 +74,8 @@
     has_work = true;
     Handle(static_cast<PoolConnection*>(it.data.ptr), it.events, now);
   }
-  // More connections may be ready, with answers to calls that are due.
-  if (ready_ == static_cast<int>(events_.size())) return true;
+  // Answers to calls that are due may have arrived.
+  if (may_have_more()) return true;
   while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
     CallList& due = deadlines_.begin()->second;
     has_work = has_work || !due.empty();
@@ -117,7 +111,7 @@
 
 void PoolReactor::SendWaiting(PoolLane* lane, TimePoint now) {
   while (!lane->waiting.empty()) {
-    PoolConnection* it = TakeIdle(lane);
+    PoolConnection* it = LongestIdle(*lane);
     const auto open = static_cast<int>(lane->connections.size());
     if (it == nullptr && open >= lane->max_connections) return;
     PoolCallPtr call = std::move(lane->waiting.front());
@@ -135,16 +129,13 @@
   }
 }
 
-PoolConnection* PoolReactor::TakeIdle(PoolLane* lane) {
-  for (;;) {
-    PoolConnection* longest = nullptr;
-    for (const auto& it : lane->connections) {
-      if (it->state != ConnectionState::kIdle) continue;
-      if (longest == nullptr || it->idle_since < longest->idle_since) longest = it.get();
-    }
-    if (longest == nullptr || IsReusable(*longest)) return longest;
-    Close(longest);
+PoolConnection* PoolReactor::LongestIdle(const PoolLane& lane) {
+  PoolConnection* longest = nullptr;
+  for (const auto& it : lane.connections) {
+    if (it->state != ConnectionState::kIdle) continue;
+    if (longest == nullptr || it->idle_since < longest->idle_since) longest = it.get();
   }
+  return longest;
 }
 
 PoolConnection* PoolReactor::Connect(PoolLane* lane, const sockaddr_in& address) {
@@ -189,7 +180,8 @@
 
 void PoolReactor::Handle(PoolConnection* it, uint32_t events, TimePoint now) {
   if (it->state == ConnectionState::kClosed) return;
-  // Nothing is expected on an idle connection.
+  // The server has closed the idle connection or has sent unsolicited bytes: a late or duplicate
+  // answer, which would be taken for the answer to the next request.
   if (it->state == ConnectionState::kIdle) return Close(it);
   if (it->state == ConnectionState::kConnecting) {
     int error = 0;
--- a/src/http/internal/pool_reactor.h
+++ b/src/http/internal/pool_reactor.h
@@ -29,6 +29,10 @@
   // Handles the connections that the last Wait() found ready.
   // Then ends the calls whose deadline has passed. Returns whether there was anything to do.
   bool HandleReady(TimePoint now);
+  // Returns whether more connections may be ready than the last Wait() found.
+  bool may_have_more() const { return ready_ == static_cast<int>(events_.size()); }
+  // Sends a request, or lets it wait for a connection. What the last Wait() found must have been
+  // handled and be recent, since this tells whether an idle connection may be used.
   void Start(PoolCallPtr call, TimePoint now);
   void CloseIdle();
   // Ends all calls with an error and closes all connections.
@@ -41,8 +45,8 @@
   int TimeoutMs(TimePoint now);
   PoolLane* LaneOf(const PoolCall& call);
   void SendWaiting(PoolLane* lane, TimePoint now);
-  // Returns null if the lane has no reusable idle connection.
-  PoolConnection* TakeIdle(PoolLane* lane);
+  // Returns null if the lane has no idle connection.
+  static PoolConnection* LongestIdle(const PoolLane& lane);
   // Returns null if no connection can be begun.
   PoolConnection* Connect(PoolLane* lane, const sockaddr_in& address);
   void Watch(PoolConnection* it, uint32_t events);
