Cheaper placements: one pass over the waiting jobs, fewer looks at all workers

Cause: each placement went through the waiting jobs twice, counted the working runs of each up to three times, looked its pool up three times by name and compared turns by nested tuples; each decision looked at all workers for new reports, and every 5 ms for leases and heartbeats; a worker that shares processor time had its expected tail computed twice.

Change: BeginPlacement updates a job's idle time and collects its turns in one pass over a sorted vector in place of a map; turns carry their rank in two integers; DecidePace looks at the checked workers, which hold all that have reported; all workers are checked every 25 ms (timed events of the others wait that long at most); the reported tail is compared before the expected one, which is computed once; a job without runs has no active task.

--- a/src/dispatch/choose_worker.cc
+++ b/src/dispatch/choose_worker.cc
@@ -32,7 +32,7 @@
 }
 
 double ExpectedTailRatio(const WorkerState& worker, const PlacementRequest& request) {
-  if (worker.serving == 0) return 0;
+  if (!request.step->best_effort || worker.serving == 0) return 0;
   const double cores = static_cast<double>(request.step->request.cpu_milli) / 1000;
   return dispatch::ExpectedTailRatio(*request.colocation, worker, request.step->image, cores);
 }
@@ -44,18 +44,29 @@
   return request.shares_processor || SpareCpu(worker) >= request.step->request.cpu_milli;
 }
 
-bool KeepsTailsShort(const WorkerState& worker, const PlacementRequest& request) {
+bool HasShortTails(const WorkerState& worker, const PlacementRequest& request) {
   if (!request.step->best_effort || worker.serving == 0) return true;
   // One run at a time starts beside a tail that is long already.
   if (worker.slow_starts > 0 && HasLongTail(*request.colocation, worker)) return false;
-  return ReportedTailRatio(*request.colocation, worker) <= request.max_tail &&
+  return ReportedTailRatio(*request.colocation, worker) <= request.max_tail;
+}
+
+bool KeepsTailsShort(const WorkerState& worker, const PlacementRequest& request) {
+  return HasShortTails(worker, request) &&
          ExpectedTailRatio(worker, request) <= request.max_expected_tail;
 }
 
+// The expected tail ratio if it is part of the worker's score, else 0.
+double ScoredTailRatio(const WorkerState& worker, const PlacementRequest& request) {
+  return request.shares_processor ? ExpectedTailRatio(worker, request) : 0;
+}
+
 // Smaller scores are better.
 using Score = std::tuple<bool, bool, bool, bool, int64_t>;
 
-Score ScoreOf(const WorkerState& worker, const PlacementRequest& request, TimePoint now) {
+// `tail` is the worker's ScoredTailRatio().
+Score ScoreOf(const WorkerState& worker, const PlacementRequest& request, double tail,
+              TimePoint now) {
   const jobs::Step& step = *request.step;
   const bool suspect =
       now < worker.suspect_until ||
@@ -64,10 +75,9 @@
       !step.preferred_rack.empty() && worker.info.rack != step.preferred_rack;
   const int64_t spare_cpu = SpareCpu(worker);
   if (step.best_effort) {
-    const double tail = request.shares_processor ? ExpectedTailRatio(worker, request) : 0;
     // A run beside a tail that is long already has to be slowed down.
-    const bool long_tail = tail > kMaxExpectedTailRatio ||
-                           (request.shares_processor && HasLongTail(*request.colocation, worker));
+    const bool long_tail = request.shares_processor && (tail > kMaxExpectedTailRatio ||
+                                                        HasLongTail(*request.colocation, worker));
     const auto tail_permille = static_cast<int64_t>(std::min(tail, 1e6) * 1000);
     return {suspect, outside_preferred_rack, long_tail, false,
             long_tail ? tail_permille : -spare_cpu};
@@ -104,11 +114,14 @@
     if (needs_spare && it->index_key.spare_cpu < request.step->request.cpu_milli) break;
     // The cheap conditions come first, as most workers are full when many tasks wait.
     if (!HasCapacityFor(*it, request) || !IsEligible(*it, request, now)) continue;
-    const Score score = ScoreOf(*it, request, now);
+    if (!HasShortTails(*it, request)) continue;
+    const double tail = ScoredTailRatio(*it, request);
+    const Score score = ScoreOf(*it, request, tail, now);
     if (best != nullptr && std::tie(best_score, best->info.id) <= std::tie(score, it->info.id)) {
       continue;
     }
-    if (!KeepsTailsShort(*it, request)) continue;
+    const double expected = request.shares_processor ? tail : ExpectedTailRatio(*it, request);
+    if (expected > request.max_expected_tail) continue;
     best = it;
     best_score = score;
     if (IsBestInOrder(score, *request.step)) break;
@@ -214,7 +227,7 @@
     if (!IsUndecided(*request.permits, id, it.info.incarnation, now)) continue;
     if (!IsEligible(it, any, now)) continue;
     const bool full = !HasCapacityFor(it, any) || !KeepsTailsShort(it, any);
-    candidates.emplace_back(full, ScoreOf(it, any, now), &it);
+    candidates.emplace_back(full, ScoreOf(it, any, ScoredTailRatio(it, any), now), &it);
   }
   std::sort(candidates.begin(), candidates.end());
   std::vector<std::pair<std::string, int64_t>> out;
@@ -239,9 +252,14 @@
 std::map<std::string, SpareProcessor> SpareProcessors(
     const std::map<std::string, WorkerState>& workers, TimePoint now) {
   std::map<std::string, SpareProcessor> spare;
+  const std::string* service = nullptr;
+  SpareProcessor* last = nullptr;
   for (const auto& [id, it] : workers) {
     if (!IsMember(it, now)) continue;
-    SpareProcessor& of_service = spare[it.info.service];
+    // Most neighbours in the table are of one service.
+    if (service == nullptr || *service != it.info.service) last = &spare[it.info.service];
+    service = &it.info.service;
+    SpareProcessor& of_service = *last;
     of_service.capacity += it.info.capacity.cpu_milli;
     of_service.reserved += it.used.cpu_milli;
     if (AcceptsTasks(it, now)) of_service.most = std::max(of_service.most, SpareCpu(it));
--- a/src/dispatch/decide.cc
+++ b/src/dispatch/decide.cc
@@ -27,7 +27,7 @@
 // Maximum time between two checks of all workers. In between, a decision checks only workers that
 // have sent a message or changed since. Timed events of the others are handled with this delay at
 // most.
-constexpr Duration kFullCheckInterval = std::chrono::milliseconds(5);
+constexpr Duration kFullCheckInterval = std::chrono::milliseconds(25);
 
 // A run is settled once the worker has confirmed that it runs or that it stops.
 bool HasUnsettledRun(const WorkerState& worker) {
@@ -51,7 +51,7 @@
   EvictFromDrainingWorkers(checked);
   ReleaseOverdueStarts(now);
   PlaceTasks(now, wall_ms, &orders);
-  DecidePace(now, &orders);
+  DecidePace(checked, now, &orders);
   RetryRuns(now, &orders);
   DecideHeartbeats(checked, now, &orders);
   return orders;
@@ -260,16 +260,19 @@
   slow_starts_ = std::move(pending);
 }
 
-void Dispatcher::DecidePace(TimePoint now, Orders* orders) {
+// A worker that has sent a report since the last decision is among the checked ones.
+void Dispatcher::DecidePace(const std::vector<WorkerState*>& checked, TimePoint now,
+                            Orders* orders) {
   SlowDownStarts(now, orders);
-  for (auto& [worker_id, worker] : workers_) {
+  for (WorkerState* it : checked) {
+    WorkerState& worker = *it;
     if (worker.best_effort_cpu == 0 || !worker.contacted || worker.unanswered_calls > 0) continue;
     if (!worker.has_new_report) continue;
     worker.has_new_report = false;
     UpdateLongTail(&worker, now);
     StopInterference(&worker, now);
-    for (const PaceChange& it : PaceChanges(colocation_, worker, now)) {
-      OrderPace(&worker, it, now, orders);
+    for (const PaceChange& change : PaceChanges(colocation_, worker, now)) {
+      OrderPace(&worker, change, now, orders);
     }
   }
 }
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -91,11 +91,16 @@
       for (const StepState& it : steps) waiting = waiting || it.waiting > 0;
     }
   }
+  if (waiting) capacity_changed_ = true;
+  if (waiting == entry->placeable) return;
+  entry->placeable = waiting;
+  const auto place =
+      std::lower_bound(placeable_.begin(), placeable_.end(), entry,
+                       [](const JobEntry* a, const JobEntry* b) { return a->job.id < b->job.id; });
   if (waiting) {
-    placeable_.emplace(entry->job.id, entry);
-    capacity_changed_ = true;
+    placeable_.insert(place, entry);
   } else {
-    placeable_.erase(entry->job.id);
+    placeable_.erase(place);
   }
 }
 
@@ -213,7 +218,7 @@
     out.longest_idle = now - *entry.idle_since;
     out.idle_job = id;
   }
-  for (const auto& [id, it] : placeable_) {
+  for (const JobEntry* it : placeable_) {
     out.unserved_share += it->unserved_share / static_cast<double>(placeable_.size());
     out.held_up_jobs += IsHeldUp(*it) ? 1 : 0;
     out.worst_unserved_share = std::max(out.worst_unserved_share, it->unserved_share);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -125,7 +125,9 @@
 // Turn of a job in a placement. A turn for a first or second run ends once the job has as many runs
 // at work.
 struct PlacementTurn {
-  TurnRank rank;
+  TurnKind kind = TurnKind::kOnTime;
+  int64_t group = 0;  // the rank in two numbers that are fast to compare: all but its last part,
+  int64_t age_order = 0;  // and its last part
   JobEntry* entry = nullptr;
   size_t position = 0;  // among all turns as collected; decides between equal ranks
 };
@@ -277,9 +279,9 @@
   bool IsInPlacement(const JobEntry* entry) const;
   void EndPlacement() { placement_.ended = true; }
   bool IsInUnderusedPool(const JobEntry& entry) const;
-  bool HasWorkingRun(const JobEntry& entry, TimePoint now) const;
-  void UpdateIdleTimes(TimePoint now, int64_t wall_ms);
-  std::vector<PlacementTurn> CollectTurns(TimePoint now, int64_t wall_ms);
+  // `working` is the number of runs at work; it is counted only in an underused pool.
+  void UpdateIdleTime(JobEntry* entry, bool underused, int working, TimePoint now, int64_t wall_ms);
+  void CollectTurns(JobEntry* entry, bool underused, int working, TimePoint now, int64_t wall_ms);
   void PlaceJob(const PlacementTurn& turn, TimePoint now, int64_t wall_ms, Orders* orders);
   void PlaceStep(const PlacementTurn& turn, int occurrence, int step, TimePoint now,
                  int64_t wall_ms, Orders* orders);
@@ -300,7 +302,7 @@
   void OrderPace(WorkerState* worker, const PaceChange& change, TimePoint now, Orders* orders);
   void StopInterference(WorkerState* worker, TimePoint now);
   void SlowDownStarts(TimePoint now, Orders* orders);
-  void DecidePace(TimePoint now, Orders* orders);
+  void DecidePace(const std::vector<WorkerState*>& checked, TimePoint now, Orders* orders);
   std::optional<StartOrder> MakeStartOrder(WorkerState* worker, const RunId& id, TimePoint now);
   int64_t LeaseEndMs(WorkerState* worker, TimePoint now);
   int64_t NextRun(const TaskState& task) const;
@@ -342,7 +344,7 @@
   std::set<std::string> unsettled_workers_;
   // Runs that are to be slowed down as soon as their start is confirmed, with their workers.
   std::vector<std::pair<std::string, RunId>> slow_starts_;
-  std::map<std::string, JobEntry*> placeable_;     // jobs with waiting tasks, by id
+  std::vector<JobEntry*> placeable_;               // jobs with waiting tasks, in the order of ids
   std::map<std::string, TimePoint> watched_jobs_;  // whose runs leave lines, until when
   TimePoint service_checked_at_;                   // when unserved shares were last updated
   int run_lines_left_ = 0;
--- a/src/dispatch/job_rank.cc
+++ b/src/dispatch/job_rank.cc
@@ -116,12 +116,12 @@
   return std::nullopt;
 }
 
-std::vector<TurnKind> OwedTurns(const JobEntry& entry, TimePoint now, int64_t wall_ms) {
+std::vector<TurnKind> OwedTurns(const JobEntry& entry, int working, TimePoint now,
+                                int64_t wall_ms) {
   if (LatenessOf(entry.estimates, entry, wall_ms) == Lateness::kOnTime) {
     if (IsIdleForLong(entry, now)) return {TurnKind::kFirstRun};
     return {};
   }
-  const int working = WorkingRuns(entry, now);
   if (working == 0) return {TurnKind::kFirstRun, TurnKind::kSecondRun};
   if (working < *RunsOwed(TurnKind::kSecondRun)) return {TurnKind::kSecondRun};
   return {};
--- a/src/dispatch/job_rank.h
+++ b/src/dispatch/job_rank.h
@@ -72,8 +72,9 @@
 // Nothing for other turns.
 std::optional<int> RunsOwed(TurnKind kind);
 
-// Kinds of the turns that the job has in an underused pool besides its own one.
-std::vector<TurnKind> OwedTurns(const JobEntry& entry, TimePoint now, int64_t wall_ms);
+// Kinds of the turns that the job, with `working` runs at work, has in an underused pool besides
+// its own one.
+std::vector<TurnKind> OwedTurns(const JobEntry& entry, int working, TimePoint now, int64_t wall_ms);
 
 // Rank of the turn for a first or second run.
 TurnRank OwedRunRank(const JobEntry& entry, TurnKind kind);
--- a/src/dispatch/job_table.cc
+++ b/src/dispatch/job_table.cc
@@ -103,6 +103,7 @@
 }
 
 bool HasActiveTask(const JobEntry& entry) {
+  if (entry.runs.empty()) return false;
   for (const std::vector<StepState>& steps : entry.steps) {
     for (const StepState& it : steps) {
       if (it.done + it.waiting < static_cast<int>(it.tasks.size())) return true;
--- a/src/dispatch/job_table.h
+++ b/src/dispatch/job_table.h
@@ -62,6 +62,7 @@
   int64_t finished_ms = 0;  // milliseconds since the Unix epoch
   bool inherited = false;   // accepted before this owner took over
   bool has_gang = false;    // a step is a gang
+  bool placeable = false;   // listed by its owner among the jobs with waiting tasks
   int64_t revision = 0;     // store revision of the job's record; 0: precedes this owner
   Estimates estimates;
   TimePoint estimates_valid_until;  // the estimates are computed again after this time
--- a/src/dispatch/job_wait.cc
+++ b/src/dispatch/job_wait.cc
@@ -94,7 +94,7 @@
 std::vector<JobWait> Dispatcher::ExplainWaits(TimePoint now, int64_t wall_ms) {
   run_lines_left_ = kRunLinesPerLook;
   std::vector<std::pair<double, JobEntry*>> waiting;
-  for (const auto& [id, it] : placeable_) {
+  for (JobEntry* it : placeable_) {
     if (it->unserved_share >= kLowUnservedShare) waiting.emplace_back(it->unserved_share, it);
   }
   const size_t n = std::min(waiting.size(), kExplainedJobs);
@@ -109,7 +109,7 @@
     if (!task) continue;
     PlacementRequest request = RequestOf(entry, *task);
     request.task = FindTask(entry, *task);
-    const std::vector<TurnKind> owed = OwedTurns(*entry, now, wall_ms);
+    const std::vector<TurnKind> owed = OwedTurns(*entry, WorkingRuns(*entry, now), now, wall_ms);
     if (IsInUnderusedPool(*entry) && !owed.empty()) {
       AdmitOwedRun(*entry, owed.front(), now, &request);
     }
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -36,8 +36,15 @@
   return std::min<Duration>(kPausePerJob * (waiting_jobs - kJobsWithoutPause), kPlacementInterval);
 }
 
+PlacementTurn MakeTurn(const TurnRank& rank, JobEntry* entry, size_t position) {
+  const auto& [priority, kind, pending, age_order] = rank;
+  const int64_t kinds = static_cast<int64_t>(TurnKind::kTooLate) + 1;
+  const int64_t group = (priority * kinds + static_cast<int64_t>(kind)) * 2 + (pending ? 1 : 0);
+  return {kind, group, age_order, entry, position};
+}
+
 bool ComesBefore(const PlacementTurn& a, const PlacementTurn& b) {
-  return std::tie(a.rank, a.position) < std::tie(b.rank, b.position);
+  return std::tie(a.group, a.age_order, a.position) < std::tie(b.group, b.age_order, b.position);
 }
 
 // Puts the next turn in its place. At the limit of starts a placement comes to its first turns
@@ -53,13 +60,11 @@
 }
 
 // True when the turn is for a first or second run only.
-bool IsOwedRun(const PlacementTurn& turn) {
-  return RunsOwed(std::get<TurnKind>(turn.rank)).has_value();
-}
+bool IsOwedRun(const PlacementTurn& turn) { return RunsOwed(turn.kind).has_value(); }
 
 // True when the job has the runs that the turn is for.
 bool HasOwedRuns(const PlacementTurn& turn, TimePoint now) {
-  const std::optional<int> owed = RunsOwed(std::get<TurnKind>(turn.rank));
+  const std::optional<int> owed = RunsOwed(turn.kind);
   return owed && WorkingRuns(*turn.entry, now) >= *owed;
 }
 
@@ -97,12 +102,23 @@
 }
 
 void Dispatcher::BeginPlacement(TimePoint now, int64_t wall_ms) {
+  std::vector<PlacementTurn> turns = std::move(placement_.turns);
+  turns.clear();
   placement_ = {};
+  placement_.turns = std::move(turns);
   placement_.began = now;
   placements_ += 1;
   placement_.spare_processors = SpareProcessors(workers_, now);
-  UpdateIdleTimes(now, wall_ms);
-  placement_.turns = CollectTurns(now, wall_ms);
+  const Duration passed = now - service_checked_at_;
+  const bool check_service = passed >= kServiceCheckInterval;
+  if (check_service) service_checked_at_ = now;
+  for (JobEntry* it : placeable_) {
+    if (check_service) UpdateUnservedShare(it, passed, wall_ms);
+    const bool underused = IsInUnderusedPool(*it);
+    const int working = underused ? WorkingRuns(*it, now) : 0;
+    UpdateIdleTime(it, underused, working, now, wall_ms);
+    CollectTurns(it, underused, working, now, wall_ms);
+  }
   capacity_changed_ = false;
 }
 
@@ -148,42 +164,31 @@
   return spare != placement_.spare_processors.end() && IsUnderused(spare->second);
 }
 
-// A run that is paused, being stopped or not confirmed in time does nothing for its job.
-bool Dispatcher::HasWorkingRun(const JobEntry& entry, TimePoint now) const {
-  if (!HasActiveTask(entry)) return false;
-  // While most of the pool is in use no first run follows, so the cheap answer is enough.
-  return !IsInUnderusedPool(entry) || WorkingRuns(entry, now) > 0;
+void Dispatcher::UpdateIdleTime(JobEntry* entry, bool underused, int working, TimePoint now,
+                                int64_t wall_ms) {
+  // A run that is paused, being stopped or not confirmed in time does nothing for its job. While
+  // most of the pool is in use no first run follows, so the cheap answer is enough.
+  const bool works = (!underused || working > 0) && HasActiveTask(*entry);
+  const bool idle = !works && HasReadyTask(*entry, wall_ms);
+  if (idle && !entry->idle_since) entry->idle_since = now;
+  if (idle || !entry->idle_since) return;
+  // A start that is refused must not set the job back in the order of first runs.
+  if (!underused || IsServed(*entry)) entry->idle_since.reset();
 }
 
-void Dispatcher::UpdateIdleTimes(TimePoint now, int64_t wall_ms) {
-  const Duration passed = now - service_checked_at_;
-  const bool check_service = passed >= kServiceCheckInterval;
-  if (check_service) service_checked_at_ = now;
-  for (const auto& [id, entry] : placeable_) {
-    if (check_service) UpdateUnservedShare(entry, passed, wall_ms);
-    const bool idle = !HasWorkingRun(*entry, now) && HasReadyTask(*entry, wall_ms);
-    if (idle && !entry->idle_since) entry->idle_since = now;
-    // A start that is refused must not set the job back in the order of first runs.
-    if (!idle && (IsServed(*entry) || !IsInUnderusedPool(*entry))) entry->idle_since.reset();
+void Dispatcher::CollectTurns(JobEntry* entry, bool underused, int working, TimePoint now,
+                              int64_t wall_ms) {
+  if (entry->revision > proven_revision_) return;
+  std::vector<PlacementTurn>& turns = placement_.turns;
+  if (now >= entry->estimates_valid_until) {
+    entry->estimates = EstimatesOf(durations_, *entry);
+    entry->estimates_valid_until = now + kEstimateInterval;
   }
-}
-
-std::vector<PlacementTurn> Dispatcher::CollectTurns(TimePoint now, int64_t wall_ms) {
-  std::vector<PlacementTurn> turns;
-  turns.reserve(placeable_.size());
-  for (const auto& [id, entry] : placeable_) {
-    if (entry->revision > proven_revision_) continue;
-    if (now >= entry->estimates_valid_until) {
-      entry->estimates = EstimatesOf(durations_, *entry);
-      entry->estimates_valid_until = now + kEstimateInterval;
-    }
-    turns.push_back({RankOf(entry->estimates, *entry, wall_ms), entry, turns.size()});
-    if (!IsInUnderusedPool(*entry) || !IsReconciled(*entry)) continue;
-    for (const TurnKind it : OwedTurns(*entry, now, wall_ms)) {
-      turns.push_back({OwedRunRank(*entry, it), entry, turns.size()});
-    }
+  turns.push_back(MakeTurn(RankOf(entry->estimates, *entry, wall_ms), entry, turns.size()));
+  if (!underused || !IsReconciled(*entry)) return;
+  for (const TurnKind it : OwedTurns(*entry, working, now, wall_ms)) {
+    turns.push_back(MakeTurn(OwedRunRank(*entry, it), entry, turns.size()));
   }
-  return turns;
 }
 
 void Dispatcher::PlaceJob(const PlacementTurn& turn, TimePoint now, int64_t wall_ms,
@@ -229,7 +234,7 @@
 void Dispatcher::RecordWanted(const PlacementTurn& turn, const jobs::Step& step, TimePoint now) {
   const std::string& service = turn.entry->job.rules.service;
   bool& wanted = placement_.spare_processors[service].wanted;
-  if (wanted || std::get<TurnKind>(turn.rank) != TurnKind::kOnTime) return;
+  if (wanted || turn.kind != TurnKind::kOnTime) return;
   wanted = FitsEmptyWorker(workers_, service, step, now);
 }
 
@@ -239,7 +244,7 @@
   const TaskState* task = FindTask(entry, id);
   PlacementRequest request = RequestOf(entry, id);
   request.task = task;
-  if (IsOwedRun(turn)) AdmitOwedRun(*entry, std::get<TurnKind>(turn.rank), now, &request);
+  if (IsOwedRun(turn)) AdmitOwedRun(*entry, turn.kind, now, &request);
   WorkerState* worker = ChooseWorker(index_, request, now);
   if (worker == nullptr) {
     RequestPermits(entry, id, now, orders);
--- a/src/planning/interference.h
+++ b/src/planning/interference.h
@@ -42,7 +42,9 @@
   using is_transparent = void;
   template <class A, class B>
   bool operator()(const A& a, const B& b) const {
-    return std::tie(a.first, a.second) < std::tie(b.first, b.second);
+    // Unlike tuples of strings, this compares no characters twice.
+    const int order = std::string_view(a.first).compare(b.first);
+    return order < 0 || (order == 0 && std::string_view(a.second) < std::string_view(b.second));
   }
 };
 
