Start orders are overdue by the lower quartile of the answer times

Cause: the mean answer time contained the answers of late workers, so orders without an answer counted against the limit of 64 starts in flight for four times that, up to their timeout. Change: an estimate of the lower quartile (src/dispatch/answer_time.h), which follows the answers of the host as a whole. StartLimitTest.LateAnswersOfSomeWorkersMakeRoomForOthers failed before.

--- a/src/dispatch/answers.cc
+++ b/src/dispatch/answers.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 
 #include "base/log.h"
+#include "dispatch/answer_time.h"
 #include "dispatch/dispatcher.h"
 
 namespace pomelopond::dispatch {
@@ -9,8 +10,6 @@
 
 // Start and stop orders are repeated after this time.
 constexpr Duration kCallRetry = std::chrono::milliseconds(200);
-// Answers that the mean answer time of start orders covers.
-constexpr int kAveragedAnswers = 64;
 
 }  // namespace
 
@@ -71,7 +70,7 @@
   const bool answered =
       answer.status != OrderStatus::kNoAnswer && answer.status != OrderStatus::kUnreachable;
   if (!answered || order.sent_at == TimePoint{}) return;
-  start_answer_time_ += (now - order.sent_at - start_answer_time_) / kAveragedAnswers;
+  start_answer_time_ = UpdateLowerQuartile(start_answer_time_, now - order.sent_at);
 }
 
 void Dispatcher::OnStarted(const StartOrder& order, const Answer& answer, TimePoint now) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -334,7 +334,7 @@
   int64_t last_start_order_ = 0;
   // First start orders of runs that are in flight and not overdue: when they were sent, by number.
   std::map<int64_t, TimePoint> timely_starts_;
-  // Moving mean of the time until start orders are answered.
+  // Estimated lower quartile of the time until start orders are answered.
   Duration start_answer_time_ = kFirstAnswerTime;
   int permit_orders_in_flight_ = 0;
   bool capacity_changed_ = true;  // since the last placement began
--- a/tests/dispatch/placement_test.cc
+++ b/tests/dispatch/placement_test.cc
@@ -79,6 +79,24 @@
   EXPECT_TRUE(it_.orders.starts.empty());
 }
 
+// Guards against workers that answer late and hold up the starts on all others.
+TEST_F(StartLimitTest, LateAnswersOfSomeWorkersMakeRoomForOthers) {
+  const auto answer = [this](const std::string& worker) {
+    for (const StartOrder& it : first_) {
+      if (it.to.worker == worker) it_.dispatcher.OnStarted(it, it_.Accepted(), it_.now);
+    }
+  };
+  it_.Advance(milliseconds(20));
+  answer("w2");
+  it_.Advance(milliseconds(880));
+  answer("w1");
+  it_.Decide();
+  ASSERT_EQ(it_.orders.starts.size(), first_.size());
+  it_.Advance(milliseconds(700));
+  it_.Decide();
+  EXPECT_EQ(it_.orders.starts.size(), first_.size());
+}
+
 // Guards against repeated start orders that leave no room for new ones.
 TEST_F(StartLimitTest, RepeatedStartsDoNotCount) {
   for (const StartOrder& it : first_) {
