Refused starts: the first pause is 0.1 to 0.2 s; the log tells the row

Change: the first pause is 0.1 to 0.2 s instead of 0.2 to 0.4 s; the bound stays at 1.6 s. The log line start_refused names the number in a row.

--- a/src/dispatch/answers.cc
+++ b/src/dispatch/answers.cc
@@ -117,7 +117,8 @@
       {{"job", order.run.task.job},
        {"run", order.run.run},
        {"worker", worker->info.id},
-       {"status", static_cast<int>(answer.status)}});
+       {"status", static_cast<int>(answer.status)},
+       {"in_a_row", worker->refusals.refusals}});
   if (run.phase == RunPhase::kRunning) return;
   // An earlier order without an answer may still take effect unless the run is stopped on the
   // worker.
--- a/src/dispatch/refusal_backoff.h
+++ b/src/dispatch/refusal_backoff.h
@@ -12,7 +12,7 @@
 namespace pomelopond::dispatch {
 
 // Longest pause after the first refusal.
-inline constexpr Duration kMinRefusalBackoff = std::chrono::milliseconds(400);
+inline constexpr Duration kMinRefusalBackoff = std::chrono::milliseconds(200);
 // Longest pause. When no other worker has room, a perpetual task waits for the end of a pause, so
 // with an order and its answer it must stay well below the 3 s that such a task may be without a
 // run.
