Hash table of jobs, full sort of turns, fewer copies in the interference model; check every 10 ms

Cause: jobs were found by about ten string comparisons, several times for each run in a report; the turns after the first 128 were heap-sorted; each sample of the interference model copied the load and its keys.

Change: jobs_ is an unordered_map (its order decides nothing); turns are selected and then sorted; one sample and its load serve all runs of a worker, and pairs of images are looked up by views with one comparison for each name; StopIfStalled gets the run; all workers are checked every 10 ms.

--- a/src/dispatch/colocation.cc
+++ b/src/dispatch/colocation.cc
@@ -103,18 +103,17 @@
 
 void LearnInterference(ColocationModel* model, const WorkerState& worker,
                        const planning::BatchLoad& before) {
-  const planning::BatchLoad load = MeanOf(before, worker.best_effort_load);
+  planning::SlowdownSample sample;
+  sample.load = MeanOf(before, worker.best_effort_load);
   for (const auto& [id, it] : worker.runs) {
     if (!IsServing(it)) continue;
     const auto tail = static_cast<double>(it.load);
-    if (load.empty()) {
+    if (sample.load.empty()) {
       const double baseline = BaselineTailMs(*model, it);
       model->baseline_tail_ms[it.image] = baseline + kBaselineLearningRate * (tail - baseline);
       continue;
     }
-    planning::SlowdownSample sample;
     sample.service_class = it.image;
-    sample.load = load;
     sample.slowdown = tail / BaselineTailMs(*model, it) - 1;
     planning::Learn(&model->slowdown, sample, Duration::zero());
   }
--- a/src/dispatch/decide.cc
+++ b/src/dispatch/decide.cc
@@ -27,7 +27,7 @@
 // Maximum time between two checks of all workers. In between, a decision checks only workers that
 // have sent a message or changed since. Timed events of the others are handled with this delay at
 // most.
-constexpr Duration kFullCheckInterval = std::chrono::milliseconds(25);
+constexpr Duration kFullCheckInterval = std::chrono::milliseconds(10);
 
 // A run is settled once the worker has confirmed that it runs or that it stops.
 bool HasUnsettledRun(const WorkerState& worker) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -232,7 +233,8 @@
   void StopRuns(const jobs::TaskId& id);
   void Adopt(WorkerState* worker, const ActiveRun& active, TimePoint now);
   void UpdateLoads(WorkerState* worker);
-  void StopIfStalled(WorkerState* worker, JobEntry* entry, const RunId& id, TimePoint now);
+  void StopIfStalled(WorkerState* worker, JobEntry* entry, const RunId& id, const RunState& run,
+                     TimePoint now);
   // True when no report to an earlier owner can follow one that was requested at `sent`.
   bool IsAfterEarlierReports(const WorkerState& worker, TimePoint sent) const;
   void ApplyActiveRuns(WorkerState* worker, const Report& report, TimePoint sent, TimePoint now);
@@ -326,7 +328,7 @@
   TimePoint last_proof_;
   bool superseded_ = false;
 
-  std::map<std::string, JobEntry> jobs_;
+  std::unordered_map<std::string, JobEntry> jobs_;
   std::map<std::string, WorkerState> workers_;
   ColocationModel colocation_;
   DurationModel durations_;
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -54,8 +54,9 @@
   const auto begin = placement->turns.begin() + static_cast<std::ptrdiff_t>(placement->sorted);
   const size_t left = placement->turns.size() - placement->sorted;
   const size_t n = placement->sorted == 0 ? std::min(kTurnsSortedFirst, left) : left;
-  std::partial_sort(begin, begin + static_cast<std::ptrdiff_t>(n), placement->turns.end(),
-                    ComesBefore);
+  const auto end = begin + static_cast<std::ptrdiff_t>(n);
+  if (n < left) std::nth_element(begin, end, placement->turns.end(), ComesBefore);
+  std::sort(begin, end, ComesBefore);
   placement->sorted += n;
 }
 
--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -229,9 +229,8 @@
 
 // Stops a run that gets nowhere, so that its task goes on elsewhere from its checkpoint.
 void Dispatcher::StopIfStalled(WorkerState* worker, JobEntry* entry, const RunId& id,
-                               TimePoint now) {
+                               const RunState& run, TimePoint now) {
   const jobs::Step& step = StepOf(*entry, id.task);
-  const RunState& run = worker->runs.at(id);
   if (!IsStalled(run, step, ExpectedMs(durations_, step))) return;
   Log(LogLevel::kInfo, "dispatch", "run_stalled",
       {{"job", id.task.job}, {"run", id.run}, {"worker", worker->info.id}, {"pace", run.pace}});
@@ -277,7 +276,7 @@
     TaskState* task = entry == nullptr ? nullptr : FindTask(entry, it.id.task);
     if (task == nullptr) continue;
     UpdateCheckpoint(task, it.id, it.checkpoint);
-    StopIfStalled(worker, entry, it.id, now);
+    StopIfStalled(worker, entry, it.id, run, now);
     const bool wanted = run.phase == RunPhase::kRunning && run.perpetual;
     task->adopted = task->adopted || (wanted && IsAfterEarlierReports(*worker, sent));
   }
--- a/src/planning/interference.cc
+++ b/src/planning/interference.cc
@@ -9,12 +9,13 @@
 // and are clamped to this.
 constexpr double kMaxSlowdown = 20;
 
+using ClassPairView = std::pair<std::string_view, std::string_view>;
+
 }  // namespace
 
 double SlowdownPerCore(const InterferenceTable& table, const std::string& service_class,
                        const std::string& batch_class, double full_confidence) {
-  const auto it =
-      table.find(std::pair<std::string_view, std::string_view>(service_class, batch_class));
+  const auto it = table.find(ClassPairView(service_class, batch_class));
   if (it == table.end()) return kPriorSlowdown;
   const double confidence = std::min(1.0, it->second.count / full_confidence);
   return confidence * it->second.mean + (1 - confidence) * kPriorSlowdown;
@@ -41,14 +42,17 @@
   const double slowdown = std::clamp(sample.slowdown, 0.0, kMaxSlowdown);
   double expected = 0;
   for (const auto& [batch_class, cores] : sample.load) {
-    const auto it = table->find({sample.service_class, batch_class});
+    const auto it = table->find(ClassPairView(sample.service_class, batch_class));
     expected += cores * (it == table->end() ? kPriorSlowdown : it->second.mean);
   }
   const double residual = slowdown - expected;
   for (const auto& [batch_class, cores] : sample.load) {
     if (cores <= 0) continue;
-    const auto [it, added] =
-        table->try_emplace({sample.service_class, batch_class}, PairEstimate{kPriorSlowdown, 0});
+    auto it = table->find(ClassPairView(sample.service_class, batch_class));
+    if (it == table->end()) {
+      it = table->try_emplace({sample.service_class, batch_class}, PairEstimate{kPriorSlowdown, 0})
+               .first;
+    }
     PairEstimate& estimate = it->second;
     const double load_share = cores / total;
     estimate.count += load_share;
--- a/src/planning/interference.h
+++ b/src/planning/interference.h
@@ -6,7 +6,6 @@
 #include <map>
 #include <string>
 #include <string_view>
-#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -43,8 +42,8 @@
   template <class A, class B>
   bool operator()(const A& a, const B& b) const {
     // Unlike tuples of strings, this compares no characters twice.
-    const int order = std::string_view(a.first).compare(b.first);
-    return order < 0 || (order == 0 && std::string_view(a.second) < std::string_view(b.second));
+    const int order = std::string_view{a.first}.compare(b.first);
+    return order < 0 || (order == 0 && std::string_view{a.second} < std::string_view{b.second});
   }
 };
 
