--- a/src/dispatch/answers.cc
+++ b/src/dispatch/answers.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 
 #include "base/log.h"
+#include "dispatch/answer_time.h"
 #include "dispatch/dispatcher.h"
 
 namespace pomelopond::dispatch {
@@ -9,10 +10,6 @@
 
 // Start and stop orders are repeated after this time.
 constexpr Duration kCallRetry = std::chrono::milliseconds(200);
-// A worker that refused a task is offered no task for this time.
-constexpr Duration kRefusalBackoff = std::chrono::milliseconds(300);
-// Answers that the mean answer time of start orders covers.
-constexpr int kAveragedAnswers = 64;
 
 }  // namespace
 
@@ -73,7 +70,7 @@
   const bool answered =
       answer.status != OrderStatus::kNoAnswer && answer.status != OrderStatus::kUnreachable;
   if (!answered || order.sent_at == TimePoint{}) return;
-  start_answer_time_ += (now - order.sent_at - start_answer_time_) / kAveragedAnswers;
+  start_answer_time_ = UpdateLowerQuartile(start_answer_time_, now - order.sent_at);
 }
 
 void Dispatcher::OnStarted(const StartOrder& order, const Answer& answer, TimePoint now) {
@@ -99,6 +96,8 @@
     answered_starts_ += 1;
     start_time_ += now - run.ordered_at;
   }
+  SetRefusals(worker, AfterStartAnswer(worker->refusals, answer.status, order.sent_at, now,
+                                       RefusalDraw(order.number)));
   if (answer.status == OrderStatus::kAccepted) {
     run.confirmed_at = now;
     run.incarnation_known = run.incarnation_known || answer.incarnation != 0;
@@ -113,14 +112,12 @@
     return;
   }
   if (answer.status == OrderStatus::kNoPermit) DropPermit(order);
-  if (answer.status == OrderStatus::kNoCapacity || answer.status == OrderStatus::kUnhealthy) {
-    worker->backoff_until = std::max(worker->backoff_until, now + kRefusalBackoff);
-  }
   Log(LogLevel::kInfo, "dispatch", "start_refused",
       {{"job", order.run.task.job},
        {"run", order.run.run},
        {"worker", worker->info.id},
-       {"status", static_cast<int>(answer.status)}});
+       {"status", static_cast<int>(answer.status)},
+       {"in_a_row", worker->refusals.refusals}});
   if (run.phase == RunPhase::kRunning) return;
   // An earlier order without an answer may still take effect unless the run is stopped on the
   // worker.
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -125,7 +126,9 @@
 // Turn of a job in a placement. A turn for a first or second run ends once the job has as many runs
 // at work.
 struct PlacementTurn {
-  TurnRank rank;
+  TurnKind kind = TurnKind::kOnTime;
+  int64_t group = 0;  // the rank in two numbers that are fast to compare: all but its last part,
+  int64_t age_order = 0;  // and its last part
   JobEntry* entry = nullptr;
   size_t position = 0;  // among all turns as collected; decides between equal ranks
 };
@@ -230,7 +233,8 @@
   void StopRuns(const jobs::TaskId& id);
   void Adopt(WorkerState* worker, const ActiveRun& active, TimePoint now);
   void UpdateLoads(WorkerState* worker);
-  void StopIfStalled(WorkerState* worker, JobEntry* entry, const RunId& id, TimePoint now);
+  void StopIfStalled(WorkerState* worker, JobEntry* entry, const RunId& id, const RunState& run,
+                     TimePoint now);
   // True when no report to an earlier owner can follow one that was requested at `sent`.
   bool IsAfterEarlierReports(const WorkerState& worker, TimePoint sent) const;
   void ApplyActiveRuns(WorkerState* worker, const Report& report, TimePoint sent, TimePoint now);
@@ -277,9 +281,9 @@
   bool IsInPlacement(const JobEntry* entry) const;
   void EndPlacement() { placement_.ended = true; }
   bool IsInUnderusedPool(const JobEntry& entry) const;
-  bool HasWorkingRun(const JobEntry& entry, TimePoint now) const;
-  void UpdateIdleTimes(TimePoint now, int64_t wall_ms);
-  std::vector<PlacementTurn> CollectTurns(TimePoint now, int64_t wall_ms);
+  // `working` is the number of runs at work; it is counted only in an underused pool.
+  void UpdateIdleTime(JobEntry* entry, bool underused, int working, TimePoint now, int64_t wall_ms);
+  void CollectTurns(JobEntry* entry, bool underused, int working, TimePoint now, int64_t wall_ms);
   void PlaceJob(const PlacementTurn& turn, TimePoint now, int64_t wall_ms, Orders* orders);
   void PlaceStep(const PlacementTurn& turn, int occurrence, int step, TimePoint now,
                  int64_t wall_ms, Orders* orders);
@@ -300,7 +304,7 @@
   void OrderPace(WorkerState* worker, const PaceChange& change, TimePoint now, Orders* orders);
   void StopInterference(WorkerState* worker, TimePoint now);
   void SlowDownStarts(TimePoint now, Orders* orders);
-  void DecidePace(TimePoint now, Orders* orders);
+  void DecidePace(const std::vector<WorkerState*>& checked, TimePoint now, Orders* orders);
   std::optional<StartOrder> MakeStartOrder(WorkerState* worker, const RunId& id, TimePoint now);
   int64_t LeaseEndMs(WorkerState* worker, TimePoint now);
   int64_t NextRun(const TaskState& task) const;
@@ -324,7 +328,7 @@
   TimePoint last_proof_;
   bool superseded_ = false;
 
-  std::map<std::string, JobEntry> jobs_;
+  std::unordered_map<std::string, JobEntry> jobs_;
   std::map<std::string, WorkerState> workers_;
   ColocationModel colocation_;
   DurationModel durations_;
@@ -332,7 +336,7 @@
   int64_t last_start_order_ = 0;
   // First start orders of runs that are in flight and not overdue: when they were sent, by number.
   std::map<int64_t, TimePoint> timely_starts_;
-  // Moving mean of the time until start orders are answered.
+  // Estimated lower quartile of the time until start orders are answered.
   Duration start_answer_time_ = kFirstAnswerTime;
   int permit_orders_in_flight_ = 0;
   bool capacity_changed_ = true;  // since the last placement began
@@ -342,7 +346,7 @@
   std::set<std::string> unsettled_workers_;
   // Runs that are to be slowed down as soon as their start is confirmed, with their workers.
   std::vector<std::pair<std::string, RunId>> slow_starts_;
-  std::map<std::string, JobEntry*> placeable_;     // jobs with waiting tasks, by id
+  std::vector<JobEntry*> placeable_;               // jobs with waiting tasks, in the order of ids
   std::map<std::string, TimePoint> watched_jobs_;  // whose runs leave lines, until when
   TimePoint service_checked_at_;                   // when unserved shares were last updated
   int run_lines_left_ = 0;
@@ -368,7 +372,7 @@
   LeaseBounds written_bounds_;
   TimePoint lease_bounds_due_;  // when the lease bounds are compared with the written ones
   WaitingCounts written_counts_;
-  TimePoint counts_written_at_;
+  TimePoint counts_checked_at_;  // when the waiting counts were last compared with the written ones
   std::deque<std::pair<int64_t, std::string>> finished_;  // finished_ms and job id
 };
 
