Placements: bound of the room for a request, slowdowns of an image looked up once

Change: a decision keeps the most room that any worker which accepts tasks has or can make, by service and priority; a request above it is not tried. A placement looks the slowdowns of a best-effort image up once. ChoosePreemption compares amounts before it looks for reservations.

--- a/src/dispatch/choose_worker.cc
+++ b/src/dispatch/choose_worker.cc
@@ -34,7 +34,10 @@
 double ExpectedTailRatio(const WorkerState& worker, const PlacementRequest& request) {
   if (!request.step->best_effort || worker.serving == 0) return 0;
   const double cores = static_cast<double>(request.step->request.cpu_milli) / 1000;
-  return dispatch::ExpectedTailRatio(*request.colocation, worker, request.step->image, cores);
+  const ColocationModel& model = *request.colocation;
+  return request.slowdowns == nullptr
+             ? dispatch::ExpectedTailRatio(model, worker, request.step->image, cores)
+             : dispatch::ExpectedTailRatio(model, worker, *request.slowdowns, cores);
 }
 
 // Best-effort tasks that share too little processor time all complete late, so later ones wait.
--- a/src/dispatch/choose_worker.h
+++ b/src/dispatch/choose_worker.h
@@ -22,6 +22,8 @@
   const StepState* state = nullptr;  // for the limit of tasks of the step per worker
   const TaskState* task = nullptr;   // workers on which it failed are a last resort; may be null
   const ColocationModel* colocation = nullptr;
+  // Of the step's image, if it is a best-effort one. Null: looked up in the model for each worker.
+  const ImageSlowdowns* slowdowns = nullptr;
   const StepPermits* permits = nullptr;  // if set, only workers with a valid permit are eligible
   std::string rack;                      // if set, only workers of this rack are eligible
   // A best-effort task may start where others have requested all processor time.
--- a/src/dispatch/colocation.cc
+++ b/src/dispatch/colocation.cc
@@ -119,17 +119,31 @@
   }
 }
 
+ImageSlowdowns SlowdownsBy(const ColocationModel& model, const std::string& image) {
+  ImageSlowdowns out;
+  for (const auto& [pair, estimate] : model.slowdown) {
+    if (pair.second != image) continue;
+    out[pair.first] = planning::SlowdownPerCore(model.slowdown, pair.first, image, kPairConfidence);
+  }
+  return out;
+}
+
 double ExpectedTailRatio(const ColocationModel& model, const WorkerState& worker,
-                         const std::string& image, double cores) {
+                         const ImageSlowdowns& slowdowns, double cores) {
   double worst = 0;
   for (const ServedImage& it : TailsOf(model, worker).images) {
-    const double per_core =
-        planning::SlowdownPerCore(model.slowdown, it.image, image, kPairConfidence);
+    const auto found = slowdowns.find(it.image);
+    const double per_core = found == slowdowns.end() ? planning::kPriorSlowdown : found->second;
     worst = std::max(worst, it.baseline_ratio * (1 + it.slowdown + cores * per_core));
   }
   return worst;
 }
 
+double ExpectedTailRatio(const ColocationModel& model, const WorkerState& worker,
+                         const std::string& image, double cores) {
+  return ExpectedTailRatio(model, worker, SlowdownsBy(model, image), cores);
+}
+
 double ReportedTailRatio(const ColocationModel& model, const WorkerState& worker) {
   return TailsOf(model, worker).worst_ratio;
 }
--- a/src/dispatch/colocation.h
+++ b/src/dispatch/colocation.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 
 #include "dispatch/worker_table.h"
 #include "planning/interference.h"
@@ -47,8 +48,18 @@
 void LearnInterference(ColocationModel* model, const WorkerState& worker,
                        const planning::BatchLoad& before);
 
-// Expected highest ratio of tail latency to target if a best-effort task of `image` with `cores`
-// joins the worker. It follows the model as of the last change of the worker's runs or loads.
+// Expected slowdown per core of one best-effort image, by latency-critical image. Images that are
+// not in it have not been observed together.
+using ImageSlowdowns = std::unordered_map<std::string, double>;
+
+ImageSlowdowns SlowdownsBy(const ColocationModel& model, const std::string& image);
+
+// Expected highest ratio of tail latency to target if a best-effort task with `cores` joins the
+// worker, whose image has `slowdowns`. The slowdown by the present runs is that of the model at the
+// last change of the worker's runs or loads.
+double ExpectedTailRatio(const ColocationModel& model, const WorkerState& worker,
+                         const ImageSlowdowns& slowdowns, double cores);
+// The same for an image.
 double ExpectedTailRatio(const ColocationModel& model, const WorkerState& worker,
                          const std::string& image, double cores);
 
--- a/src/dispatch/decide.cc
+++ b/src/dispatch/decide.cc
@@ -19,9 +19,9 @@
 // passed.
 constexpr Duration kTailStopInterval = std::chrono::milliseconds(1500);
 
-// Start orders are overdue after this multiple of the lower quartile of their answer times, at least
-// the given time. The quartile grows with the load of this host, so orders that wait for it are not
-// overdue.
+// Start orders are overdue after this multiple of the lower quartile of their answer times, at
+// least the given time. The quartile grows with the load of this host, so orders that wait for it
+// are not overdue.
 constexpr int kOverdueAnswerTimes = 4;
 constexpr Duration kMinOverdueTime = std::chrono::milliseconds(100);
 
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -146,6 +146,9 @@
   std::set<jobs::TaskId> preempted_for;  // tasks that wait for runs to stop
   UnplaceableRequests unplaceable;
   std::map<std::string, SpareProcessor> spare_processors;
+  std::map<std::string, ImageSlowdowns> slowdowns;  // by best-effort image, as far as asked for
+  // MostRoom() in the present decision, by service and priority, as far as asked for.
+  std::map<std::string, std::map<int, Resources>> most_room;
 };
 
 class Dispatcher {
@@ -290,7 +293,9 @@
   void RecordWanted(const PlacementTurn& turn, const jobs::Step& step, TimePoint now);
   bool PlaceTask(const PlacementTurn& turn, const jobs::TaskId& id, TimePoint now, Orders* orders);
   void AdmitOwedRun(const JobEntry& entry, TurnKind kind, TimePoint now, PlacementRequest* request);
-  PlacementRequest RequestOf(JobEntry* entry, const jobs::TaskId& id) const;
+  // False when no worker has the room for a task of the step or can make it.
+  bool MayFindRoom(const JobEntry& entry, const jobs::Step& step, TimePoint now);
+  PlacementRequest RequestOf(JobEntry* entry, const jobs::TaskId& id);
   void RequestPermits(JobEntry* entry, const jobs::TaskId& id, TimePoint now, Orders* orders);
   bool PreemptFor(const JobEntry& entry, const jobs::TaskId& id, const PlacementRequest& request,
                   TimePoint now);
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -125,6 +125,7 @@
 
 void Dispatcher::ContinuePlacement(TimePoint now, int64_t wall_ms, Orders* orders) {
   const bool changed = capacity_changed_;
+  placement_.most_room.clear();
   while (!placement_.ended && placement_.next < placement_.turns.size() && !IsAtStartLimit()) {
     SortNextTurns(&placement_);
     const size_t present = placement_.next;
@@ -243,6 +244,9 @@
                            Orders* orders) {
   JobEntry* entry = turn.entry;
   const TaskState* task = FindTask(entry, id);
+  if (!entry->job.rules.needs_permits && !MayFindRoom(*entry, StepOf(*entry, id), now)) {
+    return false;
+  }
   PlacementRequest request = RequestOf(entry, id);
   request.task = task;
   if (IsOwedRun(turn)) AdmitOwedRun(*entry, turn.kind, now, &request);
@@ -277,12 +281,24 @@
   request->max_tail = kMaxSlowStartTailRatio;
 }
 
-PlacementRequest Dispatcher::RequestOf(JobEntry* entry, const jobs::TaskId& id) const {
+bool Dispatcher::MayFindRoom(const JobEntry& entry, const jobs::Step& step, TimePoint now) {
+  const jobs::QueueRules& rules = entry.job.rules;
+  const auto [it, added] = placement_.most_room[rules.service].try_emplace(rules.priority);
+  if (added) it->second = MostRoom(workers_, rules.service, rules.priority, now);
+  return Fits(StepReservation(step), it->second);
+}
+
+PlacementRequest Dispatcher::RequestOf(JobEntry* entry, const jobs::TaskId& id) {
   PlacementRequest request;
   request.service = entry->job.rules.service;
   request.step = &StepOf(*entry, id);
   request.state = StepStateOf(entry, id);
   request.colocation = &colocation_;
+  if (request.step->best_effort) {
+    const auto [it, added] = placement_.slowdowns.try_emplace(request.step->image);
+    if (added) it->second = SlowdownsBy(colocation_, request.step->image);
+    request.slowdowns = &it->second;
+  }
   if (entry->job.rules.needs_permits) request.permits = &request.state->permits;
   return request;
 }
--- a/src/dispatch/preemption.cc
+++ b/src/dispatch/preemption.cc
@@ -54,16 +54,31 @@
 
 }  // namespace
 
+Resources MostRoom(const std::map<std::string, WorkerState>& workers, const std::string& service,
+                   int priority, TimePoint now) {
+  Resources most;
+  for (const auto& [id, it] : workers) {
+    if (it.info.service != service || !AcceptsTasks(it, now)) continue;
+    const Resources room = FreeCapacity(it) + MostReleasable(it, priority);
+    most.cpu_milli = std::max(most.cpu_milli, room.cpu_milli);
+    most.memory_mb = std::max(most.memory_mb, room.memory_mb);
+    most.accelerators = std::max(most.accelerators, room.accelerators);
+  }
+  return most;
+}
+
 std::optional<Preemption> ChoosePreemption(const std::map<std::string, WorkerState>& workers,
                                            const PlacementRequest& request, int priority,
                                            ReservedCapacity* reserved, TimePoint now) {
   std::optional<PreemptionCandidate> best;
   const Resources need = StepReservation(*request.step);
   for (const auto& [id, it] : workers) {
+    // Most workers cannot make room, which the sums of their runs tell without a look at each.
+    const Resources room = FreeCapacity(it) + MostReleasable(it, priority);
+    if (!Fits(need, room)) continue;
     const auto found = reserved->find(id);
     const Resources taken = found == reserved->end() ? Resources{} : found->second;
-    // Most workers cannot make room, which the sums of their runs tell without a look at each.
-    if (!Fits(need, FreeCapacity(it) - taken + MostReleasable(it, priority))) continue;
+    if (!Fits(need, room - taken)) continue;
     if (!IsEligible(it, request, now)) continue;
     const std::optional<PreemptionCandidate> candidate =
         FindVictims(it, need, priority, taken, now);
--- a/src/dispatch/preemption.h
+++ b/src/dispatch/preemption.h
@@ -15,6 +15,11 @@
 // will free.
 using ReservedCapacity = std::map<std::string, Resources>;
 
+// Highest amounts of each resource that a worker of the service which accepts tasks has free or can
+// free for a task of `priority`. A task that needs more of one finds no worker.
+Resources MostRoom(const std::map<std::string, WorkerState>& workers, const std::string& service,
+                   int priority, TimePoint now);
+
 struct Preemption {
   std::string worker;
   // Runs to stop. Empty when runs that are already stopping free enough capacity.
