HttpClient: connections are not limited any more

Cause: the limit of connections, and the calls that wait for one, stood twice, in HttpClient and in ConnectionPool, since calls to workers moved there; nothing else used it. Change: HttpClient gives each call a connection at once. The two tests of the limit run against ConnectionPool with the same server and checks (tests/http/connection_limit_test.cc).

--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -11,7 +11,6 @@
 #include <deque>
 #include <future>
 #include <mutex>
-#include <optional>
 
 namespace pomelopond::http {
 namespace {
@@ -80,25 +79,17 @@
   void Finish(HttpResult result) {
     if (finished.exchange(true)) return;
     timer.cancel();
-    const TimePoint now = Now();
-    const TimePoint sent = sent_at.load();
-    result.queued = (sent == TimePoint{} ? now : sent) - created_at;
-    result.took = now - created_at;
+    result.took = Now() - created_at;
     done(std::move(result));
   }
 
-  // Returns true for one caller only, which may then send the request or report it as not sent.
-  bool Claim() { return !claimed.exchange(true); }
-
   HttpRequest request;
   HttpCallback done;
   std::string request_id;         // to be echoed by the server; empty: no echo expected
   bool keeps_connection = false;  // the connection may carry further requests
   boost::asio::steady_timer timer;
   const TimePoint created_at = Now();
-  std::atomic<TimePoint> sent_at{TimePoint{}};  // when it got a connection
   pplx::cancellation_token_source cancel;
-  std::atomic<bool> claimed{false};
   std::atomic<bool> finished{false};
   std::atomic<bool> timed_out{false};
 };
@@ -152,7 +143,6 @@
   call->timer.expires_after(timeout);
   call->timer.async_wait([call](const boost::system::error_code& ec) {
     if (ec || call->finished.load()) return;
-    if (call->Claim()) return call->Finish({ResultCode::kTargetUnreachable, {}});
     call->timed_out.store(true);
     call->cancel.cancel();
     call->Finish({ResultCode::kTimeout, {}});
@@ -178,20 +168,15 @@
   Impl(const Endpoint& endpoint, const HttpClientOptions& the_options)
       : uri("http://" + ToString(endpoint)), options(the_options) {}
 
-  void Submit(const CallPtr& call);
-  // Sends the waiting calls for which there are connections.
-  void SendWaiting();
-  // Requires the lock. Returns nothing while all connections that are allowed are in use.
-  std::optional<PooledConnection> Acquire();
+  // Returns the connection that has been idle for longest, or a new one.
+  PooledConnection Acquire();
   void Release(PooledConnection connection, bool reusable);
   void SendOver(const CallPtr& call, PooledConnection connection);
 
   const std::string uri;
   const HttpClientOptions options;
-  std::mutex mutex;                   // guards the members below
+  std::mutex mutex;                   // guards `idle`
   std::deque<PooledConnection> idle;  // longest idle first
-  int open = 0;                       // connections that are idle or in use
-  std::deque<CallPtr> waiting;        // calls without a connection, oldest first
 };
 
 // One call over one connection. It is complete once the call has its result and the library no
@@ -229,60 +214,25 @@
   HttpResult result_{ResultCode::kTruncatedAnswer, {}};
 };
 
-std::optional<PooledConnection> HttpClient::Impl::Acquire() {
+PooledConnection HttpClient::Impl::Acquire() {
+  const std::lock_guard<std::mutex> lock(mutex);
   while (!idle.empty()) {
     PooledConnection connection = std::move(idle.front());
     idle.pop_front();
     if (IsReusable(connection)) return connection;
-    open -= 1;
   }
-  if (options.max_connections > 0 && open >= options.max_connections) return std::nullopt;
-  open += 1;
   return MakeConnection(uri);
 }
 
 void HttpClient::Impl::Release(PooledConnection connection, bool reusable) {
-  {
-    const std::lock_guard<std::mutex> lock(mutex);
-    connection.calls += 1;
-    if (reusable) idle.push_back(connection);
-    if (!reusable) open -= 1;
-  }
-  SendWaiting();
-}
-
-void HttpClient::Impl::Submit(const CallPtr& call) {
-  {
-    const std::lock_guard<std::mutex> lock(mutex);
-    waiting.push_back(call);
-  }
-  SendWaiting();
-}
-
-void HttpClient::Impl::SendWaiting() {
-  for (;;) {
-    CallPtr call;
-    std::optional<PooledConnection> connection;
-    {
-      const std::lock_guard<std::mutex> lock(mutex);
-      while (!waiting.empty() && waiting.front()->claimed.load()) waiting.pop_front();
-      if (waiting.empty()) return;
-      connection = Acquire();
-      if (!connection) return;
-      call = std::move(waiting.front());
-      waiting.pop_front();
-    }
-    if (call->Claim()) {
-      SendOver(call, std::move(*connection));
-    } else {
-      Release(std::move(*connection), false);
-    }
-  }
+  if (!reusable) return;
+  connection.calls += 1;
+  const std::lock_guard<std::mutex> lock(mutex);
+  idle.push_back(std::move(connection));
 }
 
 void HttpClient::Impl::SendOver(const CallPtr& call, PooledConnection connection) {
   connection.sends->store(0);
-  call->sent_at.store(Now());
   const auto exchange = std::make_shared<Exchange>(shared_from_this(), call, std::move(connection));
   try {
     http_request request = ToRequest(std::move(call->request));
@@ -323,19 +273,14 @@
     call->request.headers[kRequestIdHeader] = call->request_id;
   }
   StartTimer(call, timeout);
-  impl_->Submit(call);
+  impl_->SendOver(call, impl_->Acquire());
 }
 
 void HttpClient::SendOnce(HttpRequest request, Duration timeout, HttpCallback done) {
   const auto call = std::make_shared<PendingCall>(std::move(request), std::move(done));
   if (timeout <= Duration::zero()) return call->Finish({ResultCode::kTimeout, {}});
   call->request.headers["Connection"] = "close";
-  call->Claim();
   StartTimer(call, timeout);
-  {
-    const std::lock_guard<std::mutex> lock(impl_->mutex);
-    impl_->open += 1;
-  }
   impl_->SendOver(call, MakeConnection(impl_->uri));
 }
 
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -12,13 +12,13 @@
 namespace pomelopond::http {
 
 // The result of a call. Errors: kTargetUnreachable if the request was not sent, because no
-// connection could be made or none was free in time; kTimeout if the timeout expired; and
-// kTruncatedAnswer if the connection ended before the answer was complete or the answer is
-// malformed. After the last two, the server may have handled the request.
+// connection could be made or, in a ConnectionPool, none was free in time; kTimeout if the timeout
+// expired; and kTruncatedAnswer if the connection ended before the answer was complete or the
+// answer is malformed. After the last two, the server may have handled the request.
 struct HttpResult {
   std::error_code ec;  // clear if the response is complete to its last byte
   HttpResponse response;
-  Duration queued{};  // time that the call waited for a connection
+  Duration queued{};  // time that the call of a ConnectionPool waited for a connection
   Duration took{};    // time from the call to its result, with the wait
 };
 
@@ -36,8 +36,6 @@
 
 struct HttpClientOptions {
   ConnectionReuse reuse = ConnectionReuse::kWhenIdle;
-  // Maximum number of connections for Send(); further calls wait for one. 0: no limit.
-  int max_connections = 0;
 };
 
 class HttpClient {
