Connection pool: an answer that fills the read buffer closes its connection

Cause: bytes behind such an answer stay in the socket, and a call that waits for the connection would take them for its answer. Change: the connection is closed. The size of the buffer is an option. Evidence: ConnectionPoolTest.WaitingCallDoesNotUseAConnectionWithBytesLeft hung without the check; ConnectionPoolTest and ConnectionLimitTest 16 of 16 with it.

--- a/src/http/internal/pool_reactor.cc
+++ b/src/http/internal/pool_reactor.cc
@@ -17,7 +17,6 @@
 // Deadlines are rounded up to a multiple of this, so that calls that time out together cause one
 // wake-up.
 constexpr Duration kDeadlineStep = std::chrono::milliseconds(20);
-constexpr size_t kReadBytes = size_t{64} * 1024;
 
 TimePoint RoundUp(TimePoint deadline) {
   const Duration since = deadline.time_since_epoch();
@@ -38,7 +37,10 @@
 }  // namespace
 
 PoolReactor::PoolReactor(const ConnectionPoolOptions& options, int wake_fd)
-    : options_(options), epoll_(epoll_create1(EPOLL_CLOEXEC)), wake_fd_(wake_fd), buf_(kReadBytes) {
+    : options_(options),
+      epoll_(epoll_create1(EPOLL_CLOEXEC)),
+      wake_fd_(wake_fd),
+      buf_(options.read_bytes) {
   epoll_event event{};
   event.events = EPOLLIN;
   epoll_ctl(epoll_, EPOLL_CTL_ADD, wake_fd_, &event);
@@ -215,6 +217,8 @@
     if (n <= 0) return Fail(it, ErrorOf(*it, ResultCode::kTruncatedAnswer), now);
     const auto size = static_cast<size_t>(n);
     const AnswerState state = it->call->parser.Read({buf_.data(), size});
+    // Bytes that follow the answer may be left. They would be taken for the next answer.
+    it->closes = it->closes || size == buf_.size();
     if (state == AnswerState::kComplete) return Complete(it, now);
     if (state == AnswerState::kMalformed) return Fail(it, ResultCode::kTruncatedAnswer, now);
     if (size < buf_.size()) return;
--- a/tests/http/connection_pool_test.cc
+++ b/tests/http/connection_pool_test.cc
@@ -173,6 +173,26 @@
   after("HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok", "", false);
 }
 
+// Guards against bytes after an answer that fills the read buffer, which are taken for the answer
+// to a call that waits for the connection.
+TEST_F(ConnectionPoolTest, WaitingCallDoesNotUseAConnectionWithBytesLeft) {
+  const std::string answer = kGood;
+  ConnectionPoolOptions options;
+  options.read_bytes = answer.size();
+  pool = std::make_unique<ConnectionPool>(options);
+  Listen();
+  std::future<HttpResult> first = Send("/a");
+  std::future<HttpResult> next = Send("/b");
+  ServerConnection server = Accept();
+  server.ReadHead();
+  server.Write(answer + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray");
+  EXPECT_EQ(first.get().response.body, "ok");
+  ServerConnection other = Accept();
+  other.ReadHead();
+  other.Write(answer);
+  EXPECT_EQ(next.get().response.body, "ok");
+}
+
 // Guards against a request that is sent again, though the server may have handled it.
 TEST_F(ConnectionPoolTest, RequestWithoutAnAnswerIsSentOnce) {
   Listen();
