Refusals for want of room: no single start after the pause

Callers would see: a small task that fits never starts while a worker refuses a larger one each time (a worker with less room than the owner knows of). Cause: after a pause one start goes to the worker, always that of the older, larger task. Change: only unhealthy workers get a single start, as they refuse tasks of every size. Evidence: RefusedRoomTest.SmallTaskIsOrderedBesideALargeOneThatIsRefused fails without the change (0 orders in 15 s).

--- a/src/dispatch/refusal_backoff.cc
+++ b/src/dispatch/refusal_backoff.cc
@@ -45,7 +45,8 @@
 }
 
 RefusalBackoff AfterStartOrder(const RefusalBackoff& before, TimePoint now) {
-  if (before.refusals == 0) return before;
+  // A worker that wants room may take a smaller task than the one that it has refused.
+  if (before.refusals == 0 || before.status != OrderStatus::kUnhealthy) return before;
   RefusalBackoff after = before;
   after.until = std::max(before.until, now + kMaxProbeTime);
   return after;
--- a/src/dispatch/refusal_backoff.h
+++ b/src/dispatch/refusal_backoff.h
@@ -17,8 +17,8 @@
 // with an order and its answer it must stay well below the 3 s that such a task may be without a
 // run.
 inline constexpr Duration kMaxRefusalBackoff = std::chrono::milliseconds(1600);
-// After a pause the worker is sent a single start. Further ones wait for its answer, for at most
-// this time.
+// After a pause an unhealthy worker is sent a single start. Further ones wait for its answer, for
+// at most this time.
 inline constexpr Duration kMaxProbeTime = std::chrono::seconds(1);
 
 // Refusals in a row of a worker.
--- a/tests/dispatch/refusal_backoff_test.cc
+++ b/tests/dispatch/refusal_backoff_test.cc
@@ -110,6 +110,27 @@
   EXPECT_LE(it.dispatcher.workers().at("w1").backoff_until, it.now);
 }
 
+// Guards against a small task that never gets a turn behind a large one, which is always refused.
+TEST(RefusedRoomTest, SmallTaskIsOrderedBesideALargeOneThatIsRefused) {
+  Scenario it;
+  it.AddWorkers({MakeWorker("w1", 8000)});
+  it.dispatcher.AddJob(MakeJob("00000000000000aa", {MakeStep(1, 6000)}), {}, false);
+  int small = 0;
+  for (int n = 0; n < 1500; ++n) {
+    if (n == 30) it.dispatcher.AddJob(MakeJob("00000000000000bb", {MakeStep(1, 1000)}), {}, false);
+    it.Advance(kStep);
+    it.Decide();
+    for (const StartOrder& order : it.orders.starts) {
+      Answer answer = it.Accepted();
+      small += order.run.task.job == "00000000000000bb" ? 1 : 0;
+      if (order.run.task.job == "00000000000000aa") answer.status = OrderStatus::kNoCapacity;
+      it.dispatcher.OnStarted(order, answer, it.now);
+    }
+    if (small > 0) break;
+  }
+  EXPECT_EQ(small, 1);
+}
+
 // Guards against a worker that is kept without work for the refusals of its earlier incarnation.
 TEST_F(RefusalTest, RestartEndsThePause) {
   refusing.insert("w1");
