Connection pool: calls that have waited too long open no connection, Disconnect() ends those that wait

Change: the deadline is looked at before a connection is taken or made; Disconnect() ends the waiting calls as not sent. Unused lanes are removed once a new lane exceeds the limit, not with each call beyond it, and a lack of descriptors closes idle connections. Evidence: ConnectionPoolTest.CallsThatWaitedTooLongOpenNoConnection and .DisconnectEndsTheCallsThatWait fail without the change. The last two parts have no test.

--- a/src/http/connection_pool.cc
+++ b/src/http/connection_pool.cc
@@ -36,9 +36,9 @@
     Wake();
   }
 
-  void CloseIdle() {
+  void Disconnect() {
     const std::lock_guard<std::mutex> lock(mutex_);
-    work_.closes_idle = true;
+    work_.disconnects = true;
     Wake();
   }
 
@@ -48,10 +48,10 @@
   // What other threads have asked for.
   struct Work {
     std::vector<PoolCallPtr> calls;
-    bool closes_idle = false;
+    bool disconnects = false;
     bool stops = false;
 
-    bool empty() const { return calls.empty() && !closes_idle && !stops; }
+    bool empty() const { return calls.empty() && !disconnects && !stops; }
   };
 
   // Requires the lock. The thread looks for work by itself unless it sleeps.
@@ -71,7 +71,7 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     sleeps_ = false;
     work->calls.swap(work_.calls);
-    work->closes_idle = std::exchange(work_.closes_idle, false);
+    work->disconnects = std::exchange(work_.disconnects, false);
     work->stops = work_.stops;
   }
 
@@ -112,7 +112,7 @@
   const bool has_work = has_answers || !taken_.calls.empty();
   for (PoolCallPtr& it : taken_.calls) reactor_.Start(std::move(it), now);
   taken_.calls.clear();
-  if (taken_.closes_idle) reactor_.CloseIdle();
+  if (taken_.disconnects) reactor_.Disconnect(now);
   if (taken_.stops) {
     Stop(&taken_);
     return false;
@@ -144,6 +144,6 @@
                                          impl_->max_answer_bytes(), Now()));
 }
 
-void ConnectionPool::CloseIdle() { impl_->CloseIdle(); }
+void ConnectionPool::Disconnect() { impl_->Disconnect(); }
 
 }  // namespace pomelopond::http
--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -51,8 +51,9 @@
   void Send(const ServerLane& lane, const HttpRequest& request, Duration timeout,
             HttpCallback done);
 
-  // Closes the idle connections now and the others after their answers. Thread-safe.
-  void CloseIdle();
+  // Ends the calls that wait for a connection with kTargetUnreachable. Closes the idle connections
+  // now and the others after their answers. Thread-safe.
+  void Disconnect();
 
  private:
   class Impl;
--- a/src/http/internal/pool_reactor.cc
+++ b/src/http/internal/pool_reactor.cc
@@ -28,6 +28,8 @@
          call.lane;
 }
 
+int OpenSocket() { return socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0); }
+
 // Returns the error of a call that ends without an answer. Only a request of which no byte was
 // written is known not to be handled.
 std::error_code ErrorOf(const PoolConnection& it, ResultCode after_sending) {
@@ -40,7 +42,8 @@
     : options_(options),
       epoll_(epoll_create1(EPOLL_CLOEXEC)),
       wake_fd_(wake_fd),
-      buf_(options.read_bytes) {
+      buf_(options.read_bytes),
+      most_lanes_(options.max_lanes) {
   epoll_event event{};
   event.events = EPOLLIN;
   epoll_ctl(epoll_, EPOLL_CTL_ADD, wake_fd_, &event);
@@ -88,18 +91,24 @@
 }
 
 PoolLane* PoolReactor::LaneOf(const PoolCall& call) {
-  if (lanes_.size() > options_.max_lanes) {
-    CloseIdle();
-    for (auto it = lanes_.begin(); it != lanes_.end();) {
-      const bool is_unused = it->second.connections.empty() && it->second.waiting.empty();
-      it = is_unused ? lanes_.erase(it) : std::next(it);
-    }
-  }
-  PoolLane& lane = lanes_[KeyOf(call)];
+  const uint64_t key = KeyOf(call);
+  if (lanes_.size() >= most_lanes_ && lanes_.count(key) == 0) RemoveUnusedLanes();
+  PoolLane& lane = lanes_[key];
   lane.max_connections = call.max_connections;
   return &lane;
 }
 
+// The lanes that are in use may exceed the limit. Then the next removal follows once as many have
+// been added as half of the limit, as it looks at all of them.
+void PoolReactor::RemoveUnusedLanes() {
+  CloseIdle();
+  for (auto it = lanes_.begin(); it != lanes_.end();) {
+    const bool is_unused = it->second.connections.empty() && it->second.waiting.empty();
+    it = is_unused ? lanes_.erase(it) : std::next(it);
+  }
+  most_lanes_ = std::max(options_.max_lanes, lanes_.size() + options_.max_lanes / 2);
+}
+
 void PoolReactor::Start(PoolCallPtr call, TimePoint now) {
   if (call->address.sin_port == 0 || call->deadline <= now) {
     return call->Finish(ResultCode::kTargetUnreachable, {}, now);
@@ -113,6 +122,11 @@
 
 void PoolReactor::SendWaiting(PoolLane* lane, TimePoint now) {
   while (!lane->waiting.empty()) {
+    // The thread may have been held up past the deadline.
+    if (lane->waiting.front()->deadline <= now) {
+      EndCall(lane->waiting.front().get(), now);
+      continue;
+    }
     PoolConnection* it = LongestIdle(*lane);
     const auto open = static_cast<int>(lane->connections.size());
     if (it == nullptr && open >= lane->max_connections) return;
@@ -142,7 +156,11 @@
 
 PoolConnection* PoolReactor::Connect(PoolLane* lane, const sockaddr_in& address) {
   auto it = std::make_unique<PoolConnection>();
-  it->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  it->fd = OpenSocket();
+  if (it->fd < 0 && (errno == EMFILE || errno == ENFILE)) {
+    CloseIdle();
+    it->fd = OpenSocket();
+  }
   if (it->fd < 0) return nullptr;
   it->lane = lane;
   const int on = 1;
@@ -265,17 +283,28 @@
   for (const auto& [key, lane] : lanes_) {
     for (const auto& it : lane.connections) {
       if (it->state == ConnectionState::kIdle) idle.push_back(it.get());
-      it->closes = true;
     }
   }
   for (PoolConnection* it : idle) Close(it);
 }
 
-void PoolReactor::EndAll(TimePoint now) {
-  // First the calls that wait, so that none of them is sent.
+void PoolReactor::EndWaiting(TimePoint now) {
   for (auto& [key, lane] : lanes_) {
     while (!lane.waiting.empty()) EndCall(lane.waiting.front().get(), now);
   }
+}
+
+void PoolReactor::Disconnect(TimePoint now) {
+  EndWaiting(now);
+  CloseIdle();
+  for (const auto& [key, lane] : lanes_) {
+    for (const auto& it : lane.connections) it->closes = true;
+  }
+}
+
+void PoolReactor::EndAll(TimePoint now) {
+  // First the calls that wait, so that none of them is sent.
+  EndWaiting(now);
   std::vector<PoolConnection*> open;
   for (const auto& [key, lane] : lanes_) {
     for (const auto& it : lane.connections) open.push_back(it.get());
--- a/src/http/internal/pool_reactor.h
+++ b/src/http/internal/pool_reactor.h
@@ -34,7 +34,9 @@
   // Sends a request, or lets it wait for a connection. What the last Wait() found must have been
   // handled and be recent, since this tells whether an idle connection may be used.
   void Start(PoolCallPtr call, TimePoint now);
-  void CloseIdle();
+  // Ends the calls that wait for a connection, closes the idle connections, and the others after
+  // their answers.
+  void Disconnect(TimePoint now);
   // Ends all calls with an error and closes all connections.
   void EndAll(TimePoint now);
 
@@ -44,6 +46,9 @@
   // Milliseconds until the first deadline, rounded up; -1 without open calls.
   int TimeoutMs(TimePoint now);
   PoolLane* LaneOf(const PoolCall& call);
+  void RemoveUnusedLanes();
+  void CloseIdle();
+  void EndWaiting(TimePoint now);
   void SendWaiting(PoolLane* lane, TimePoint now);
   // Returns null if the lane has no idle connection.
   static PoolConnection* LongestIdle(const PoolLane& lane);
@@ -65,8 +70,9 @@
   int ready_ = 0;  // number of events to handle
   std::array<epoll_event, 256> events_{};
   std::vector<char> buf_;
-  std::unordered_map<uint64_t, PoolLane> lanes_;         // by address, port and lane
-  std::map<TimePoint, CallList> deadlines_;              // of the open calls, rounded up
+  size_t most_lanes_;                             // with more of them, the unused ones are removed
+  std::unordered_map<uint64_t, PoolLane> lanes_;  // by address, port and lane
+  std::map<TimePoint, CallList> deadlines_;       // of the open calls, rounded up
   std::vector<std::unique_ptr<PoolConnection>> closed_;  // events may still name them
 };
 
--- a/tests/http/connection_pool_test.cc
+++ b/tests/http/connection_pool_test.cc
@@ -320,7 +320,7 @@
 }
 
 // Guards against an owner that steps down and keeps the connections that its successor needs.
-TEST_F(ConnectionPoolTest, CloseIdleClosesBusyConnectionsAfterTheirAnswers) {
+TEST_F(ConnectionPoolTest, DisconnectClosesBusyConnectionsAfterTheirAnswers) {
   Listen();
   lane.max_connections = 2;
   std::future<HttpResult> idle = Send("/idle");
@@ -330,7 +330,7 @@
   EXPECT_EQ(first.ReadHead().rfind("GET /idle ", 0), 0U);
   first.Write(kGood);
   EXPECT_FALSE(idle.get().ec);
-  pool->CloseIdle();
+  pool->Disconnect();
   EXPECT_TRUE(first.IsClosedByClient());
   second.ReadHead();
   second.Write(kGood);
@@ -338,6 +338,34 @@
   EXPECT_TRUE(second.IsClosedByClient());
 }
 
+// Guards against an owner that steps down and opens connections for the calls that waited.
+TEST_F(ConnectionPoolTest, DisconnectEndsTheCallsThatWait) {
+  Listen();
+  std::future<HttpResult> busy = Send("/busy");
+  ServerConnection server = Accept();
+  server.ReadHead();
+  std::future<HttpResult> waiting = Send("/waiting");
+  pool->Disconnect();
+  EXPECT_EQ(waiting.get().ec, ResultCode::kTargetUnreachable);
+  server.Write(kGood);
+  EXPECT_FALSE(busy.get().ec);
+  EXPECT_TRUE(server.IsClosedByClient());
+  EXPECT_FALSE(HasConnection(kShort));
+}
+
+// Guards against a connection for each call that has waited too long behind a silent server.
+TEST_F(ConnectionPoolTest, CallsThatWaitedTooLongOpenNoConnection) {
+  Listen();
+  std::vector<std::future<HttpResult>> results;
+  for (int n = 0; n < 5; ++n) results.push_back(Send("/a", kShort));
+  ServerConnection server = Accept();
+  EXPECT_EQ(results.front().get().ec, ResultCode::kTimeout);
+  for (size_t n = 1; n < results.size(); ++n) {
+    EXPECT_EQ(results[n].get().ec, ResultCode::kTargetUnreachable);
+  }
+  EXPECT_FALSE(HasConnection(kShort));
+}
+
 // Guards against connections to servers that no longer exist and stay open for ever.
 TEST_F(ConnectionPoolTest, ExcessLanesCloseIdleConnections) {
   Listen();
