--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -127,8 +127,9 @@
 // at work.
 struct PlacementTurn {
   TurnKind kind = TurnKind::kOnTime;
-  int64_t group = 0;  // the rank in two numbers that are fast to compare: all but its last part,
-  int64_t age_order = 0;  // and its last part
+  // The turn's rank in two numbers, which are faster to compare than a TurnRank.
+  int64_t group = 0;      // all parts of the rank but the last one
+  int64_t age_order = 0;  // the last part of the rank
   JobEntry* entry = nullptr;
   size_t position = 0;  // among all turns as collected; decides between equal ranks
 };
--- a/src/http/internal/pool_call.h
+++ b/src/http/internal/pool_call.h
@@ -35,7 +35,7 @@
   TimePoint created_at;
   TimePoint deadline;
   TimePoint sent_at;  // when it got a connection; zero before that
-  PoolLane* home = nullptr;
+  PoolLane* pool_lane = nullptr;
   PoolConnection* connection = nullptr;  // null while it waits for one
 };
 
--- a/src/http/internal/pool_reactor.cc
+++ b/src/http/internal/pool_reactor.cc
@@ -114,7 +114,7 @@
     return call->Finish(ResultCode::kTargetUnreachable, {}, now);
   }
   PoolLane* const lane = LaneOf(*call);
-  call->home = lane;
+  call->pool_lane = lane;
   deadlines_[RoundUp(call->deadline)].push_back(*call);
   lane->waiting.push_back(std::move(call));
   SendWaiting(lane, now);
@@ -253,7 +253,7 @@
   } else {
     Close(it);
   }
-  SendWaiting(call->home, now);
+  SendWaiting(call->pool_lane, now);
   call->Finish({}, call->parser.TakeResponse(), now);
 }
 
@@ -262,14 +262,14 @@
   call->unlink();
   Close(it);
   call->Finish(ec, {}, now);
-  SendWaiting(call->home, now);
+  SendWaiting(call->pool_lane, now);
 }
 
 void PoolReactor::EndCall(PoolCall* call, TimePoint now) {
   if (call->connection != nullptr) {
     return Fail(call->connection, ErrorOf(*call->connection, ResultCode::kTimeout), now);
   }
-  std::list<PoolCallPtr>& waiting = call->home->waiting;
+  std::list<PoolCallPtr>& waiting = call->pool_lane->waiting;
   const auto at = std::find_if(waiting.begin(), waiting.end(),
                                [call](const PoolCallPtr& other) { return other.get() == call; });
   const PoolCallPtr ended = std::move(*at);
