--- a/src/dispatch/refusal_backoff.h
+++ b/src/dispatch/refusal_backoff.h
@@ -47,7 +47,8 @@
 RefusalBackoff AfterStartAnswer(const RefusalBackoff& before, OrderStatus status, TimePoint sent,
                                 TimePoint now, double draw);
 
-// The state after a run of the worker has ended, which gives room. It tells nothing of the health of the worker.
+// The state after a run of the worker has ended, which gives room. It tells nothing of the health
+// of the worker.
 RefusalBackoff AfterEndedRun(const RefusalBackoff& before);
 
 // The state after a start was sent.
