--- a/review/harness/last_seen_case.cc
+++ b/review/harness/last_seen_case.cc
@@ -55,10 +55,13 @@
     int next = 0;
     for (int n = 0; n < kRounds; ++n) {
       std::this_thread::sleep_for(kCalm);
-      if (!trouble) continue;
+      const auto until = Clock::now() + kSlowFor;
+      if (!trouble) {
+        std::this_thread::sleep_until(until);
+        continue;
+      }
       record->Line("store is slow");
       deployment.store().SetDelay(kSlowAnswer);
-      const auto until = Clock::now() + kSlowFor;
       while (Clock::now() + kRestartInterval < until) {
         std::this_thread::sleep_for(kRestartInterval);
         deployment.StopExecutor(next);
