A job that was cancelled before it existed cannot be created any more

Cause: JobService::TryCancel answered 410 for an unknown job and wrote nothing, and a creation asked only that the job's key does not exist.

Change: the cancellation of an unknown job writes pomelopond/cancelled/ID, on a lease that a host's cancellations share, under the condition that the job's key does not exist; a creation fails on that key with 409, code 305. JobServiceTest.CancelledJobIsShownAsCancelled submitted the job after its cancellation and expected it to be accepted, which is the fault; it begins with the submission now, and UnknownJobThatIsCancelledStaysUnknown checks the other order. The soak has callers that leave a host and cancel at another one.

Conclusion: of cancellation and creation one comes first in the store, and the other one sees it.

--- a/src/base/result_code.cc
+++ b/src/base/result_code.cc
@@ -39,6 +39,7 @@
     {ResultCode::kTieWithoutVote, "tie_without_vote", 409},
     {ResultCode::kStaleEpoch, "stale_epoch", 409},
     {ResultCode::kStaleAttempt, "stale_attempt", 409},
+    {ResultCode::kCancelled, "cancelled", 409},
     {ResultCode::kOutcomeUnknown, "outcome_unknown", 502},
     {ResultCode::kTokenExpired, "token_expired", 410},
     {ResultCode::kRouterGone, "router_gone", 502},
--- a/src/base/result_code.h
+++ b/src/base/result_code.h
@@ -39,6 +39,7 @@
   kTieWithoutVote = 302,
   kStaleEpoch = 303,
   kStaleAttempt = 304,
+  kCancelled = 305,
   // 4xx: the outcome is unknown.
   kOutcomeUnknown = 400,
   kTokenExpired = 401,
--- a/src/entry/job_service.cc
+++ b/src/entry/job_service.cc
@@ -29,13 +29,15 @@
   std::function<void(Result<int>)> done;
 };
 
-JobService::JobService(store::KeyStore* store, Timer timer, metrics::Registry* metrics,
-                       StoreHealth* health, const RevisionHistory* revisions)
+JobService::JobService(const JobServiceOptions& options, store::KeyStore* store, Timer timer,
+                       metrics::Registry* metrics, StoreHealth* health,
+                       const RevisionHistory* revisions)
     : store_(store),
       timer_(std::move(timer)),
       metrics_(metrics),
       health_(health),
-      revisions_(revisions) {}
+      revisions_(revisions),
+      cancellation_lease_(store, options.cancellation_time) {}
 
 bool JobService::Admit(const char* request, const std::string& id) {
   if (health_->AllowRequest(Now())) return true;
--- a/src/entry/job_service.h
+++ b/src/entry/job_service.h
@@ -13,6 +13,7 @@
 #include "dispatch/waiting_counts.h"
 #include "entry/prefix_watcher.h"
 #include "entry/revision_history.h"
+#include "entry/shared_lease.h"
 #include "entry/store_health.h"
 #include "jobs/progress.h"
 #include "metrics/registry.h"
@@ -20,13 +21,20 @@
 
 namespace pomelopond::entry {
 
+struct JobServiceOptions {
+  // Time for which the cancellation of an unknown job is remembered. A creation of the job that the
+  // store carries out within it fails.
+  Duration cancellation_time = std::chrono::seconds(120);
+};
+
 class JobService {
  public:
-  JobService(store::KeyStore* store, Timer timer, metrics::Registry* metrics, StoreHealth* health,
-             const RevisionHistory* revisions);
+  JobService(const JobServiceOptions& options, store::KeyStore* store, Timer timer,
+             metrics::Registry* metrics, StoreHealth* health, const RevisionHistory* revisions);
 
   // Calls `done` with one of these results:
   // - no error: the job is durable, written by this call or an earlier one;
+  // - kCancelled: the job was cancelled before; it is not durable and will not be;
   // - kStoreUnavailable: the job is not durable, and this call will not make it durable;
   // - kOutcomeUnknown: the job may be durable now or become durable later.
   void Submit(const jobs::Job& job, TimePoint deadline, std::function<void(std::error_code)> done);
@@ -37,7 +45,7 @@
                 std::function<void(Result<jobs::JobState>)> done);
 
   // Calls `done` with a result as described for Submit(), or with kNotFound if the job does not
-  // exist.
+  // exist. In that case a creation that is still under way, on any host, fails with kCancelled.
   void Cancel(const std::string& id, TimePoint deadline, std::function<void(std::error_code)> done);
 
   // Calls `done` with the number of accepted jobs of the queue of which no task is known to have
@@ -53,8 +61,8 @@
   // Updates the store's health with the outcome of a call.
   void RecordOutcome(std::error_code ec);
   // Commits the transaction, with retries until its outcome is known or the deadline is near.
-  void StartWrite(const char* name, const std::string& job, store::Transaction transaction,
-                  TimePoint deadline, std::function<void(std::error_code)> done);
+  void StartWrite(PendingWrite write, TimePoint deadline,
+                  std::function<void(std::error_code)> done);
   void TryCommit(const std::shared_ptr<PendingWrite>& write);
   void FinishWrite(const std::shared_ptr<PendingWrite>& write, std::error_code ec);
   template <class T>
@@ -66,6 +74,11 @@
                                   std::function<void(Result<jobs::JobState>)> done);
   void TryCancel(const std::string& id, TimePoint retry_deadline, TimePoint deadline,
                  std::function<void(std::error_code)> done);
+  // Forbids the creation of a job that does not exist. Calls `again` with the error if the store
+  // cannot be asked, or if the job exists by now.
+  void CancelUnknown(const std::string& id, TimePoint deadline,
+                     const std::function<void(std::error_code)>& again,
+                     const std::function<void(std::error_code)>& done);
   void TryCountWaiting(const std::shared_ptr<PendingCount>& count);
   void FinishCount(const PendingCount& count, const dispatch::WaitingCounts& counts, Duration age);
 
@@ -74,6 +87,7 @@
   metrics::Registry* const metrics_;
   StoreHealth* const health_;
   const RevisionHistory* const revisions_;
+  SharedLease cancellation_lease_;
 };
 
 }  // namespace pomelopond::entry
--- a/src/entry/job_service_writes.cc
+++ b/src/entry/job_service_writes.cc
@@ -16,13 +16,22 @@
 constexpr Duration kMaxRefusedTime = std::chrono::milliseconds(300);
 constexpr Duration kMaxCommitTimeout = std::chrono::milliseconds(800);
 
+using Items = std::vector<store::Item>;
+
+bool Exists(const Items& items, const std::string& key) {
+  return std::any_of(items.begin(), items.end(),
+                     [&key](const store::Item& it) { return it.key == key && it.revision != 0; });
+}
+
 }  // namespace
 
-// The write of one new key, which is retried until its outcome is known.
+// The write of one key, which is retried until its outcome is known.
 struct JobService::PendingWrite {
   const char* name = "";
   std::string job;
   store::Transaction transaction;
+  // Returns the result if a condition has failed, given the items of the conditions' keys.
+  std::function<std::error_code(const Items&)> resolve;
   TimePoint began;
   TimePoint refused_deadline;    // end of the retries while the store refuses the commit
   TimePoint unknown_deadline;    // end of the retries once a response was lost
@@ -33,19 +42,21 @@
 void JobService::Submit(const jobs::Job& job, TimePoint deadline,
                         std::function<void(std::error_code)> done) {
   if (!Admit("submit", job.id)) return done(ResultCode::kStoreUnavailable);
-  store::Transaction create;
-  create.conditions = {{JobKey(job.id), 0}};
-  create.writes = {{JobKey(job.id), jobs::Encode(job), 0}};
-  StartWrite("submit", job.id, std::move(create), deadline, std::move(done));
+  PendingWrite create;
+  create.name = "submit";
+  create.job = job.id;
+  create.transaction.conditions = {{JobKey(job.id), 0}, {CancelledKey(job.id), 0}};
+  create.transaction.writes = {{JobKey(job.id), jobs::Encode(job), 0}};
+  create.resolve = [id = job.id](const Items& existing) -> std::error_code {
+    if (Exists(existing, JobKey(id))) return {};
+    return ResultCode::kCancelled;
+  };
+  StartWrite(std::move(create), deadline, std::move(done));
 }
 
-void JobService::StartWrite(const char* name, const std::string& job,
-                            store::Transaction transaction, TimePoint deadline,
+void JobService::StartWrite(PendingWrite pending, TimePoint deadline,
                             std::function<void(std::error_code)> done) {
-  const auto write = std::make_shared<PendingWrite>();
-  write->name = name;
-  write->job = job;
-  write->transaction = std::move(transaction);
+  const auto write = std::make_shared<PendingWrite>(std::move(pending));
   write->began = Now();
   write->refused_deadline = RetryDeadline(write->began, kMaxRefusedTime, deadline);
   write->unknown_deadline = RetryDeadline(write->began, kMaxUnknownTime, deadline);
@@ -73,15 +84,14 @@
   store_->Commit(write->transaction, timeout,
                  [this, write, limit](const Result<store::CommitResult>& result) {
                    RecordOutcome(result.ec);
-                   // A condition fails if the key already exists or if, for a cancellation, the job
-                   // is gone.
                    if (result.ok()) {
                      if (result.value.committed) return FinishWrite(write, {});
-                     const std::string& key = write->transaction.writes.front().key;
-                     for (const store::Item& it : result.value.existing) {
-                       if (it.key == key && it.revision != 0) return FinishWrite(write, {});
-                     }
-                     return FinishWrite(write, ResultCode::kNotFound);
+                     return FinishWrite(write, write->resolve(result.value.existing));
+                   }
+                   // The lease of the write has ended, so the write has to be made anew.
+                   const bool has_lease = write->transaction.writes.front().lease != 0;
+                   if (has_lease && result.ec == ResultCode::kNotFound) {
+                     return FinishWrite(write, ResultCode::kStoreCompareFailed);
                    }
                    if (result.ec != ResultCode::kStoreUnavailable) write->outcome_unknown = true;
                    const TimePoint until = write->outcome_unknown ? write->unknown_deadline : limit;
@@ -101,21 +111,57 @@
 
 void JobService::TryCancel(const std::string& id, TimePoint retry_deadline, TimePoint deadline,
                            std::function<void(std::error_code)> done) {
-  store_->Get(JobKey(id), [this, id, retry_deadline, deadline,
-                           done = std::move(done)](const Result<store::Item>& item) {
-    if (!item.ok()) {
-      return RetryRead<int>(
-          retry_deadline, item.ec,
-          [this, id, retry_deadline, deadline, done] {
-            TryCancel(id, retry_deadline, deadline, done);
-          },
-          [done](const Result<int>& result) { done(result.ec); });
-    }
-    if (item.value.revision == 0) return done(ResultCode::kNotFound);
-    store::Transaction cancel;
-    cancel.conditions = {{JobKey(id), item.value.revision}, {CancelKey(id), 0}};
-    cancel.writes = {{CancelKey(id), "1", 0}};
-    StartWrite("cancel", id, std::move(cancel), deadline, done);
+  const auto again = [this, id, retry_deadline, deadline, done](std::error_code ec) {
+    RetryRead<int>(
+        retry_deadline, ec,
+        [this, id, retry_deadline, deadline, done] {
+          TryCancel(id, retry_deadline, deadline, done);
+        },
+        [done](const Result<int>& result) { done(result.ec); });
+  };
+  store_->Get(JobKey(id), [this, id, deadline, again, done](const Result<store::Item>& item) {
+    if (!item.ok()) return again(item.ec);
+    if (item.value.revision == 0) return CancelUnknown(id, deadline, again, done);
+    PendingWrite cancel;
+    cancel.name = "cancel";
+    cancel.job = id;
+    cancel.transaction.conditions = {{JobKey(id), item.value.revision}, {CancelKey(id), 0}};
+    cancel.transaction.writes = {{CancelKey(id), "1", 0}};
+    cancel.resolve = [id](const Items& existing) -> std::error_code {
+      if (Exists(existing, CancelKey(id))) return {};
+      return ResultCode::kStoreCompareFailed;
+    };
+    StartWrite(std::move(cancel), deadline, [again, done](std::error_code ec) {
+      // The job has been removed in the meantime.
+      if (ec == ResultCode::kStoreCompareFailed) return again(ec);
+      done(ec);
+    });
+  });
+}
+
+// The caller is told that no such job exists, so a creation that was sent before must not take
+// effect afterwards. It may be held by a host that is frozen, or by the store.
+void JobService::CancelUnknown(const std::string& id, TimePoint deadline,
+                               const std::function<void(std::error_code)>& again,
+                               const std::function<void(std::error_code)>& done) {
+  cancellation_lease_.Get(Now(), [this, id, deadline, again, done](const Result<int64_t>& lease) {
+    RecordOutcome(lease.ec);
+    if (!lease.ok()) return again(lease.ec);
+    PendingWrite forbid;
+    forbid.name = "cancel_unknown";
+    forbid.job = id;
+    // Written again if it exists, so that it lasts from the last cancellation on.
+    forbid.transaction.conditions = {{JobKey(id), 0}};
+    forbid.transaction.writes = {{CancelledKey(id), "1", lease.value}};
+    forbid.resolve = [](const Items&) { return ResultCode::kStoreCompareFailed; };
+    StartWrite(std::move(forbid), deadline,
+               [this, lease = lease.value, again, done](std::error_code ec) {
+                 if (!ec) return done(ResultCode::kNotFound);
+                 if (ec != ResultCode::kStoreCompareFailed) return done(ec);
+                 // The job exists by now, or the lease has ended.
+                 cancellation_lease_.Drop(lease);
+                 again(ec);
+               });
   });
 }
 
--- a/src/entry/keys.h
+++ b/src/entry/keys.h
@@ -15,6 +15,12 @@
 inline constexpr const char* kCancelSuffix = "/cancel";
 inline std::string CancelKey(const std::string& id) { return JobKey(id) + kCancelSuffix; }
 
+// This key exists for some time after a job was cancelled that did not exist. The creation of the
+// job, which may still be under way, fails on it. The owner has no use for it, so it is not below
+// kJobPrefix.
+inline constexpr const char* kCancelledPrefix = "pomelopond/cancelled/";
+inline std::string CancelledKey(const std::string& id) { return kCancelledPrefix + id; }
+
 // Only the owner writes these keys, on the condition that the stored term is its own.
 inline constexpr const char* kProgressPrefix = "pomelopond/progress/";
 inline std::string ProgressKey(const std::string& id) { return kProgressPrefix + id; }
--- a/tests/entry/job_service_test.cc
+++ b/tests/entry/job_service_test.cc
@@ -26,7 +26,7 @@
  protected:
   JobServiceTest()
       : service(
-            &store,
+            {}, &store,
             [this](Duration delay, const std::function<void()>& work) {
               timers.emplace_back(delay, work);
             },
@@ -140,13 +140,19 @@
 }
 
 TEST_F(JobServiceTest, CancelledJobIsShownAsCancelled) {
-  EXPECT_EQ(Cancel(), std::error_code(ResultCode::kNotFound));
   Submit();
   EXPECT_EQ(Cancel(), std::error_code());
   EXPECT_EQ(Cancel(), std::error_code());
   EXPECT_EQ(State().value, jobs::JobState::kCancelled);
 }
 
+TEST_F(JobServiceTest, UnknownJobThatIsCancelledStaysUnknown) {
+  EXPECT_EQ(Cancel(), std::error_code(ResultCode::kNotFound));
+  EXPECT_EQ(Cancel(), std::error_code(ResultCode::kNotFound));
+  EXPECT_EQ(Submit(), std::error_code(ResultCode::kCancelled));
+  EXPECT_EQ(State().ec, ResultCode::kNotFound);
+}
+
 // Guards against reporting a job as unknown because the store cannot be read.
 TEST_F(JobServiceTest, UnreadableStoreIsNotAnUnknownJob) {
   Submit();
--- a/tests/entry/memory_store.h
+++ b/tests/entry/memory_store.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 
 #include "base/result_code.h"
@@ -72,6 +73,10 @@
       return done({ResultCode::kStoreUnavailable, {}});
     if (behavior == CommitBehavior::kAppliedLate) delayed_commits.push_back(transaction);
     if (behavior == CommitBehavior::kAppliedLate) return done({ResultCode::kStoreAnswerLost, {}});
+    for (const store::Write& it : transaction.writes) {
+      if (it.lease != 0 && expired_leases.count(it.lease) > 0)
+        return done({ResultCode::kNotFound, {}});
+    }
     const store::CommitResult result = Apply(transaction);
     if (behavior == CommitBehavior::kAppliedUnanswered)
       return done({ResultCode::kStoreAnswerLost, {}});
@@ -79,7 +84,10 @@
   }
 
   void GrantLease(Duration ttl, store::StoreCallback<store::Lease> done) override {
-    done({{}, {1, ttl}});
+    const std::lock_guard<std::recursive_mutex> lock(mutex);
+    if (unavailable) return done({ResultCode::kStoreUnavailable, {}});
+    granted_leases += 1;
+    done({{}, {granted_leases, ttl}});
   }
   void RenewLease(int64_t lease, store::StoreCallback<store::Lease> done) override {
     done({{}, {lease, {}}});
@@ -111,11 +119,21 @@
       item.key = it.key;
       item.value = it.value;
       item.revision = revision;
+      leases[it.key] = it.lease;
     }
     for (const std::string& it : transaction.deletes) items.erase(it);
     return result;
   }
 
+  // Ends the lease and removes its keys.
+  void ExpireLease(int64_t lease) {
+    const std::lock_guard<std::recursive_mutex> lock(mutex);
+    expired_leases.insert(lease);
+    for (const auto& [key, it] : leases) {
+      if (it == lease) items.erase(key);
+    }
+  }
+
   // Applies the commits that were handled as kAppliedLate.
   void ApplyDelayedCommits() {
     for (const store::Transaction& it : delayed_commits) Apply(it);
@@ -125,6 +143,9 @@
   std::map<std::string, store::Item> items;
   std::deque<CommitBehavior> commit_behaviors;  // for the next commits; then kAnswered
   std::deque<store::Transaction> delayed_commits;
+  std::map<std::string, int64_t> leases;  // by key; 0: none
+  std::set<int64_t> expired_leases;
+  int64_t granted_leases = 0;
   int64_t revision = 10;
   int calls = 0;
   bool unavailable = false;
--- a/tests/entry/waiting_count_test.cc
+++ b/tests/entry/waiting_count_test.cc
@@ -24,7 +24,7 @@
  protected:
   WaitingCountTest()
       : catalog(&store, timer.Get(), "config", ReadNone, &catalog_health, &revisions),
-        service(&store, timer.Get(), &metrics, &health, &revisions),
+        service({}, &store, timer.Get(), &metrics, &health, &revisions),
         owner(OptionsOf("host-1"), &store, &workers, timer.Get(), &metrics) {
     catalog.Start();
   }
--- a/tests/platform/caller_api_test.cc
+++ b/tests/platform/caller_api_test.cc
@@ -13,7 +13,8 @@
  protected:
   CallerApiTest()
       : jobs(
-            &store, [](Duration, const std::function<void()>&) {}, &metrics, &health, &revisions),
+            {}, &store, [](Duration, const std::function<void()>&) {}, &metrics, &health,
+            &revisions),
         api(&jobs, [this] { return view; }) {
     jobs::Catalog catalog;
     jobs::Queue queue;
@@ -25,10 +26,14 @@
     view.confirmed_at = Now();
   }
 
-  http::HttpResponse Get(const std::string& path) {
+  http::HttpResponse Get(const std::string& path) { return Ask("GET", path); }
+
+  http::HttpResponse Ask(const std::string& method, const std::string& path,
+                         const std::string& body = {}) {
     http::HttpRequest request;
-    request.method = "GET";
+    request.method = method;
     request.path = path;
+    request.body = body;
     request.headers["Host"] = "a.example";
     http::HttpResponse response;
     api.Handle(request, [&response](const http::HttpResponse& it) { response = it; });
@@ -62,5 +67,15 @@
   EXPECT_EQ(Get("/known/00000000000000aa").status, 410);
 }
 
+// Guards against a job that is accepted after a caller was told that its cancellation is done.
+TEST_F(CallerApiTest, JobThatWasCancelledBeforeItArrivedIsRefused) {
+  const std::string path = "/known/00000000000000aa";
+  EXPECT_EQ(Ask("DELETE", path).status, 410);
+  const http::HttpResponse refused = Ask("POST", path, R"({"steps":[{"replicas":1}]})");
+  EXPECT_EQ(refused.status, 409);
+  EXPECT_NE(refused.body.find("cancelled"), std::string::npos);
+  EXPECT_EQ(Get(path).status, 410);
+}
+
 }  // namespace
 }  // namespace pomelopond::platform
--- a/tests/soak/entry_soak_test.cc
+++ b/tests/soak/entry_soak_test.cc
@@ -37,6 +37,10 @@
 constexpr Duration kCallTimeout = std::chrono::seconds(3);
 // Callers may be told what was true this long before their request.
 constexpr Duration kMaxAge = std::chrono::seconds(2);
+// A caller that leaves waits this long for an answer.
+constexpr Duration kShortPatience = std::chrono::milliseconds(200);
+// No task of a job starts later than this after its cancellation was acknowledged.
+constexpr int64_t kCancelMs = 3000;
 // All jobs have to be completed this long after the last trouble.
 constexpr Duration kFinishTime = std::chrono::seconds(30);
 constexpr const char* kQueueHost = "nony24.example";
@@ -108,10 +112,14 @@
   void CheckCount(support::RawClient* client);
   void CheckQueue(support::RawClient* client, Random* random);
   void Cancel(support::RawClient* client, const std::string& id);
+  void LeaveAndCancel(support::RawClient* left, support::RawClient* client, Random* random,
+                      int number);
   std::string AnyJob(Random* random);
+  static std::string NewId(Random* random, int number);
+  static std::string JobOf(int tasks);
   using Answer = std::optional<http::HttpResponse>;  // none if the call failed
   static Answer Ask(support::RawClient* client, const std::string& method, const std::string& path,
-                    const std::string& body = {});
+                    const std::string& body = {}, Duration patience = kCallTimeout);
 
   // Troubles.
   void MakeTrouble(Random* random);
@@ -124,6 +132,8 @@
   }
 
   bool AllCompleted();
+  // No task of a job that its caller left and cancelled has begun late.
+  void CheckLeftJobs();
 
   review::Cluster* const cluster_;
   std::vector<review::Worker*> workers_;
@@ -137,12 +147,14 @@
 
   std::mutex mutex_;  // guards the members below
   std::map<std::string, AcceptedJob> jobs_;
+  std::map<std::string, int64_t> left_jobs_;  // when their cancellation was acknowledged, in ms
   std::map<std::string, TimePoint> queues_;  // by prefix: when the configuration was confirmed
   std::vector<std::string> faults_;
 };
 
 EntrySoakTest::Answer EntrySoakTest::Ask(support::RawClient* client, const std::string& method,
-                                         const std::string& path, const std::string& body) {
+                                         const std::string& path, const std::string& body,
+                                         Duration patience) {
   const std::string request =
       method + " " + path + " HTTP/1.1\r\nHost: " + kQueueHost +
       "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
@@ -151,7 +163,7 @@
     client->Close();
     return std::nullopt;
   }
-  return client->Read(kCallTimeout);
+  return client->Read(patience);
 }
 
 std::string EntrySoakTest::AnyJob(Random* random) {
@@ -160,13 +172,21 @@
   return std::next(jobs_.begin(), random->Between(0, static_cast<int>(jobs_.size()) - 1))->first;
 }
 
-void EntrySoakTest::Submit(support::RawClient* client, Random* random, int number) {
+std::string EntrySoakTest::NewId(Random* random, int number) {
   std::string id = std::to_string(number) + std::to_string(random->Between(100000000, 999999999));
   id.resize(16, '0');
-  const int tasks = random->Between(1, kMaxReplicas);
+  return id;
+}
+
+std::string EntrySoakTest::JobOf(int tasks) {
   const Json step = {{"replicas", tasks}, {"cpu", 1000}, {"mem_mb", 100}, {"estimate_ms", kTaskMs}};
-  const Json body = {{"spec", "soak"}, {"steps", Json::array({step})}};
-  const Answer answer = Ask(client, "POST", review::kPrefix + id, body.dump());
+  return Json{{"spec", "soak"}, {"steps", Json::array({step})}}.dump();
+}
+
+void EntrySoakTest::Submit(support::RawClient* client, Random* random, int number) {
+  const std::string id = NewId(random, number);
+  const int tasks = random->Between(1, kMaxReplicas);
+  const Answer answer = Ask(client, "POST", review::kPrefix + id, JobOf(tasks));
   if (!answer) return;
   if (answer->status == 404) Fault("404 for a queue that exists: " + id);
   if (answer->status != 200) return;
@@ -235,6 +255,28 @@
   Ask(client, "DELETE", review::kPrefix + id);
 }
 
+// A caller that gets no answer for a while leaves and cancels the job at another host. The first
+// host, which may be frozen, carries out the request later.
+void EntrySoakTest::LeaveAndCancel(support::RawClient* left, support::RawClient* client,
+                                   Random* random, int number) {
+  const std::string id = NewId(random, number);
+  const std::string path = review::kPrefix + id;
+  Ask(left, "POST", path, JobOf(random->Between(1, kMaxReplicas)), kShortPatience);
+  left->Close();
+  const Answer answer = Ask(client, "DELETE", path);
+  if (!answer || (answer->status != 200 && answer->status != 410)) return;
+  const std::lock_guard<std::mutex> lock(mutex_);
+  left_jobs_[id] = cluster_->ledger.NowMs();
+}
+
+void EntrySoakTest::CheckLeftJobs() {
+  for (const review::Run& it : cluster_->ledger.Runs()) {
+    const auto left = left_jobs_.find(it.task.substr(0, it.task.find('.')));
+    if (left == left_jobs_.end() || it.began_ms <= left->second + kCancelMs) continue;
+    ADD_FAILURE() << it.task << " began at " << it.began_ms << " ms, cancelled at " << left->second;
+  }
+}
+
 void EntrySoakTest::Call(int number) {
   Random random(static_cast<uint64_t>(number) * 1000 +
                 static_cast<uint64_t>(FromEnvironment("SOAK_SEED", 1)));
@@ -246,8 +288,11 @@
     support::RawClient* client = clients[static_cast<size_t>(random.Between(0, kHosts - 1))].get();
     const int draw = random.Between(1, 100);
     const std::string job = AnyJob(&random);
-    if (draw <= 40 || job.empty()) {
+    if (draw <= 36 || job.empty()) {
       Submit(client, &random, number);
+    } else if (draw <= 40) {
+      support::RawClient* other = clients[static_cast<size_t>(random.Between(0, kHosts - 1))].get();
+      LeaveAndCancel(other, client, &random, number);
     } else if (draw <= 65) {
       CheckState(client, job);
     } else if (draw <= 85) {
@@ -375,7 +420,9 @@
   EXPECT_TRUE(AllCompleted()) << "jobs are lost";
   for (const std::string& it : faults_) ADD_FAILURE() << it;
   for (const std::string& it : cluster_->ledger.Twice()) ADD_FAILURE() << it;
+  CheckLeftJobs();
   EXPECT_GT(jobs_.size(), 0U);
+  EXPECT_GT(left_jobs_.size(), 0U);
   EXPECT_GT(recent_counts_.load(), 0);
   std::cout << jobs_.size() << " jobs, " << recent_counts_.load() << " counts\n";
   cluster_->ledger.Write("record-" + std::to_string(FromEnvironment("SOAK_SEED", 1)) + ".txt");
