The record of a job stays within the store's largest value, and a rejected commit holds up no other job

Cause: the progress of a job was one value that grew with each task that was done, and nothing weighed it against the store's largest value.

Runs of tasks that are over count against a worker's capacity until they are stopped. Records of earlier versions are still read.

Conclusion: what is stored of a job is bounded by what is under way.

--- a/src/base/result_code.cc
+++ b/src/base/result_code.cc
@@ -49,6 +49,7 @@
     {ResultCode::kStoreCompareFailed, "store_compare_failed", 409},
     {ResultCode::kStoreAnswerLost, "store_answer_lost", 502},
     {ResultCode::kStoreBadAnswer, "store_bad_answer", 502},
+    {ResultCode::kStoreRejected, "store_rejected", 413},
     {ResultCode::kInternal, "internal", 500},
     {ResultCode::kPeerUnavailable, "peer_unavailable", 503},
     {ResultCode::kPeerBadMessage, "peer_bad_message", 502},
@@ -93,6 +94,7 @@
   if (code == ResultCode::kOk) return Outcome::kDone;
   // If the store is unavailable, the record is withdrawn before it is sent, so nothing was run.
   if (code == ResultCode::kStoreUnavailable) return Outcome::kNotRun;
+  if (code == ResultCode::kStoreRejected) return Outcome::kNotRun;
   if (group <= 3 || group == 7) return Outcome::kNotRun;
   return Outcome::kUnknown;
 }
--- a/src/base/result_code.h
+++ b/src/base/result_code.h
@@ -51,6 +51,7 @@
   kStoreCompareFailed = 501,
   kStoreAnswerLost = 502,
   kStoreBadAnswer = 503,
+  kStoreRejected = 504,
   // 6xx: internal errors.
   kInternal = 600,
   kPeerUnavailable = 601,
@@ -71,7 +72,7 @@
 // Returns the name of a code in answers and logs, such as "queue_full".
 const char* ResultName(ResultCode code);
 
-// Codes 1xx to 3xx, 7xx and kStoreUnavailable mean that nothing was run. All other codes of 4xx,
+// Codes 1xx to 3xx, 7xx, kStoreUnavailable and kStoreRejected mean that nothing was run. All other codes of 4xx,
 // 5xx and 6xx leave the outcome unknown.
 Outcome OutcomeOf(ResultCode code);
 
--- a/src/dispatch/commits.cc
+++ b/src/dispatch/commits.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/log.h"
 #include "dispatch/dispatcher.h"
 #include "dispatch/lease_bounds.h"
 #include "store/key_store.h"
@@ -23,6 +24,15 @@
 // Time between commits of the lease bounds, which shrink as time passes.
 constexpr Duration kLeaseBoundsInterval = std::chrono::seconds(1);
 
+// Time after which state that the store has rejected by itself is written again. It may have become
+// smaller.
+constexpr Duration kRejectedRetry = std::chrono::seconds(1);
+
+bool HasPoolState(const Commit& commit) {
+  return commit.workers_in_use || commit.lease_bounds || commit.waiting_counts ||
+         !commit.removed_jobs.empty();
+}
+
 }  // namespace
 
 // A worker that leaves is taken off the list once its runs have ended and the ends are durable, so
@@ -57,51 +67,118 @@
 std::optional<std::string> Dispatcher::NextLeaseBounds(uint64_t generation, TimePoint now) {
   lease_bounds_due_ = now + kLeaseBoundsInterval;
   LeaseBounds bounds = CurrentLeaseBounds(generation, now);
-  if (bounds.left_ms == written_bounds_.left_ms) return std::nullopt;
+  if (bounds.left_ms == written_bounds_.left_ms && !write_bounds_again_) return std::nullopt;
+  write_bounds_again_ = false;
   for (const auto& [id, left_ms] : bounds.left_ms) workers_[id].lease_bounded = true;
   written_bounds_ = std::move(bounds);
   return Encode(written_bounds_);
 }
 
-std::optional<Commit> Dispatcher::NextCommit(TimePoint now, int64_t wall_ms) {
-  if (commit_in_flight_) return std::nullopt;
-  Commit commit;
-  while (!dirty_.empty() && commit.progress.size() < kMaxJobsInCommit) {
+void Dispatcher::TakeDirtyJobs(Commit* commit) {
+  const size_t most = jobs_to_isolate_ > 0 ? 1 : kMaxJobsInCommit;
+  while (!dirty_.empty() && jobs_in_commit_.size() < most) {
     const auto [generation, id] = dirty_.front();
     dirty_.pop_front();
     dirty_jobs_.erase(id);
-    commit.generation = generation;
+    commit->generation = generation;
+    jobs_in_commit_.emplace_back(generation, id);
     const JobEntry* entry = FindEntry(id);
-    if (entry != nullptr) commit.progress.emplace_back(id, jobs::Encode(ProgressOf(*entry)));
+    if (entry != nullptr) commit->progress.emplace_back(id, jobs::Encode(ProgressOf(*entry)));
   }
+  if (jobs_to_isolate_ > 0) jobs_to_isolate_ -= 1;
+}
+
+// Takes what belongs to no single job.
+void Dispatcher::TakePoolState(Commit* commit, TimePoint now, int64_t wall_ms) {
   if (workers_changed_) {
     workers_changed_ = false;
-    commit.workers_in_use = EncodeWorkersInUse(commit.generation, now);
+    commit->workers_in_use = EncodeWorkersInUse(commit->generation, now);
   }
-  if (now >= lease_bounds_due_) commit.lease_bounds = NextLeaseBounds(commit.generation, now);
+  if (now >= lease_bounds_due_) commit->lease_bounds = NextLeaseBounds(commit->generation, now);
   if (now - counts_checked_at_ >= kCountsInterval) {
     counts_checked_at_ = now;
     WaitingCounts counts = CurrentWaitingCounts(wall_ms);
     if (counts != written_counts_) {
-      commit.waiting_counts = Encode(counts);
+      commit->waiting_counts = Encode(counts);
       written_counts_ = std::move(counts);
     }
   }
   const auto keep =
       std::chrono::duration_cast<std::chrono::milliseconds>(limits_.finished_retention).count();
-  while (!finished_.empty() && commit.removed_jobs.size() < kMaxRemovedInCommit) {
+  while (!finished_.empty() && commit->removed_jobs.size() < kMaxRemovedInCommit) {
     const auto& [finished_ms, id] = finished_.front();
     if (finished_ms + keep > wall_ms) break;
-    commit.removed_jobs.push_back(id);
+    commit->removed_jobs.push_back(id);
     finished_.pop_front();
   }
-  const bool empty = commit.progress.empty() && !commit.workers_in_use && !commit.lease_bounds &&
-                     !commit.waiting_counts && commit.removed_jobs.empty();
-  if (empty) return std::nullopt;
+}
+
+std::optional<Commit> Dispatcher::NextCommit(TimePoint now, int64_t wall_ms) {
+  if (commit_in_flight_) return std::nullopt;
+  Commit commit;
+  jobs_in_commit_.clear();
+  if (pool_state_alone_ && jobs_to_isolate_ == 0 && now >= pool_state_due_) {
+    TakePoolState(&commit, now, wall_ms);
+    pool_state_alone_ = HasPoolState(commit);
+  }
+  if (!HasPoolState(commit)) {
+    const bool isolated = jobs_to_isolate_ > 0;
+    TakeDirtyJobs(&commit);
+    if (!isolated && !pool_state_alone_) TakePoolState(&commit, now, wall_ms);
+  }
+  if (commit.progress.empty() && !HasPoolState(commit)) return std::nullopt;
   commit_in_flight_ = true;
   return commit;
 }
 
+void Dispatcher::OnCommitRejected(const Commit& commit, TimePoint now, int64_t wall_ms) {
+  commit_in_flight_ = false;
+  Log(LogLevel::kError, "dispatch", "commit_rejected",
+      {{"jobs", commit.progress.size()},
+       {"workers_bytes", commit.workers_in_use.value_or("").size()},
+       {"bounds_bytes", commit.lease_bounds.value_or("").size()},
+       {"counts_bytes", commit.waiting_counts.value_or("").size()}});
+  const bool has_pool_state = HasPoolState(commit);
+  if (has_pool_state) RestorePoolState(commit, now, wall_ms);
+  if (jobs_in_commit_.size() == 1 && !has_pool_state) {
+    return FailUnstorableJob(jobs_in_commit_[0].second, jobs_in_commit_[0].first, wall_ms);
+  }
+  for (auto it = jobs_in_commit_.rbegin(); it != jobs_in_commit_.rend(); ++it) {
+    dirty_.push_front(*it);
+    dirty_jobs_.insert(it->second);
+  }
+  jobs_to_isolate_ += jobs_in_commit_.size();
+  jobs_in_commit_.clear();
+}
+
+void Dispatcher::RestorePoolState(const Commit& commit, TimePoint now, int64_t wall_ms) {
+  pool_state_alone_ = true;
+  // If it is at fault by itself it is rejected again, so jobs are written in the meantime.
+  pool_state_due_ = commit.progress.empty() ? now + kRejectedRetry : now;
+  workers_changed_ = workers_changed_ || commit.workers_in_use.has_value();
+  write_bounds_again_ = write_bounds_again_ || commit.lease_bounds.has_value();
+  if (commit.waiting_counts) written_counts_ = {};
+  for (auto it = commit.removed_jobs.rbegin(); it != commit.removed_jobs.rend(); ++it) {
+    const JobEntry* entry = FindEntry(*it);
+    finished_.emplace_front(entry == nullptr ? wall_ms : entry->finished_ms, *it);
+  }
+}
+
+// Its last state is small, and it is written before any later change: ends that the rejected record
+// told of are acknowledged with it.
+void Dispatcher::FailUnstorableJob(const std::string& id, uint64_t generation, int64_t wall_ms) {
+  JobEntry* entry = FindEntry(id);
+  if (entry == nullptr || jobs::IsFinal(entry->state)) {
+    Log(LogLevel::kError, "dispatch", "record_dropped", {{"job", id}});
+    return;
+  }
+  Log(LogLevel::kError, "dispatch", "job_unstorable",
+      {{"job", id}, {"bytes", jobs::Encode(ProgressOf(*entry)).size()}});
+  FinishJob(entry, jobs::JobState::kFailed, wall_ms);
+  dirty_.emplace_front(generation, id);
+  jobs_to_isolate_ += 1;
+}
+
 // The commit with `written_bounds_` is durable.
 void Dispatcher::ReleaseLeaseBounds() {
   for (auto& [id, it] : workers_) {
@@ -115,6 +192,7 @@
 
 void Dispatcher::OnCommitted(const Commit& commit) {
   commit_in_flight_ = false;
+  if (HasPoolState(commit)) pool_state_alone_ = false;
   for (const std::string& it : commit.removed_jobs) {
     // The placement refers to its jobs.
     if (IsInPlacement(FindEntry(it))) EndPlacement();
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -5,6 +5,7 @@
 #include "base/log.h"
 #include "base/result_code.h"
 #include "dispatch/choose_worker.h"
+#include "jobs/job_size.h"
 
 namespace pomelopond::dispatch {
 namespace {
@@ -84,12 +85,7 @@
 }
 
 void Dispatcher::UpdatePlaceable(JobEntry* entry) {
-  bool waiting = false;
-  if (!jobs::IsFinal(entry->state)) {
-    for (const std::vector<StepState>& steps : entry->steps) {
-      for (const StepState& it : steps) waiting = waiting || it.waiting > 0;
-    }
-  }
+  const bool waiting = HasWaitingTask(*entry);
   if (waiting) capacity_changed_ = true;
   if (waiting == entry->placeable) return;
   entry->placeable = waiting;
@@ -108,6 +104,7 @@
   if (jobs_.count(job.id) > 0) return;
   JobEntry& entry = jobs_[job.id] = MakeEntry(job, progress, inherited);
   entry.revision = revision;
+  entry.max_tasks_under_way = jobs::MaxTasksUnderWay(job, limits_.max_value_bytes);
   newest_revision_ = std::max(newest_revision_, revision);
   if (jobs::IsFinal(entry.state)) {
     finished_.emplace_back(entry.finished_ms, job.id);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -55,6 +55,8 @@
   Duration report_wait = std::chrono::seconds(1);
   // Retention of finished jobs, for callers that query their state.
   Duration finished_retention = std::chrono::seconds(150);
+  // Largest value that the store holds.
+  int64_t max_value_bytes = 1048576;
 };
 
 // Orders that one decision produces, to be sent at once.
@@ -170,6 +172,9 @@
   // The next commit, or nothing when the state is durable or a commit is in flight.
   std::optional<Commit> NextCommit(TimePoint now, int64_t wall_ms);
   void OnCommitted(const Commit& commit);
+  // The store will never accept the commit. What it holds is written in smaller commits, to find
+  // what is at fault; a job that is at fault by itself fails.
+  void OnCommitRejected(const Commit& commit, TimePoint now, int64_t wall_ms);
 
   // True once a worker has answered that it follows a later owner.
   bool superseded() const { return superseded_; }
@@ -208,7 +213,9 @@
   // True when no report to an earlier owner can follow one that was requested at `sent`.
   bool IsAfterEarlierReports(const WorkerState& worker, TimePoint sent) const;
   void EndExpiredStart(WorkerState* worker, const RunId& id);
-  void ApplyActiveRuns(WorkerState* worker, const Report& report, TimePoint sent, TimePoint now);
+  void ApplyActiveRuns(WorkerState* worker, const Report& report, TimePoint sent, TimePoint now,
+                       int64_t wall_ms);
+  void BeginReported(const jobs::TaskId& task, int64_t wall_ms);
   // Returns true when the durable state must change.
   bool ApplyEnd(WorkerState* worker, const EndedRun& end, TimePoint now, int64_t wall_ms);
   void RecordFailure(JobEntry* entry, const RunId& id, int64_t wall_ms);
@@ -233,6 +240,10 @@
   // True when the worker is empty and will get no run.
   bool IsUnused(const WorkerState& worker, uint64_t generation, TimePoint now) const;
   std::string EncodeWorkersInUse(uint64_t generation, TimePoint now);
+  void TakeDirtyJobs(Commit* commit);
+  void TakePoolState(Commit* commit, TimePoint now, int64_t wall_ms);
+  void RestorePoolState(const Commit& commit, TimePoint now, int64_t wall_ms);
+  void FailUnstorableJob(const std::string& id, uint64_t generation, int64_t wall_ms);
   LeaseBounds CurrentLeaseBounds(uint64_t generation, TimePoint now) const;
   std::optional<std::string> NextLeaseBounds(uint64_t generation, TimePoint now);
   void ReleaseLeaseBounds();
@@ -347,6 +358,13 @@
   std::set<std::string> dirty_jobs_;
   uint64_t generation_ = 0;
   bool commit_in_flight_ = false;
+  std::vector<std::pair<uint64_t, std::string>> jobs_in_commit_;  // from the front of `dirty_`
+  // After a rejected commit: jobs at the front of `dirty_` that are written one by one.
+  size_t jobs_to_isolate_ = 0;
+  // After a rejected commit: what belongs to no job is written without jobs, and not before.
+  bool pool_state_alone_ = false;
+  TimePoint pool_state_due_;
+  bool write_bounds_again_ = false;
   LeaseBounds written_bounds_;
   TimePoint lease_bounds_due_;  // when the lease bounds are compared with the written ones
   WaitingCounts written_counts_;
--- a/src/dispatch/job_rank.cc
+++ b/src/dispatch/job_rank.cc
@@ -59,7 +59,8 @@
 
 double RemainingCriticalPathMs(const DurationModel& model, const JobEntry& entry) {
   double longest = 0;
-  for (const std::vector<StepState>& steps : entry.steps) {
+  for (const auto& it : entry.open) {
+    const std::vector<StepState>& steps = it.second;
     longest = std::max(longest, CriticalPathMs(model, entry.job, [&steps](size_t n) {
                          return steps[n].done < static_cast<int>(steps[n].tasks.size());
                        }));
--- a/src/dispatch/job_table.h
+++ b/src/dispatch/job_table.h
@@ -2,6 +2,7 @@
 #ifndef POMELOPOND_DISPATCH_JOB_TABLE_H_
 #define POMELOPOND_DISPATCH_JOB_TABLE_H_
 
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -78,10 +79,36 @@
   // Since when a task could start while no run worked for the job, until a worker confirms a run at
   // work or a task is done; unset if that is not so.
   std::optional<TimePoint> idle_since;
-  // Indexed by occurrence, then step.
-  std::vector<std::vector<StepState>> steps;
+  // Steps of the occurrences that are under way, by occurrence. Those that have not begun and those
+  // that are done need no state, nor does a finished job: an owner holds little of a schedule that
+  // goes on for a month.
+  std::map<int, std::vector<StepState>> open;
+  int begun = 0;  // occurrences below this one have begun
+  // Tasks that are not done and have left a failed run or a checkpoint.
+  int64_t recorded = 0;
+  // Largest number of such tasks and of runs for which the store can hold the job's progress.
+  int64_t max_tasks_under_way = std::numeric_limits<int64_t>::max();
 };
 
+// True when the progress of the task counts among the recorded ones of its job.
+bool HasRecord(const jobs::Job& job, const jobs::TaskId& id, const jobs::TaskProgress& progress);
+
+// False when the store might not hold the job's progress if one more task left something.
+bool MayStartTask(const JobEntry& entry, const jobs::TaskId& id, const TaskState& task);
+
+// Begins the occurrences up to this one.
+void BeginThrough(JobEntry* entry, int occurrence);
+
+// Begins the occurrences that are due, in their order, as long as few tasks are open. Returns true
+// if one has begun.
+bool BeginDue(JobEntry* entry, int64_t wall_ms);
+
+// Forgets the state of the occurrence if all its tasks are done.
+void CloseIfDone(JobEntry* entry, int occurrence);
+
+// True when tasks wait now or will wait once they are due.
+bool HasWaitingTask(const JobEntry& entry);
+
 // Removes the run from the job's active ones.
 void ForgetRun(JobEntry* entry, const RunState* run);
 
@@ -89,8 +116,10 @@
 
 jobs::JobProgress ProgressOf(const JobEntry& entry);
 
-// Returns null when the job has no such task.
+// Returns null when the job has no such task, or its occurrence is not open.
 TaskState* FindTask(JobEntry* entry, const jobs::TaskId& id);
+// True when the job has such a step, whether the task's occurrence is open or not.
+bool HasStep(const jobs::Job& job, const jobs::TaskId& id);
 const jobs::Step& StepOf(const JobEntry& entry, const jobs::TaskId& id);
 StepState* StepStateOf(JobEntry* entry, const jobs::TaskId& id);
 
--- a/src/dispatch/job_wait.cc
+++ b/src/dispatch/job_wait.cc
@@ -28,28 +28,27 @@
 
 int CountReadyTasks(const JobEntry& entry, int64_t wall_ms) {
   int n = 0;
-  for (size_t k = 0; k < entry.steps.size(); ++k) {
-    if (wall_ms < DueMs(entry.job, static_cast<int>(k))) continue;
-    for (size_t s = 0; s < entry.steps[k].size(); ++s) {
-      const bool ready = IsReady(entry, static_cast<int>(k), static_cast<int>(s));
-      if (ready) n += entry.steps[k][s].waiting;
+  for (const auto& [k, steps] : entry.open) {
+    if (wall_ms < DueMs(entry.job, k)) continue;
+    for (size_t s = 0; s < steps.size(); ++s) {
+      if (IsReady(entry, k, static_cast<int>(s))) n += steps[s].waiting;
     }
   }
   return n;
 }
 
 std::optional<jobs::TaskId> FirstReadyTask(const JobEntry& entry, int64_t wall_ms) {
-  for (size_t k = 0; k < entry.steps.size(); ++k) {
-    if (wall_ms < DueMs(entry.job, static_cast<int>(k))) continue;
-    for (size_t s = 0; s < entry.steps[k].size(); ++s) {
-      const StepState& step = entry.steps[k][s];
+  for (const auto& [k, steps] : entry.open) {
+    if (wall_ms < DueMs(entry.job, k)) continue;
+    for (size_t s = 0; s < steps.size(); ++s) {
+      const StepState& step = steps[s];
       if (step.waiting == 0) continue;
-      if (!IsReady(entry, static_cast<int>(k), static_cast<int>(s))) continue;
+      if (!IsReady(entry, k, static_cast<int>(s))) continue;
       const auto task = std::find_if(step.tasks.begin(), step.tasks.end(), [](const TaskState& it) {
         return !it.progress.done && it.runs.empty();
       });
       if (task == step.tasks.end()) continue;
-      return jobs::TaskId{entry.job.id, static_cast<int>(k), static_cast<int>(s),
+      return jobs::TaskId{entry.job.id, k, static_cast<int>(s),
                           static_cast<int>(task - step.tasks.begin())};
     }
   }
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -69,7 +69,7 @@
 int Dispatcher::CountWithheld(const JobEntry& entry) const {
   int n = 0;
   if (IsReconciled(entry)) return n;
-  for (const std::vector<StepState>& steps : entry.steps) {
+  for (const auto& [k, steps] : entry.open) {
     for (const StepState& step : steps) {
       for (const TaskState& it : step.tasks) {
         if (it.progress.done || !it.runs.empty()) continue;
@@ -105,6 +105,7 @@
   const bool check_service = passed >= kServiceCheckInterval;
   if (check_service) service_checked_at_ = now;
   for (JobEntry* it : placeable_) {
+    BeginDue(it, wall_ms);
     if (check_service) UpdateUnservedShare(it, passed, wall_ms);
     const bool underused = IsInUnderusedPool(*it);
     const RunCounts runs = underused ? CountRuns(*it, now) : RunCounts{};
@@ -187,11 +188,11 @@
 void Dispatcher::PlaceJob(const PlacementTurn& turn, TimePoint now, int64_t wall_ms,
                           Orders* orders) {
   const JobEntry& entry = *turn.entry;
-  for (int k = 0; k < static_cast<int>(entry.steps.size()); ++k) {
+  for (const auto& [k, steps] : entry.open) {
     if (wall_ms < DueMs(entry.job, k)) continue;
-    for (int s = 0; s < static_cast<int>(entry.job.steps.size()); ++s) {
+    for (int s = 0; s < static_cast<int>(steps.size()); ++s) {
       if (IsOwed(turn.kind) && HasOwedRuns(turn.kind, CountRuns(entry, now))) return;
-      if (entry.steps[static_cast<size_t>(k)][static_cast<size_t>(s)].waiting == 0) continue;
+      if (steps[static_cast<size_t>(s)].waiting == 0) continue;
       if (IsReady(entry, k, s)) PlaceStep(turn, k, s, now, wall_ms, orders);
     }
   }
@@ -212,6 +213,7 @@
   for (id.index = 0; id.index < static_cast<int>(state->tasks.size()); ++id.index) {
     const TaskState& task = state->tasks[static_cast<size_t>(id.index)];
     if (task.progress.done || !task.runs.empty() || IsWithheld(*entry, task)) continue;
+    if (!MayStartTask(*entry, id, task)) continue;
     if (IsAtStartLimit()) return;
     const bool placed = PlaceTask(turn, id, now, orders);
     if (placed && IsOwed(turn.kind)) return;
@@ -338,7 +340,7 @@
   if (entry == nullptr) return;
   StepState* state =
       StepStateOf(entry, {order.step.job, order.step.occurrence, order.step.step, 0});
-  ApplyPermits(&state->permits, order, answer, now);
+  if (state != nullptr) ApplyPermits(&state->permits, order, answer, now);
 }
 
 // Returns true when capacity is being freed, so that the next task of the step may request
--- a/src/dispatch/pool_summary.cc
+++ b/src/dispatch/pool_summary.cc
@@ -19,7 +19,7 @@
     const bool pending = entry.state == jobs::JobState::kPending;
     out.pending_jobs += pending ? 1 : 0;
     out.unconfirmed_jobs += pending && HasActiveTask(entry) ? 1 : 0;
-    for (const std::vector<StepState>& steps : entry.steps) {
+    for (const auto& [k, steps] : entry.open) {
       for (const StepState& it : steps) out.waiting_tasks += it.waiting;
     }
     out.withheld_tasks += CountWithheld(entry);
--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -4,6 +4,7 @@
 #include "base/log.h"
 #include "dispatch/dispatcher.h"
 #include "dispatch/failures.h"
+#include "jobs/job_size.h"
 
 namespace pomelopond::dispatch {
 namespace {
@@ -16,10 +17,28 @@
 // lease is bounded.
 constexpr Duration kUncommittedRetry = std::chrono::milliseconds(500);
 
-void UpdateCheckpoint(TaskState* task, const RunId& id, const std::string& checkpoint) {
+// Largest difference between the clocks of two hosts, in ms. Clocks may jump by seconds.
+constexpr int64_t kMaxClockError = 60000;
+
+// Counts the task among the recorded ones of its job if this change is the first to record it.
+template <class F>
+void ChangeProgress(JobEntry* entry, const jobs::TaskId& id, jobs::TaskProgress* progress,
+                    F change) {
+  const bool before = HasRecord(entry->job, id, *progress);
+  change(progress);
+  const bool after = HasRecord(entry->job, id, *progress);
+  entry->recorded += (after ? 1 : 0) - (before ? 1 : 0);
+}
+
+void UpdateCheckpoint(JobEntry* entry, TaskState* task, const RunId& id,
+                      const std::string& checkpoint) {
   if (checkpoint.empty() || task->progress.done || id.run < task->progress.checkpoint_run) return;
-  task->progress.checkpoint = checkpoint;
-  task->progress.checkpoint_run = id.run;
+  // The task goes on from an earlier checkpoint or from its beginning.
+  if (!StepOf(*entry, id.task).checkpoint || checkpoint.size() > jobs::kMaxCheckpointBytes) return;
+  ChangeProgress(entry, id.task, &task->progress, [&](jobs::TaskProgress* progress) {
+    progress->checkpoint = checkpoint;
+    progress->checkpoint_run = id.run;
+  });
 }
 
 }  // namespace
@@ -80,13 +99,9 @@
 }
 
 void Dispatcher::StopAllRuns(JobEntry* entry) {
-  for (size_t k = 0; k < entry->steps.size(); ++k) {
-    for (size_t s = 0; s < entry->steps[k].size(); ++s) {
-      const std::vector<TaskState>& tasks = entry->steps[k][s].tasks;
-      for (size_t n = 0; n < tasks.size(); ++n) {
-        StopRuns({entry->job.id, static_cast<int>(k), static_cast<int>(s), static_cast<int>(n)});
-      }
-    }
+  for (const JobRun& it : entry->runs) {
+    WorkerState* worker = FindWorker(it.worker->info.id);
+    if (worker != nullptr) RequestStop(worker, *it.id, StopReason::kJobOver);
   }
 }
 
@@ -98,22 +113,26 @@
   Log(LogLevel::kInfo, "dispatch", "job_finished",
       {{"job", entry->job.id}, {"state", jobs::JobStateName(state)}});
   StopAllRuns(entry);
+  entry->open.clear();
   MarkDirty(entry->job.id);
   UpdatePlaceable(entry);
 }
 
 void Dispatcher::FinishTask(JobEntry* entry, const jobs::TaskId& id, int64_t wall_ms) {
   TaskState* task = FindTask(entry, id);
-  if (task->progress.done) return;
+  if (task == nullptr || task->progress.done) return;
   StepState* step = StepStateOf(entry, id);
   // Progress of the job, even if the run has ended before its start was confirmed.
   entry->idle_since.reset();
-  task->progress.done = true;
-  task->progress.checkpoint.clear();
+  ChangeProgress(entry, id, &task->progress, [](jobs::TaskProgress* progress) {
+    *progress = {};
+    progress->done = true;
+  });
   step->done += 1;
   entry->estimates_valid_until = TimePoint{};
   if (task->runs.empty()) step->waiting -= 1;
   StopRuns(id);
+  CloseIfDone(entry, id.occurrence);
   MarkDirty(entry->job.id);
   UpdatePlaceable(entry);
   if (!jobs::IsFinal(entry->state) && IsComplete(*entry)) {
@@ -128,6 +147,7 @@
   SetRefusals(worker, AfterEndedRun(worker->refusals));
   ends_ += 1;
   RecordStart(FindEntry(end.id.task.job));
+  BeginReported(end.id.task, wall_ms);
   const auto run = worker->runs.find(end.id);
   const Duration took = run == worker->runs.end() ? Duration::zero() : now - run->second.ordered_at;
   if (run != worker->runs.end()) LogWatchedRun(*worker, end, run->second, now);
@@ -137,14 +157,15 @@
   if (end.kind == EndKind::kDone) worker->failures = 0;
   StepState* state = task == nullptr ? nullptr : StepStateOf(entry, end.id.task);
   if (state != nullptr && end.kind == EndKind::kDone) state->failed_on.clear();
+  // A task without state is over; its failure tells nothing that counts.
   if (end.kind == EndKind::kFailed &&
-      (state == nullptr || RecordStepFailure(state, worker->info.id, took))) {
+      (entry == nullptr || (state != nullptr && RecordStepFailure(state, worker->info.id, took)))) {
     CountFailure(worker, now);
   }
   if (task == nullptr || jobs::IsFinal(entry->state)) return false;
   task->last_run = std::max(task->last_run, end.id.run);
   const jobs::Step& step = StepOf(*entry, end.id.task);
-  UpdateCheckpoint(task, end.id, end.checkpoint);
+  UpdateCheckpoint(entry, task, end.id, end.checkpoint);
   MarkDirty(entry->job.id);
   if (end.kind == EndKind::kFailed) task->failed_on.insert(worker->info.id);
   if (step.perpetual) {
@@ -172,13 +193,26 @@
   return true;
 }
 
+// An earlier owner has begun the occurrence, and this one has not seen to it yet.
+void Dispatcher::BeginReported(const jobs::TaskId& task, int64_t wall_ms) {
+  JobEntry* entry = FindEntry(task.job);
+  if (entry == nullptr || jobs::IsFinal(entry->state)) return;
+  if (task.occurrence < entry->begun || task.occurrence >= jobs::Occurrences(entry->job)) return;
+  // The clocks of hosts differ. What is due much later is no run of an earlier owner.
+  if (DueMs(entry->job, task.occurrence) > wall_ms + kMaxClockError) return;
+  BeginThrough(entry, task.occurrence);
+  UpdatePlaceable(entry);
+}
+
 void Dispatcher::RecordFailure(JobEntry* entry, const RunId& id, int64_t wall_ms) {
   // The first member holds the failures of the whole gang.
   jobs::TaskId counted = id.task;
   if (StepOf(*entry, id.task).gang) counted.index = 0;
-  std::vector<int64_t>& failed = FindTask(entry, counted)->progress.failed_runs;
+  jobs::TaskProgress* progress = &FindTask(entry, counted)->progress;
+  const std::vector<int64_t>& failed = progress->failed_runs;
   if (std::find(failed.begin(), failed.end(), id.run) != failed.end()) return;
-  failed.push_back(id.run);
+  ChangeProgress(entry, counted, progress,
+                 [&id](jobs::TaskProgress* it) { it->failed_runs.push_back(id.run); });
   if (static_cast<int>(failed.size()) >= entry->job.rules.max_attempts) {
     FinishJob(entry, jobs::JobState::kFailed, wall_ms);
   }
@@ -187,9 +221,11 @@
 void Dispatcher::Adopt(WorkerState* worker, const ActiveRun& active, TimePoint now) {
   JobEntry* entry = FindEntry(active.id.task.job);
   TaskState* task = entry == nullptr ? nullptr : FindTask(entry, active.id.task);
+  // A run of a task that is over takes room as well until it is stopped.
   const jobs::Step unknown;
-  const jobs::Step& step = task == nullptr ? unknown : StepOf(*entry, active.id.task);
-  AddRun(worker, active.id, step, task == nullptr ? 0 : entry->job.rules.priority, now);
+  const bool has_step = entry != nullptr && HasStep(entry->job, active.id.task);
+  const jobs::Step& step = has_step ? StepOf(*entry, active.id.task) : unknown;
+  AddRun(worker, active.id, step, entry == nullptr ? 0 : entry->job.rules.priority, now);
   Reindex(&index_, worker);
   const auto added = worker->runs.find(active.id);
   RunState& run = added->second;
@@ -255,13 +291,14 @@
 }
 
 void Dispatcher::ApplyActiveRuns(WorkerState* worker, const Report& report, TimePoint sent,
-                                 TimePoint now) {
+                                 TimePoint now, int64_t wall_ms) {
   const Duration covered = std::min<Duration>(now - worker->reported_at, limits_.report_wait);
   worker->reported_at = now;
   worker->reports += 1;
   for (const ActiveRun& it : report.active) {
     auto place = worker->runs.find(it.id);
     if (place == worker->runs.end()) {
+      BeginReported(it.id.task, wall_ms);
       Adopt(worker, it, now);
       place = worker->runs.find(it.id);
     }
@@ -279,7 +316,7 @@
     RecordLoad(worker, &run, it.load);
     TaskState* task = entry == nullptr ? nullptr : FindTask(entry, it.id.task);
     if (task == nullptr) continue;
-    UpdateCheckpoint(task, it.id, it.checkpoint);
+    UpdateCheckpoint(entry, task, it.id, it.checkpoint);
     StopIfStalled(worker, entry, it.id, run, now);
     const bool wanted = run.phase == RunPhase::kRunning && run.perpetual;
     task->adopted = task->adopted || (wanted && IsAfterEarlierReports(*worker, sent));
@@ -345,7 +382,7 @@
   const bool all_durable = worker->processed == worker->acknowledged;
   bool changed = false;
   for (const EndedRun& it : report.ended) changed = ApplyEnd(worker, it, now, wall_ms) || changed;
-  ApplyActiveRuns(worker, report, worker->heartbeat_sent_at, now);
+  ApplyActiveRuns(worker, report, worker->heartbeat_sent_at, now, wall_ms);
   if (changed) worker->generation = generation_;
   // Ended runs that change no durable state are acknowledged at once.
   if (!changed && all_durable) worker->acknowledged = worker->processed;
--- a/src/dispatch/tasks_away.cc
+++ b/src/dispatch/tasks_away.cc
@@ -18,15 +18,13 @@
 // Calls `f` with each perpetual task whose turn has come, and its id.
 template <class Entry, class F>
 void ForPerpetualTasks(Entry* entry, F f) {
-  for (size_t k = 0; k < entry->steps.size(); ++k) {
-    for (size_t s = 0; s < entry->steps[k].size(); ++s) {
+  for (auto& [k, steps] : entry->open) {
+    for (size_t s = 0; s < steps.size(); ++s) {
       if (!entry->job.steps[s].perpetual) continue;
-      if (!IsReady(*entry, static_cast<int>(k), static_cast<int>(s))) continue;
-      auto& tasks = entry->steps[k][s].tasks;
+      if (!IsReady(*entry, k, static_cast<int>(s))) continue;
+      auto& tasks = steps[s].tasks;
       for (size_t n = 0; n < tasks.size(); ++n) {
-        f(jobs::TaskId{entry->job.id, static_cast<int>(k), static_cast<int>(s),
-                       static_cast<int>(n)},
-          &tasks[n]);
+        f(jobs::TaskId{entry->job.id, k, static_cast<int>(s), static_cast<int>(n)}, &tasks[n]);
       }
     }
   }
--- a/src/entry/job_service.cc
+++ b/src/entry/job_service.cc
@@ -32,7 +32,8 @@
 JobService::JobService(const JobServiceOptions& options, store::KeyStore* store, Timer timer,
                        metrics::Registry* metrics, StoreHealth* health,
                        const RevisionHistory* revisions)
-    : store_(store),
+    : options_(options),
+      store_(store),
       timer_(std::move(timer)),
       metrics_(metrics),
       health_(health),
@@ -48,7 +49,7 @@
 }
 
 void JobService::RecordOutcome(std::error_code ec) {
-  if (ec) return health_->OnFailure();
+  if (ec && ec != ResultCode::kStoreRejected) return health_->OnFailure();
   health_->OnSuccess();
 }
 
--- a/src/entry/job_service.h
+++ b/src/entry/job_service.h
@@ -25,6 +25,8 @@
   // Time for which the cancellation of an unknown job is remembered. A creation of the job that the
   // store carries out within it fails.
   Duration cancellation_time = std::chrono::seconds(120);
+  // Largest value that the store holds.
+  int64_t max_value_bytes = 1048576;
 };
 
 class JobService {
@@ -34,6 +36,7 @@
 
   // Calls `done` with one of these results:
   // - no error: the job is durable, written by this call or an earlier one;
+  // - kTooLarge: the store cannot hold the job and its progress;
   // - kCancelled: the job was cancelled before; it is not durable and will not be;
   // - kStoreUnavailable: the job is not durable, and this call will not make it durable;
   // - kOutcomeUnknown: the job may be durable now or become durable later.
@@ -82,6 +85,7 @@
   void TryCountWaiting(const std::shared_ptr<PendingCount>& count);
   void FinishCount(const PendingCount& count, const dispatch::WaitingCounts& counts, Duration age);
 
+  const JobServiceOptions options_;
   store::KeyStore* const store_;
   const Timer timer_;
   metrics::Registry* const metrics_;
--- a/src/entry/job_service_writes.cc
+++ b/src/entry/job_service_writes.cc
@@ -7,6 +7,7 @@
 #include "entry/internal/job_service_retries.h"
 #include "entry/job_service.h"
 #include "entry/keys.h"
+#include "jobs/job_size.h"
 
 namespace pomelopond::entry {
 namespace {
@@ -41,6 +42,11 @@
 
 void JobService::Submit(const jobs::Job& job, TimePoint deadline,
                         std::function<void(std::error_code)> done) {
+  const std::string fault = jobs::StorageError(job, options_.max_value_bytes);
+  if (!fault.empty()) {
+    Log(LogLevel::kInfo, "jobs", "too_large", {{"job", job.id}, {"error", fault}});
+    return done(ResultCode::kTooLarge);
+  }
   if (!Admit("submit", job.id)) return done(ResultCode::kStoreUnavailable);
   PendingWrite create;
   create.name = "submit";
@@ -93,6 +99,10 @@
                    if (has_lease && result.ec == ResultCode::kNotFound) {
                      return FinishWrite(write, ResultCode::kStoreCompareFailed);
                    }
+                   // Earlier copies were the same, so none of them has taken effect.
+                   if (result.ec == ResultCode::kStoreRejected) {
+                     return FinishWrite(write, result.ec);
+                   }
                    if (result.ec != ResultCode::kStoreUnavailable) write->outcome_unknown = true;
                    const TimePoint until = write->outcome_unknown ? write->unknown_deadline : limit;
                    if (Now() + kRetryDelay < until) {
--- a/src/entry/pool_owner.h
+++ b/src/entry/pool_owner.h
@@ -88,6 +88,7 @@
 
   // Operation as the owner.
   void ApplyJobItems(const std::vector<store::Item>& items, bool inherited);
+  jobs::JobProgress TakeProgress(const std::string& job);
   void ApplyWorkerList(const std::vector<store::Item>& items);
   void ApplyWorkerEntry(const store::Item& item);
   std::string WorkerIdOf(const std::string& key) const;
@@ -103,6 +104,7 @@
   void VerifyTermForNewJobs();
   void OnTermRead(const Result<store::Item>& item, int64_t revision);
   void OnCommitAnswer(const Result<store::CommitResult>& result, TimePoint began);
+  void RejectCommit();
   void FinishCommit(int64_t revision, TimePoint began);
   void After(Duration delay, std::function<void()> work);
   // Returns a function that calls `work` with its arguments on the thread of the event loop, unless
@@ -144,7 +146,7 @@
   int64_t lease_ = 0;
   bool lease_restoring_ = false;
   TimePoint owner_since_;
-  std::map<std::string, jobs::JobProgress> progress_;
+  std::map<std::string, std::string> progress_;  // encoded, of jobs that are not loaded yet
   std::optional<dispatch::Dispatcher> dispatcher_;
   std::optional<dispatch::Commit> commit_;  // commit in progress, if any
   std::shared_ptr<PrefixWatcher> owner_key_watcher_;
--- a/src/entry/pool_owner_commits.cc
+++ b/src/entry/pool_owner_commits.cc
@@ -102,6 +102,7 @@
 
 void PoolOwner::OnCommitAnswer(const Result<store::CommitResult>& result, TimePoint began) {
   next_commit_ = Now() + kRetryDelay;
+  if (result.ec == ResultCode::kStoreRejected) return RejectCommit();
   if (!result.ok()) {
     metrics_->Count("commits_failed_total");
     Log(LogLevel::kWarn, "owner", "commit_failed",
@@ -123,6 +124,14 @@
   StepDown("the stored term does not exist");
 }
 
+// The same commit would be rejected again for ever, and no other one could follow.
+void PoolOwner::RejectCommit() {
+  metrics_->Count("commits_rejected_total");
+  dispatcher_->OnCommitRejected(*commit_, Now(), WallClockMs());
+  commit_.reset();
+  next_commit_ = Now() + kCommitBatchDelay;
+}
+
 void PoolOwner::FinishCommit(int64_t revision, TimePoint began) {
   term_revision_ = revision;
   next_commit_ = Now() + kCommitBatchDelay;
--- a/src/entry/pool_owner_watchers.cc
+++ b/src/entry/pool_owner_watchers.cc
@@ -51,10 +51,7 @@
                  if (!page.ok()) return After(kRetryDelay, [this, after] { LoadProgress(after); });
                  const size_t skip = std::string(kProgressPrefix).size();
                  for (const store::Item& it : page.value.items) {
-                   const Result<jobs::JobProgress> read = jobs::DecodeProgress(it.value);
-                   if (!read.ok())
-                     Log(LogLevel::kError, "owner", "bad_progress", {{"key", it.key}});
-                   if (read.ok()) progress_[it.key.substr(skip)] = read.value;
+                   progress_[it.key.substr(skip)] = it.value;
                  }
                  if (page.value.has_more && !page.value.items.empty()) {
                    return LoadProgress(page.value.items.back().key);
@@ -115,14 +112,20 @@
       Log(LogLevel::kError, "owner", "bad_job", {{"key", it.key}});
       continue;
     }
-    const auto progress = progress_.find(id);
-    dispatcher_->AddJob(job.value,
-                        progress == progress_.end() ? jobs::JobProgress{} : progress->second,
-                        inherited, it.revision);
+    dispatcher_->AddJob(job.value, TakeProgress(id), inherited, it.revision);
   }
   for (const std::string& it : cancelled) dispatcher_->CancelJob(it, wall_ms);
 }
 
+jobs::JobProgress PoolOwner::TakeProgress(const std::string& job) {
+  const auto it = progress_.find(job);
+  if (it == progress_.end()) return {};
+  const Result<jobs::JobProgress> read = jobs::DecodeProgress(it->second);
+  if (!read.ok()) Log(LogLevel::kError, "owner", "bad_progress", {{"job", job}});
+  progress_.erase(it);
+  return read.value;
+}
+
 std::string PoolOwner::WorkerIdOf(const std::string& key) const {
   return key.substr(std::min(key.size(), options_.worker_prefix.size()));
 }
--- a/src/entry/settings.cc
+++ b/src/entry/settings.cc
@@ -17,6 +17,8 @@
 constexpr double kMilli = 1000;
 constexpr double kMaxCores = 4096;
 constexpr double kMaxLinkMbps = 1e9;
+constexpr int64_t kMinValueBytes = 1024;
+constexpr int64_t kMaxValueBytes = 1 << 30;
 
 using Milliseconds = std::chrono::duration<double, std::milli>;
 
@@ -52,6 +54,8 @@
   settings.processor_share = reader.NumberOr("processor_share", 0, kMaxCores, 0);
   settings.processor_cores = reader.NumberOr("processor_cores", 0, kMaxCores, 1);
   settings.link_mbps = reader.NumberOr("link_mbps", 0, kMaxLinkMbps, 0);
+  settings.store_value_bytes =
+      reader.IntOr("store_value_bytes", kMinValueBytes, kMaxValueBytes, settings.store_value_bytes);
   settings.http_threads =
       static_cast<int>(reader.IntOr("http_threads", 1, 64, settings.http_threads));
   settings.max_body_bytes = reader.IntOr("max_body_bytes", 1024, 1 << 30, settings.max_body_bytes);
@@ -77,6 +81,7 @@
               {"processor_share", settings.processor_share},
               {"processor_cores", settings.processor_cores},
               {"link_mbps", settings.link_mbps},
+              {"store_value_bytes", settings.store_value_bytes},
               {"http_threads", settings.http_threads},
               {"max_body_bytes", settings.max_body_bytes},
               {"max_lease_ms", ToMs(settings.max_lease)},
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -25,7 +25,8 @@
   // be faster or slower than usual. A share of 0 means unknown.
   double processor_share = 0;
   double processor_cores = 1;
-  double link_mbps = 0;  // rate of this host's network link, in Mbit/s; 0: unknown
+  double link_mbps = 0;                 // rate of this host's network link, in Mbit/s; 0: unknown
+  int64_t store_value_bytes = 1048576;  // largest value that the store holds
   int http_threads = 2;
   int64_t max_body_bytes = 262144;
   // Longest lease that workers grant.
--- a/src/jobs/job.cc
+++ b/src/jobs/job.cc
@@ -1,6 +1,7 @@
 #include "jobs/job.h"
 
 #include <algorithm>
+#include <numeric>
 
 #include "base/integer.h"
 #include "base/result_code.h"
@@ -104,6 +105,11 @@
 
 }  // namespace
 
+int64_t TasksOfOccurrence(const Job& job) {
+  return std::accumulate(job.steps.begin(), job.steps.end(), int64_t{0},
+                         [](int64_t sum, const Step& it) { return sum + it.replicas; });
+}
+
 bool IsPerpetual(const Job& job) {
   return std::any_of(job.steps.begin(), job.steps.end(),
                      [](const Step& it) { return it.perpetual; });
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -101,6 +101,9 @@
 // Number of times that the steps of the job run.
 inline int Occurrences(const Job& job) { return job.occurrences > 0 ? job.occurrences : 1; }
 
+// Number of tasks of one occurrence.
+int64_t TasksOfOccurrence(const Job& job);
+
 // True when the job has a perpetual step.
 bool IsPerpetual(const Job& job);
 
--- a/src/jobs/limits.h
+++ b/src/jobs/limits.h
@@ -12,7 +12,8 @@
 inline constexpr int64_t kMinInt = std::numeric_limits<int>::min();
 // Tasks of one occurrence, over all steps. Each takes some hundred bytes of the owner's memory.
 inline constexpr int64_t kMaxTasks = 50000;
-// Tasks of all occurrences of a job, all of which the owner holds in memory.
+// Tasks of all occurrences of a job. How many of them are open at one time is bounded by
+// MaxOpenOccurrences().
 inline constexpr int64_t kMaxTasksOfAllOccurrences = 200000;
 // Largest duration in ms, over 300 years. Its product with the number of occurrences fits.
 inline constexpr int64_t kMaxDurationMs = 10000000000000;
--- a/src/jobs/progress.h
+++ b/src/jobs/progress.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -37,19 +38,31 @@
   }
 };
 
+// The record grows with the occurrences that are under way and with what tasks leave behind that
+// are not done, not with the number of tasks that are done: one large job must not outgrow the
+// store's largest value.
 struct JobProgress {
   JobState state = JobState::kPending;
   // When the job reached a final state, in milliseconds since the Unix epoch.
   int64_t finished_ms = 0;
-  // By occurrence, step and index. Tasks without recorded progress are absent.
+  // Occurrences below this one have begun. Those of them that are not open are done.
+  int begun = 0;
+  std::set<int> open;
+  // Tasks of open occurrences by occurrence, step and index. Tasks without recorded progress are
+  // absent.
   std::map<std::tuple<int, int, int>, TaskProgress> tasks;
 
   friend bool operator==(const JobProgress& a, const JobProgress& b) {
-    return std::tie(a.state, a.finished_ms, a.tasks) == std::tie(b.state, b.finished_ms, b.tasks);
+    return std::tie(a.state, a.finished_ms, a.begun, a.open, a.tasks) ==
+           std::tie(b.state, b.finished_ms, b.begun, b.open, b.tasks);
   }
 };
 
-// Stored form in MessagePack. DecodeProgress returns kStoreBadAnswer for malformed input.
+// True when the task is recorded as done.
+bool IsDone(const JobProgress& progress, const TaskId& task);
+
+// Stored form in MessagePack. DecodeProgress returns kStoreBadAnswer for malformed input. It also
+// reads the form of earlier versions, which lists each task that is done.
 std::string Encode(const JobProgress& progress);
 Result<JobProgress> DecodeProgress(const std::string& bytes);
 
--- a/src/store/key_store.h
+++ b/src/store/key_store.h
@@ -86,7 +86,8 @@
 // All calls are asynchronous: they return immediately, and `done` runs exactly once, later, on a
 // thread of the implementation. Errors: kStoreUnavailable if the call had no effect,
 // kStoreAnswerLost if the call may have taken effect or may still do so, kStoreBadAnswer if the
-// store's answer cannot be parsed, and kNotFound as described at each call.
+// store's answer cannot be parsed, kStoreRejected if the store will never accept the call, for its
+// size or form, and kNotFound as described at each call.
 class KeyStore {
  public:
   virtual ~KeyStore() = default;
--- a/tests/dispatch/simulated_fleet.cc
+++ b/tests/dispatch/simulated_fleet.cc
@@ -147,6 +147,19 @@
   const bool lands = !lost || Chance(0.5);
   const bool slow = Chance(troubles_.slow_store);
   const TimePoint landing = now_ + (slow ? MsBetween(30, 3000) : MsBetween(4, 30));
+  if (!IsStorable(*owner->commit)) {
+    rejected_commits += 1;
+    At(landing, [this, owner_epoch = owner->epoch] {
+      ForOwners([&](SimulatedOwner* it) {
+        if (it->epoch != owner_epoch) return;
+        it->dispatcher.OnCommitRejected(*it->commit, now_, WallMs());
+        it->commit.reset();
+        it->next_commit = now_ + kCommitBatchDelay;
+        Check(it);
+      });
+    });
+    return;
+  }
   At(landing, [this, owner_epoch = owner->epoch, began = now_, lost, lands] {
     ForOwners([&](SimulatedOwner* it) {
       if (it->epoch != owner_epoch) return;
@@ -161,6 +174,12 @@
   });
 }
 
+bool SimulatedFleet::IsStorable(const Commit& commit) const {
+  return std::all_of(commit.progress.begin(), commit.progress.end(), [this](const auto& it) {
+    return static_cast<int64_t>(it.second.size()) <= store_value_bytes;
+  });
+}
+
 void SimulatedFleet::Land(const SimulatedOwner& owner) {
   const Commit& commit = *owner.commit;
   store_.revision += 1;
--- a/tests/dispatch/simulated_fleet.h
+++ b/tests/dispatch/simulated_fleet.h
@@ -105,6 +105,9 @@
   static bool IsAllowed(const StepId& step, const std::string& worker);
 
   DispatchLimits limits;
+  // The store rejects larger values, whatever the limits say.
+  int64_t store_value_bytes = 1048576;
+  int rejected_commits = 0;
   std::function<void()> on_tick;
 
  private:
@@ -145,6 +148,7 @@
 
   // Commits.
   void WriteCommit(SimulatedOwner* owner);
+  bool IsStorable(const Commit& commit) const;
   void Land(const SimulatedOwner& owner);
   void FinishCommit(SimulatedOwner* owner, TimePoint began, bool lost, bool replaced);
   void ReadTerm(SimulatedOwner* owner);
--- a/tests/entry/memory_store.h
+++ b/tests/entry/memory_store.h
@@ -77,6 +77,11 @@
       if (it.lease != 0 && expired_leases.count(it.lease) > 0)
         return done({ResultCode::kNotFound, {}});
     }
+    for (const store::Write& it : transaction.writes) {
+      if (unstorable_keys.count(it.key) == 0) continue;
+      rejected_commits += 1;
+      return done({ResultCode::kStoreRejected, {}});
+    }
     const store::CommitResult result = Apply(transaction);
     if (behavior == CommitBehavior::kAppliedUnanswered)
       return done({ResultCode::kStoreAnswerLost, {}});
@@ -146,6 +151,8 @@
   std::map<std::string, int64_t> leases;  // by key; 0: none
   std::set<int64_t> expired_leases;
   int64_t granted_leases = 0;
+  std::set<std::string> unstorable_keys;  // as if their values were too large
+  int rejected_commits = 0;
   int64_t revision = 10;
   int calls = 0;
   bool unavailable = false;
--- a/tests/entry/pool_owner_test.cc
+++ b/tests/entry/pool_owner_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <thread>
 
@@ -152,5 +153,37 @@
   EXPECT_EQ(store.ended_leases.load(), 1);
 }
 
+// Guards against one job whose record the store rejects for its size, after which no change of any
+// other job becomes durable and nothing starts any more (review/7).
+TEST_F(PoolOwnerTest, JobThatTheStoreRejectsHoldsUpNoOther) {
+  const OwnerOptions options = OptionsOf("host-1");
+  for (const int jobs : {2, 5, 8}) {
+    MemoryStore pool;
+    std::vector<std::string> stored;
+    for (int n = 0; n < jobs; ++n) {
+      const std::string id = "job-" + std::to_string(n);
+      pool.Apply({{}, {{JobKey(id), jobs::Encode(OneTask(id)), 0}}, {}});
+      if (n != jobs / 2) stored.push_back(ProgressKey(id));
+    }
+    pool.Apply({{}, {{"workers/w1", "w1", 0}}, {}});
+    pool.unstorable_keys = {ProgressKey("job-" + std::to_string(jobs / 2))};
+    StartingWorkers each_start;
+    PoolOwner owner(options, &pool, &each_start, timer.Get(), &metrics);
+    owner.Start();
+    EXPECT_TRUE(WaitFor([&] {
+      const std::lock_guard<std::recursive_mutex> lock(pool.mutex);
+      return pool.rejected_commits > 0 &&
+             std::count_if(stored.begin(), stored.end(), [&pool](const std::string& it) {
+               return pool.items.count(it) > 0;
+             }) == jobs - 1;
+    })) << jobs;
+    // The record is given up, so the store is not asked for ever.
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    owner.Stop();
+    EXPECT_LE(pool.rejected_commits, 6);
+  }
+  timer.Stop();
+}
+
 }  // namespace
 }  // namespace pomelopond::entry
--- a/tests/platform/caller_api_test.cc
+++ b/tests/platform/caller_api_test.cc
@@ -77,5 +77,17 @@
   EXPECT_EQ(Get(path).status, 410);
 }
 
+// Guards against a job that is accepted although its record can never be stored.
+TEST_F(CallerApiTest, JobThatTheStoreCannotHoldIsRefused) {
+  view.catalog = [this] {
+    jobs::Catalog catalog = *view.catalog;
+    catalog.queues[0].rules.max_attempts = 1000000;
+    return std::make_shared<const jobs::Catalog>(catalog);
+  }();
+  const std::string path = "/known/00000000000000aa";
+  EXPECT_EQ(Ask("POST", path, R"({"steps":[{"replicas":1}]})").status, 413);
+  EXPECT_TRUE(store.items.empty());
+}
+
 }  // namespace
 }  // namespace pomelopond::platform
