Jobs are accepted only if any host has the memory for them

Cause: the owner built the state of all tasks of all occurrences, some 200 bytes each, and nothing bounded the sum over all jobs; limits.memory_mb was not read.

Change: each job has a weight that is known from the job alone (MaxMemoryBytes). The owner writes the sum with the waiting counts and a mark while it is too high, on which creations fail (503, code 211 pool_full); a large job is weighed in a transaction with the other large ones; one that no host can hold is refused with 413. Stored jobs are never dropped. A finished job keeps no state of its tasks.

Conclusion: what can't be held is refused when it is handed in.

--- a/src/base/result_code.h
+++ b/src/base/result_code.h
@@ -33,6 +33,7 @@
   kNotOwner = 208,
   kTargetUnreachable = 209,
   kOutdated = 210,
+  kPoolFull = 211,
   // 3xx: the request conflicts with stored data.
   kConflict = 300,
   kStaleBase = 301,
--- a/src/dispatch/commits.cc
+++ b/src/dispatch/commits.cc
@@ -14,9 +14,9 @@
 // transaction.
 constexpr size_t kMaxJobsInCommit = 20;
 constexpr size_t kMaxRemovedInCommit = 2;
-// A removed job has three keys. The remaining five entries are the condition, the term, the workers
-// in use, the lease bounds and the waiting counts.
-static_assert(kMaxJobsInCommit + 3 * kMaxRemovedInCommit + 5 <= store::kMaxTransactionEntries);
+// A removed job has three keys. The remaining six entries are the condition, the term, the workers
+// in use, the lease bounds, the waiting counts and the mark of a full pool.
+static_assert(kMaxJobsInCommit + 3 * kMaxRemovedInCommit + 6 <= store::kMaxTransactionEntries);
 // Minimum time between two looks at the waiting counts, which go through all jobs. Also the one
 // between commits of them.
 constexpr Duration kCountsInterval = std::chrono::milliseconds(500);
@@ -28,9 +28,12 @@
 // smaller.
 constexpr Duration kRejectedRetry = std::chrono::seconds(1);
 
+// Part of the jobs' memory that is free before a full pool accepts jobs again.
+constexpr int64_t kFreePart = 16;
+
 bool HasPoolState(const Commit& commit) {
   return commit.workers_in_use || commit.lease_bounds || commit.waiting_counts ||
-         !commit.removed_jobs.empty();
+         commit.pool_full || !commit.removed_jobs.empty();
 }
 
 }  // namespace
@@ -88,6 +91,14 @@
   if (jobs_to_isolate_ > 0) jobs_to_isolate_ -= 1;
 }
 
+// A full pool has room again once a part of its memory is free, so that the mark is not written
+// with each job.
+bool Dispatcher::IsPoolFull(int64_t job_bytes) const {
+  const int64_t most = limits_.job_memory_bytes;
+  if (most == 0) return false;
+  return job_bytes > (written_full_.value_or(false) ? most - most / kFreePart : most);
+}
+
 // Takes what belongs to no single job.
 void Dispatcher::TakePoolState(Commit* commit, TimePoint now, int64_t wall_ms) {
   if (workers_changed_) {
@@ -98,6 +109,9 @@
   if (now - counts_checked_at_ >= kCountsInterval) {
     counts_checked_at_ = now;
     WaitingCounts counts = CurrentWaitingCounts(wall_ms);
+    const bool full = IsPoolFull(counts.job_bytes);
+    if (full != written_full_) commit->pool_full = full;
+    written_full_ = full;
     if (counts != written_counts_) {
       commit->waiting_counts = Encode(counts);
       written_counts_ = std::move(counts);
@@ -158,6 +172,7 @@
   workers_changed_ = workers_changed_ || commit.workers_in_use.has_value();
   write_bounds_again_ = write_bounds_again_ || commit.lease_bounds.has_value();
   if (commit.waiting_counts) written_counts_ = {};
+  if (commit.pool_full) written_full_.reset();
   for (auto it = commit.removed_jobs.rbegin(); it != commit.removed_jobs.rend(); ++it) {
     const JobEntry* entry = FindEntry(*it);
     finished_.emplace_front(entry == nullptr ? wall_ms : entry->finished_ms, *it);
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -5,6 +5,7 @@
 #include "base/log.h"
 #include "base/result_code.h"
 #include "dispatch/choose_worker.h"
+#include "dispatch/job_memory.h"
 #include "jobs/job_size.h"
 
 namespace pomelopond::dispatch {
@@ -106,6 +107,7 @@
   entry.revision = revision;
   entry.max_tasks_under_way = jobs::MaxTasksUnderWay(job, limits_.max_value_bytes);
   newest_revision_ = std::max(newest_revision_, revision);
+  entry.max_memory_bytes = MaxMemoryBytes(job, limits_.max_value_bytes);
   if (jobs::IsFinal(entry.state)) {
     finished_.emplace_back(entry.finished_ms, job.id);
   } else if (jobs::IsPerpetual(job)) {
@@ -191,6 +193,7 @@
   WaitingCounts counts;
   counts.jobs_revision = jobs_revision_;
   for (const auto& [id, it] : jobs_) {
+    if (!jobs::IsFinal(it.state)) counts.job_bytes += it.max_memory_bytes;
     if (it.state != jobs::JobState::kPending) continue;
     if (DueMs(it.job, 0) > wall_ms) continue;
     counts.by_queue[it.job.rules.queue] += 1;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -57,6 +57,8 @@
   Duration finished_retention = std::chrono::seconds(150);
   // Largest value that the store holds.
   int64_t max_value_bytes = 1048576;
+  // Memory that jobs may take in any owner; 0: unknown, so that none is refused for it.
+  int64_t job_memory_bytes = 0;
 };
 
 // Orders that one decision produces, to be sent at once.
@@ -76,7 +78,9 @@
   std::optional<std::string> workers_in_use;                  // encoded list; set when it changed
   std::optional<std::string> lease_bounds;    // encoded LeaseBounds; set when they changed
   std::optional<std::string> waiting_counts;  // encoded WaitingCounts; set when they changed
-  std::vector<std::string> removed_jobs;      // ids of jobs whose records are deleted
+  // Set when it changed: jobs take more memory than they may, so that none is to be accepted.
+  std::optional<bool> pool_full;
+  std::vector<std::string> removed_jobs;  // ids of jobs whose records are deleted
 };
 
 // Entry of the durable list of workers in use.
@@ -240,6 +244,7 @@
   // True when the worker is empty and will get no run.
   bool IsUnused(const WorkerState& worker, uint64_t generation, TimePoint now) const;
   std::string EncodeWorkersInUse(uint64_t generation, TimePoint now);
+  bool IsPoolFull(int64_t job_bytes) const;
   void TakeDirtyJobs(Commit* commit);
   void TakePoolState(Commit* commit, TimePoint now, int64_t wall_ms);
   void RestorePoolState(const Commit& commit, TimePoint now, int64_t wall_ms);
@@ -368,6 +373,7 @@
   LeaseBounds written_bounds_;
   TimePoint lease_bounds_due_;  // when the lease bounds are compared with the written ones
   WaitingCounts written_counts_;
+  std::optional<bool> written_full_;  // unset: not known what an earlier owner has written
   TimePoint counts_checked_at_;  // when the waiting counts were last compared with the written ones
   std::deque<std::pair<int64_t, std::string>> finished_;  // finished_ms and job id
 };
--- a/src/dispatch/job_table.h
+++ b/src/dispatch/job_table.h
@@ -83,7 +83,8 @@
   // that are done need no state, nor does a finished job: an owner holds little of a schedule that
   // goes on for a month.
   std::map<int, std::vector<StepState>> open;
-  int begun = 0;  // occurrences below this one have begun
+  int begun = 0;                 // occurrences below this one have begun
+  int64_t max_memory_bytes = 0;  // of a job that is not finished; see MaxMemoryBytes()
   // Tasks that are not done and have left a failed run or a checkpoint.
   int64_t recorded = 0;
   // Largest number of such tasks and of runs for which the store can hold the job's progress.
--- a/src/dispatch/waiting_counts.h
+++ b/src/dispatch/waiting_counts.h
@@ -17,9 +17,12 @@
   int64_t jobs_revision = 0;
   // Jobs without a started task, by queue. Queues without such jobs are absent.
   std::map<std::string, int> by_queue;
+  // Largest memory, in bytes, that all these jobs together take in the owner.
+  int64_t job_bytes = 0;
 
   friend bool operator==(const WaitingCounts& a, const WaitingCounts& b) {
-    return std::tie(a.jobs_revision, a.by_queue) == std::tie(b.jobs_revision, b.by_queue);
+    return std::tie(a.jobs_revision, a.by_queue, a.job_bytes) ==
+           std::tie(b.jobs_revision, b.by_queue, b.job_bytes);
   }
   friend bool operator!=(const WaitingCounts& a, const WaitingCounts& b) { return !(a == b); }
 };
--- a/src/entry/job_service.h
+++ b/src/entry/job_service.h
@@ -27,6 +27,8 @@
   Duration cancellation_time = std::chrono::seconds(120);
   // Largest value that the store holds.
   int64_t max_value_bytes = 1048576;
+  // Returns the memory that all jobs together may take in an owner, in bytes; 0 if it is unknown.
+  std::function<int64_t()> job_memory_bytes = [] { return int64_t{0}; };
 };
 
 class JobService {
@@ -36,7 +38,8 @@
 
   // Calls `done` with one of these results:
   // - no error: the job is durable, written by this call or an earlier one;
-  // - kTooLarge: the store cannot hold the job and its progress;
+  // - kTooLarge: the store cannot hold the job and its progress, or no owner can;
+  // - kPoolFull: the accepted jobs leave no room for it now;
   // - kCancelled: the job was cancelled before; it is not durable and will not be;
   // - kStoreUnavailable: the job is not durable, and this call will not make it durable;
   // - kOutcomeUnknown: the job may be durable now or become durable later.
@@ -63,6 +66,7 @@
   bool Admit(const char* request, const std::string& id);
   // Updates the store's health with the outcome of a call.
   void RecordOutcome(std::error_code ec);
+  static PendingWrite CreationOf(const jobs::Job& job);
   // Commits the transaction, with retries until its outcome is known or the deadline is near.
   void StartWrite(PendingWrite write, TimePoint deadline,
                   std::function<void(std::error_code)> done);
@@ -75,6 +79,16 @@
                    std::function<void(Result<jobs::JobState>)> done);
   void TryGetStateWithoutProgress(const std::string& id, TimePoint retry_deadline,
                                   std::function<void(Result<jobs::JobState>)> done);
+  // Accepts a job if the owner's sum, and the large jobs that may not be in it yet, leave room for
+  // it.
+  void SubmitLarge(const jobs::Job& job, TimePoint retry_deadline, TimePoint deadline,
+                   std::function<void(std::error_code)> done);
+  void CreateLarge(const jobs::Job& job, const store::Item& large_jobs, TimePoint deadline,
+                   const std::function<void(std::error_code)>& again,
+                   const std::function<void(std::error_code)>& done);
+  void RefuseUnlessAccepted(const std::string& id,
+                            const std::function<void(std::error_code)>& again,
+                            const std::function<void(std::error_code)>& done);
   void TryCancel(const std::string& id, TimePoint retry_deadline, TimePoint deadline,
                  std::function<void(std::error_code)> done);
   // Forbids the creation of a job that does not exist. Calls `again` with the error if the store
--- a/src/entry/job_service_writes.cc
+++ b/src/entry/job_service_writes.cc
@@ -1,9 +1,11 @@
 // The part of JobService that writes: jobs that callers submit and cancel.
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 #include "base/log.h"
 #include "base/result_code.h"
+#include "dispatch/job_memory.h"
 #include "entry/internal/job_service_retries.h"
 #include "entry/job_service.h"
 #include "entry/keys.h"
@@ -47,17 +49,94 @@
     Log(LogLevel::kInfo, "jobs", "too_large", {{"job", job.id}, {"error", fault}});
     return done(ResultCode::kTooLarge);
   }
+  const int64_t most = options_.job_memory_bytes();
+  const int64_t bytes = dispatch::MaxMemoryBytes(job, options_.max_value_bytes);
+  if (most > 0 && bytes > most) {
+    Log(LogLevel::kInfo, "jobs", "too_large",
+        {{"job", job.id}, {"memory_bytes", bytes}, {"job_memory_bytes", most}});
+    return done(ResultCode::kTooLarge);
+  }
   if (!Admit("submit", job.id)) return done(ResultCode::kStoreUnavailable);
+  if (bytes > most / dispatch::kSmallJobsInMemory && most > 0) {
+    return SubmitLarge(job, RetryDeadline(Now(), kMaxUnknownTime, deadline), deadline,
+                       std::move(done));
+  }
+  StartWrite(CreationOf(job), deadline, std::move(done));
+}
+
+JobService::PendingWrite JobService::CreationOf(const jobs::Job& job) {
   PendingWrite create;
   create.name = "submit";
   create.job = job.id;
-  create.transaction.conditions = {{JobKey(job.id), 0}, {CancelledKey(job.id), 0}};
+  create.transaction.conditions = {
+      {JobKey(job.id), 0}, {CancelledKey(job.id), 0}, {kPoolFullKey, 0}};
   create.transaction.writes = {{JobKey(job.id), jobs::Encode(job), 0}};
   create.resolve = [id = job.id](const Items& existing) -> std::error_code {
     if (Exists(existing, JobKey(id))) return {};
-    return ResultCode::kCancelled;
+    if (Exists(existing, CancelledKey(id))) return ResultCode::kCancelled;
+    if (Exists(existing, kPoolFullKey)) return ResultCode::kPoolFull;
+    return ResultCode::kStoreCompareFailed;
+  };
+  return create;
+}
+
+void JobService::SubmitLarge(const jobs::Job& job, TimePoint retry_deadline, TimePoint deadline,
+                             std::function<void(std::error_code)> done) {
+  const auto again = [this, job, retry_deadline, deadline, done](std::error_code ec) {
+    RetryRead<int>(
+        retry_deadline, ec,
+        [this, job, retry_deadline, deadline, done] {
+          SubmitLarge(job, retry_deadline, deadline, done);
+        },
+        [done](const Result<int>& result) { done(result.ec); });
   };
-  StartWrite(std::move(create), deadline, std::move(done));
+  store_->Get(kLargeJobsKey, [this, job, deadline, again, done](const Result<store::Item>& item) {
+    RecordOutcome(item.ec);
+    if (!item.ok()) return again(item.ec);
+    CreateLarge(job, item.value, deadline, again, done);
+  });
+}
+
+void JobService::CreateLarge(const jobs::Job& job, const store::Item& large_jobs,
+                             TimePoint deadline, const std::function<void(std::error_code)>& again,
+                             const std::function<void(std::error_code)>& done) {
+  store_->Get(
+      kWaitingKey, [this, job, large_jobs, deadline, again, done](const Result<store::Item>& item) {
+        if (!item.ok()) return again(item.ec);
+        dispatch::WaitingCounts sum;
+        if (item.value.revision != 0) {
+          const auto stored = dispatch::DecodeWaitingCounts(item.value.value);
+          if (!stored.ok()) return done(stored.ec);
+          sum = stored.value;
+        }
+        // The owner's sum takes in the jobs up to its revision. An earlier sum may lack large jobs.
+        const bool all_in_sum = sum.jobs_revision >= large_jobs.revision;
+        const int64_t others = all_in_sum ? 0 : std::strtoll(large_jobs.value.c_str(), nullptr, 10);
+        const int64_t bytes = others + dispatch::MaxMemoryBytes(job, options_.max_value_bytes);
+        if (sum.job_bytes + bytes > options_.job_memory_bytes()) {
+          return RefuseUnlessAccepted(job.id, again, done);
+        }
+        PendingWrite create = CreationOf(job);
+        create.transaction.conditions.push_back({kLargeJobsKey, large_jobs.revision});
+        create.transaction.writes.push_back({kLargeJobsKey, std::to_string(bytes), 0});
+        StartWrite(std::move(create), deadline, [again, done](std::error_code ec) {
+          // Another large job came first.
+          if (ec == ResultCode::kStoreCompareFailed) return again(ec);
+          done(ec);
+        });
+      });
+}
+
+void JobService::RefuseUnlessAccepted(const std::string& id,
+                                      const std::function<void(std::error_code)>& again,
+                                      const std::function<void(std::error_code)>& done) {
+  store_->Get(JobKey(id), [this, id, again, done](const Result<store::Item>& item) {
+    if (!item.ok()) return again(item.ec);
+    if (item.value.revision != 0) return done({});
+    Log(LogLevel::kInfo, "jobs", "refused",
+        {{"request", "submit"}, {"id", id}, {"reason", "pool_full"}});
+    done(ResultCode::kPoolFull);
+  });
 }
 
 void JobService::StartWrite(PendingWrite pending, TimePoint deadline,
--- a/src/entry/keys.h
+++ b/src/entry/keys.h
@@ -27,10 +27,19 @@
 inline constexpr const char* kWorkersKey = "pomelopond/workers";
 inline constexpr const char* kLeaseBoundsKey = "pomelopond/lease-bounds";
 inline constexpr const char* kWaitingKey = "pomelopond/waiting";
+// This key exists while the jobs take more memory than they may. Creations of jobs fail on it, so
+// that they need no call to learn of it.
+inline constexpr const char* kPoolFullKey = "pomelopond/full";
 // Holds the owner's epoch, the identity of its process and the number of its last commit.
 inline constexpr const char* kTermKey = "pomelopond/term";
 // This key exists while the owner renews its lease.
 inline constexpr const char* kOwnerKey = "pomelopond/owner";
+// Smallest memory of all hosts, in bytes. Each host writes its own if that is less. It is below the
+// owner's key, so that one watch covers both.
+inline constexpr const char* kSmallestMemoryKey = "pomelopond/owner/smallest-memory";
+// Memory of the large jobs that the owner's last sum may lack, in bytes. A host that accepts a
+// large job writes it in the same transaction, so two hosts cannot use the same room.
+inline constexpr const char* kLargeJobsKey = "pomelopond/large-jobs";
 // A much faster host writes this key to ask for the ownership. It is below the owner's key, so that
 // one watch covers both.
 inline constexpr const char* kOwnershipRequestKey = "pomelopond/owner/request";
--- a/src/entry/pool_owner.cc
+++ b/src/entry/pool_owner.cc
@@ -6,6 +6,7 @@
 
 #include "base/log.h"
 #include "base/result_code.h"
+#include "dispatch/job_memory.h"
 #include "entry/campaign_delay.h"
 #include "entry/internal/pool_owner_timing.h"
 #include "entry/keys.h"
@@ -31,7 +32,9 @@
       store_(store),
       worker_calls_(workers),
       timer_(std::move(timer)),
-      metrics_(metrics) {}
+      metrics_(metrics) {
+  ApplyLimits();
+}
 
 PoolOwner::~PoolOwner() { Stop(); }
 
@@ -57,10 +60,18 @@
 void PoolOwner::SetLimits(const dispatch::DispatchLimits& limits) {
   loop_->Post([this, limits] {
     options_.limits = limits;
-    if (dispatcher_) dispatcher_->SetLimits(limits);
+    ApplyLimits();
   });
 }
 
+void PoolOwner::ApplyLimits() {
+  int64_t memory = options_.memory_bytes;
+  if (smallest_memory_ > 0 && memory > 0) memory = std::min(memory, smallest_memory_);
+  options_.limits.job_memory_bytes = dispatch::JobMemoryOf(memory);
+  job_memory_bytes_.store(options_.limits.job_memory_bytes);
+  if (dispatcher_) dispatcher_->SetLimits(options_.limits);
+}
+
 void PoolOwner::Stop() {
   if (loop_ == nullptr || stopping_.exchange(true)) return;
   owner_key_watcher_->Stop();
--- a/src/entry/pool_owner.h
+++ b/src/entry/pool_owner.h
@@ -33,6 +33,7 @@
   dispatch::DispatchLimits limits;
   // Processor time of this host in thousandths of a core; 0: unknown.
   int64_t processor_milli = 0;
+  int64_t memory_bytes = 0;                  // memory that this process may take; 0: unknown
   double link_mbps = 0;                      // rate of this host's link, for the log; 0: unknown
   dispatch::PermitCalls* permits = nullptr;  // grants permits; null if no queue needs them
   Duration lease = std::chrono::seconds(2);  // time to live of the ownership, unless renewed
@@ -56,6 +57,8 @@
   void SetLimits(const dispatch::DispatchLimits& limits);
 
   bool IsOwner() const { return is_owner_.load(); }
+  // Memory that all jobs together may take in any owner, as far as known; 0: unknown. Thread-safe.
+  int64_t JobMemoryBytes() const { return job_memory_bytes_.load(); }
 
  private:
   // Called with the keys below kOwnerKey and with their changes.
@@ -80,6 +83,11 @@
   void RequestOwnership();
   void OnOwnershipRequest(const store::Item& item);
 
+  // The smallest memory of all hosts: any host may have to hold the jobs.
+  void OnSmallestMemory(const store::Item& item);
+  void WriteSmallestMemory(int64_t revision);
+  void ApplyLimits();
+
   // Loading of the stored state.
   void Load();
   void LoadLeaseBounds(const std::vector<dispatch::WorkerInUse>& workers);
@@ -128,7 +136,9 @@
   metrics::Registry* const metrics_;
   std::atomic<bool> is_owner_{false};
   std::atomic<bool> stopping_{false};
+  std::atomic<int64_t> job_memory_bytes_{0};
 
+  int64_t smallest_memory_ = 0;  // as stored; 0: unknown
   bool campaigning_ = false;
   bool has_yielded_ = false;  // in this campaign
   bool owner_exists_ = true;
--- a/src/entry/pool_owner_handover.cc
+++ b/src/entry/pool_owner_handover.cc
@@ -1,4 +1,6 @@
 // The part of PoolOwner that moves the ownership from a slow host to a much faster one.
+#include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 #include "base/log.h"
@@ -19,10 +21,13 @@
 
 void PoolOwner::OnOwnerKeys(const std::vector<store::Item>& items) {
   std::optional<store::Item> owner;
+  store::Item memory;
   for (const store::Item& it : items) {
     if (it.key == kOwnerKey) owner = it;
+    if (it.key == kSmallestMemoryKey) memory = it;
     if (it.key == kOwnershipRequestKey) OnOwnershipRequest(it);
   }
+  OnSmallestMemory(memory);
   OnOwnerKey(owner);
 }
 
@@ -31,11 +36,31 @@
   for (const store::Change& it : changes) {
     if (it.item.key == kOwnerKey) owner = &it;
     if (it.item.key == kOwnershipRequestKey && !it.deleted) OnOwnershipRequest(it.item);
+    if (it.item.key == kSmallestMemoryKey && !it.deleted) OnSmallestMemory(it.item);
   }
   if (owner == nullptr) return;
   OnOwnerKey(owner->deleted ? std::nullopt : std::optional<store::Item>(owner->item));
 }
 
+// `item` has revision 0 if the key does not exist.
+void PoolOwner::OnSmallestMemory(const store::Item& item) {
+  smallest_memory_ = std::strtoll(item.value.c_str(), nullptr, 10);
+  ApplyLimits();
+  const bool is_less = smallest_memory_ <= 0 || options_.memory_bytes < smallest_memory_;
+  if (options_.memory_bytes > 0 && is_less) WriteSmallestMemory(item.revision);
+}
+
+// If another host has written the key in the meantime, the watch tells of it.
+void PoolOwner::WriteSmallestMemory(int64_t revision) {
+  store::Transaction write;
+  write.conditions = {{kSmallestMemoryKey, revision}};
+  write.writes = {{kSmallestMemoryKey, std::to_string(options_.memory_bytes), 0}};
+  store_->Commit(write, kCommitTimeout, [this, revision](const Result<store::CommitResult>& it) {
+    if (it.ok() || stopping_.load()) return;
+    timer_(kRetryDelay, [this, revision] { WriteSmallestMemory(revision); });
+  });
+}
+
 // Called when the owner is known. This host asks for the ownership if it is much faster.
 void PoolOwner::RequestOwnershipLater(const Candidate& owner) {
   owner_ = owner;
--- a/src/entry/settings.cc
+++ b/src/entry/settings.cc
@@ -17,6 +17,7 @@
 constexpr double kMilli = 1000;
 constexpr double kMaxCores = 4096;
 constexpr double kMaxLinkMbps = 1e9;
+constexpr int64_t kMaxMemoryMb = 1 << 30;
 constexpr int64_t kMinValueBytes = 1024;
 constexpr int64_t kMaxValueBytes = 1 << 30;
 
@@ -54,6 +55,7 @@
   settings.processor_share = reader.NumberOr("processor_share", 0, kMaxCores, 0);
   settings.processor_cores = reader.NumberOr("processor_cores", 0, kMaxCores, 1);
   settings.link_mbps = reader.NumberOr("link_mbps", 0, kMaxLinkMbps, 0);
+  settings.memory_mb = reader.IntOr("memory_mb", 0, kMaxMemoryMb, 0);
   settings.store_value_bytes =
       reader.IntOr("store_value_bytes", kMinValueBytes, kMaxValueBytes, settings.store_value_bytes);
   settings.http_threads =
@@ -81,6 +83,7 @@
               {"processor_share", settings.processor_share},
               {"processor_cores", settings.processor_cores},
               {"link_mbps", settings.link_mbps},
+              {"memory_mb", settings.memory_mb},
               {"store_value_bytes", settings.store_value_bytes},
               {"http_threads", settings.http_threads},
               {"max_body_bytes", settings.max_body_bytes},
--- a/src/entry/term.cc
+++ b/src/entry/term.cc
@@ -56,6 +56,8 @@
   if (commit.workers_in_use) out.writes.push_back({kWorkersKey, *commit.workers_in_use, 0});
   if (commit.lease_bounds) out.writes.push_back({kLeaseBoundsKey, *commit.lease_bounds, 0});
   if (commit.waiting_counts) out.writes.push_back({kWaitingKey, *commit.waiting_counts, 0});
+  if (commit.pool_full && *commit.pool_full) out.writes.push_back({kPoolFullKey, "1", 0});
+  if (commit.pool_full && !*commit.pool_full) out.deletes.push_back(kPoolFullKey);
   for (const std::string& it : commit.removed_jobs) {
     out.deletes.push_back(JobKey(it));
     out.deletes.push_back(CancelKey(it));
