A commit in flight is not sent again when the owner restores its key

Cause: next_commit_ told both when a commit is due and that one is in flight, and the callback of RestoreOwnerKey reset it. Besides, RestoreOwnerKey could run twice at a time and leave the key on a lease that nobody renews.

Change: commit_in_flight_ is reset by the answer alone; a call carries the number of its commit, and an answer to another one is ignored; one restoration runs until the key is written, on the lease that is renewed.

Conclusion: an answer is tied to its commit.

--- a/src/entry/pool_owner.cc
+++ b/src/entry/pool_owner.cc
@@ -178,6 +178,7 @@
   // A commit of an earlier term may still be in progress. This process does not wait for its
   // response.
   commit_.reset();
+  commit_in_flight_ = false;
   next_commit_ = TimePoint{};
   owner_since_ = Now();
   is_owner_.store(true);
--- a/src/entry/pool_owner.h
+++ b/src/entry/pool_owner.h
@@ -102,6 +102,9 @@
   std::string WorkerIdOf(const std::string& key) const;
   void RenewOwnerLease();
   void RestoreOwnerKey();
+  void GrantOwnerLease();
+  void WriteOwnerKey(int64_t revision);
+  void OnOwnerKeyWritten(const Result<store::CommitResult>& result);
   void Tick();
   void LogSummary(TimePoint now);
   void Send(const dispatch::Orders& orders);
@@ -111,7 +114,8 @@
   // newer than its last commit.
   void VerifyTermForNewJobs();
   void OnTermRead(const Result<store::Item>& item, int64_t revision);
-  void OnCommitAnswer(const Result<store::CommitResult>& result, TimePoint began);
+  // `number` is the one of the commit that the answer is for.
+  void OnCommitAnswer(const Result<store::CommitResult>& result, int64_t number, TimePoint began);
   void RejectCommit();
   void FinishCommit(int64_t revision, TimePoint began);
   void After(Duration delay, std::function<void()> work);
@@ -154,16 +158,17 @@
   Term term_;
   int64_t term_revision_ = 0;
   int64_t lease_ = 0;
-  bool lease_restoring_ = false;
+  bool lease_restoring_ = false;  // kOwnerKey is being written again
   TimePoint owner_since_;
   std::map<std::string, std::string> progress_;  // encoded, of jobs that are not loaded yet
   std::optional<dispatch::Dispatcher> dispatcher_;
   std::optional<dispatch::Commit> commit_;  // commit in progress, if any
+  bool commit_in_flight_ = false;           // a call with it awaits its answer
   std::shared_ptr<PrefixWatcher> owner_key_watcher_;
   std::shared_ptr<PrefixWatcher> job_watcher_;
   std::shared_ptr<PrefixWatcher> worker_watcher_;
   bool jobs_loaded_ = false;
-  TimePoint next_commit_;
+  TimePoint next_commit_;     // the next call with a commit is due then, if none is in flight
   TimePoint next_term_read_;  // TimePoint::max() while a read is in progress
   // Last time at which this process was certain to be the owner.
   TimePoint last_ownership_proof_;
--- a/src/entry/pool_owner_commits.cc
+++ b/src/entry/pool_owner_commits.cc
@@ -18,9 +18,11 @@
 }  // namespace
 
 void PoolOwner::RenewOwnerLease() {
-  store_->RenewLease(lease_, BindToGeneration([this](const Result<store::Lease>& result) {
+  store_->RenewLease(lease_,
+                     BindToGeneration([this, lease = lease_](const Result<store::Lease>& result) {
                        After(options_.lease / kRenewalsPerLease, [this] { RenewOwnerLease(); });
-                       if (result.ec == ResultCode::kNotFound) RestoreOwnerKey();
+                       // The answer may be about a lease that has been replaced since.
+                       if (result.ec == ResultCode::kNotFound && lease == lease_) RestoreOwnerKey();
                      }));
 }
 
@@ -30,28 +32,49 @@
   if (lease_restoring_) return;
   lease_restoring_ = true;
   Log(LogLevel::kInfo, "owner", "lease_lost", {{"epoch", term_.epoch}});
+  GrantOwnerLease();
+}
+
+void PoolOwner::GrantOwnerLease() {
   store_->GrantLease(options_.lease, BindToGeneration([this](const Result<store::Lease>& lease) {
-                       lease_restoring_ = false;
-                       if (!lease.ok()) return After(kRetryDelay, [this] { RestoreOwnerKey(); });
+                       if (!lease.ok()) return After(kRetryDelay, [this] { GrantOwnerLease(); });
                        lease_ = lease.value.id;
-                       store::Transaction restore;
-                       restore.conditions = {{kOwnerKey, 0}};
-                       restore.writes = {{kOwnerKey, Encode(Self()), lease_}};
-                       store_->Commit(
-                           restore, kCommitTimeout,
-                           BindToGeneration([this](const Result<store::CommitResult>& result) {
-                             if (!result.ok())
-                               return After(kRetryDelay, [this] { RestoreOwnerKey(); });
-                             // The key exists, written by this process or by another one. The next
-                             // commit shows by which, so it is due at once.
-                             next_commit_ = TimePoint{};
-                           }));
+                       WriteOwnerKey(0);
                      }));
 }
 
+// Writes kOwnerKey on the present lease. `revision` is the one of the key that is replaced; 0: it
+// does not exist.
+void PoolOwner::WriteOwnerKey(int64_t revision) {
+  store::Transaction restore;
+  restore.conditions = {{kOwnerKey, revision}};
+  restore.writes = {{kOwnerKey, Encode(Self()), lease_}};
+  store_->Commit(restore, kCommitTimeout,
+                 BindToGeneration([this](const Result<store::CommitResult>& result) {
+                   OnOwnerKeyWritten(result);
+                 }));
+}
+
+void PoolOwner::OnOwnerKeyWritten(const Result<store::CommitResult>& result) {
+  // The new lease has ended as well.
+  if (result.ec == ResultCode::kNotFound) return GrantOwnerLease();
+  if (!result.ok()) return After(kRetryDelay, [this] { WriteOwnerKey(0); });
+  for (const store::Item& it : result.value.existing) {
+    const bool own = it.revision != 0 && it.value == Encode(Self());
+    // An earlier copy has taken effect, perhaps on a lease that is not renewed any more.
+    if (it.key == kOwnerKey && own) return WriteOwnerKey(it.revision);
+    // The key was removed between the two transactions.
+    if (it.key == kOwnerKey && it.revision == 0) return WriteOwnerKey(0);
+  }
+  lease_restoring_ = false;
+  // The key exists, written by this process or by another one. The next commit shows by which, so
+  // it is due as soon as none is in flight.
+  next_commit_ = TimePoint{};
+}
+
 void PoolOwner::WriteCommit() {
   const TimePoint now = Now();
-  if (now < next_commit_) return;
+  if (commit_in_flight_ || now < next_commit_) return;
   const bool again = commit_.has_value();
   if (!again) commit_ = dispatcher_->NextCommit(now, WallClockMs());
   // If there is no change to write, an empty commit proves that no other process has taken over.
@@ -65,11 +88,11 @@
     // Only with a new commit: copies of one commit must carry the same term (ResolveConflict).
     term_.fastest_milli = std::max(term_.fastest_milli, requested_milli_);
   }
-  // No other commit starts until the response arrives.
-  next_commit_ = TimePoint::max();
+  commit_in_flight_ = true;
   store_->Commit(CommitOf(term_, term_revision_, *commit_), kCommitTimeout,
-                 BindToGeneration([this, now](const Result<store::CommitResult>& result) {
-                   OnCommitAnswer(result, now);
+                 BindToGeneration([this, now, number = term_.last_commit](
+                                      const Result<store::CommitResult>& result) {
+                   OnCommitAnswer(result, number, now);
                  }));
 }
 
@@ -100,7 +123,15 @@
   dispatcher_->OnProvenRevision(revision);
 }
 
-void PoolOwner::OnCommitAnswer(const Result<store::CommitResult>& result, TimePoint began) {
+void PoolOwner::OnCommitAnswer(const Result<store::CommitResult>& result, int64_t number,
+                               TimePoint began) {
+  // An answer says nothing about another commit than the one that it was sent for.
+  if (!commit_ || number != term_.last_commit) {
+    Log(LogLevel::kError, "owner", "unexpected_commit_answer",
+        {{"commit", number}, {"last_commit", term_.last_commit}});
+    return;
+  }
+  commit_in_flight_ = false;
   next_commit_ = Now() + kRetryDelay;
   if (result.ec == ResultCode::kStoreRejected) return RejectCommit();
   if (!result.ok()) {
--- a/tests/entry/memory_store.h
+++ b/tests/entry/memory_store.h
@@ -9,6 +9,8 @@
 #include <mutex>
 #include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "base/result_code.h"
 #include "entry/keys.h"
@@ -23,6 +25,7 @@
   kAppliedUnanswered,  // applied, but the response is lost
   kAppliedLate,        // the response is lost; applied by the next ApplyDelayedCommits()
   kNeverAnswered,      // not applied, and the call never completes
+  kHeld,               // applied and answered by ReleaseCommits()
 };
 
 class MemoryStore : public store::KeyStore {
@@ -65,12 +68,17 @@
               store::StoreCallback<store::CommitResult> done) override {
     const std::lock_guard<std::recursive_mutex> lock(mutex);
     calls += 1;
+    transactions.push_back(transaction);
     const CommitBehavior behavior =
         commit_behaviors.empty() ? CommitBehavior::kAnswered : commit_behaviors.front();
     if (!commit_behaviors.empty()) commit_behaviors.pop_front();
     if (behavior == CommitBehavior::kNeverAnswered) return;
     if (unavailable || behavior == CommitBehavior::kRefused)
       return done({ResultCode::kStoreUnavailable, {}});
+    if (behavior == CommitBehavior::kHeld) {
+      held_commits.emplace_back(transaction, std::move(done));
+      return;
+    }
     if (behavior == CommitBehavior::kAppliedLate) delayed_commits.push_back(transaction);
     if (behavior == CommitBehavior::kAppliedLate) return done({ResultCode::kStoreAnswerLost, {}});
     for (const store::Write& it : transaction.writes) {
@@ -88,6 +96,13 @@
     done({{}, result});
   }
 
+  // Applies and answers the commits that were handled as kHeld.
+  void ReleaseCommits() {
+    const std::lock_guard<std::recursive_mutex> lock(mutex);
+    for (const auto& [transaction, done] : held_commits) done({{}, Apply(transaction)});
+    held_commits.clear();
+  }
+
   void GrantLease(Duration ttl, store::StoreCallback<store::Lease> done) override {
     const std::lock_guard<std::recursive_mutex> lock(mutex);
     if (unavailable) return done({ResultCode::kStoreUnavailable, {}});
@@ -95,6 +110,9 @@
     done({{}, {granted_leases, ttl}});
   }
   void RenewLease(int64_t lease, store::StoreCallback<store::Lease> done) override {
+    const std::lock_guard<std::recursive_mutex> lock(mutex);
+    last_renewed_lease = lease;
+    if (expired_leases.count(lease) > 0) return done({ResultCode::kNotFound, {}});
     done({{}, {lease, {}}});
   }
   void EndLease(int64_t lease, store::StoreCallback<store::Lease> done) override {
@@ -148,9 +166,12 @@
   std::map<std::string, store::Item> items;
   std::deque<CommitBehavior> commit_behaviors;  // for the next commits; then kAnswered
   std::deque<store::Transaction> delayed_commits;
-  std::map<std::string, int64_t> leases;  // by key; 0: none
+  std::deque<std::pair<store::Transaction, store::StoreCallback<store::CommitResult>>> held_commits;
+  std::vector<store::Transaction> transactions;  // of all commits, in the order of the calls
+  std::map<std::string, int64_t> leases;         // by key; 0: none
   std::set<int64_t> expired_leases;
   int64_t granted_leases = 0;
+  int64_t last_renewed_lease = 0;
   std::set<std::string> unstorable_keys;  // as if their values were too large
   int rejected_commits = 0;
   int64_t revision = 10;
