--- a/tests/dispatch/pending_job_test.cc
+++ b/tests/dispatch/pending_job_test.cc
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include "dispatch/dispatcher.h"
+#include "dispatch/job_memory.h"
 #include "tests/dispatch/scenario.h"
 
 namespace pomelopond::dispatch {
@@ -96,8 +97,10 @@
   it.dispatcher.OnJobsSeen(20);
   Written();
   it.Advance(std::chrono::seconds(1));
-  it.dispatcher.AddJob(MakeJob(kJob, {MakeStep(1)}), {}, false, 30);
-  EXPECT_EQ(Written(), (WaitingCounts{20, {{"queue", 1}}}));
+  const jobs::Job job = MakeJob(kJob, {MakeStep(1)});
+  it.dispatcher.AddJob(job, {}, false, 30);
+  const int64_t bytes = MaxMemoryBytes(job, DispatchLimits().max_value_bytes);
+  EXPECT_EQ(Written(), (WaitingCounts{20, {{"queue", 1}}, bytes}));
 }
 
 }  // namespace
