An acknowledgement goes out only on the connection on which the ends were listed

Cause: the owner learned of a restarted worker from an answer or the registry only.

Change: connections of the pool have numbers, and a heartbeat is tied to the connection of the last report. On another one a body goes out that asks for a report, acknowledges nothing and extends no lease. The comment that another incarnation refuses an order, which is true of another id only, is corrected.

Conclusion: a connection ends with its process, so what is tied to it reaches no other.

--- a/src/dispatch/decide.cc
+++ b/src/dispatch/decide.cc
@@ -168,6 +168,7 @@
     order.epoch = epoch_;
     // Another incarnation would delete ended runs that it has not reported yet.
     order.acknowledged = worker.may_have_restarted ? 0 : worker.acknowledged;
+    order.connection = worker.report_connection;
     const bool steady = worker.contacted && worker.unanswered_calls == 0;
     // Heartbeats to a worker that does not answer extend no lease, so its lease expires.
     if (steady && !worker.runs.empty()) order.lease_end_ms = LeaseEndMs(&worker, now);
--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -376,6 +376,7 @@
   capacity_changed_ = capacity_changed_ || !worker->contacted;
   if (!worker->contacted) worker->contacted_at = now;
   worker->contacted = true;
+  worker->report_connection = report.connection;
   worker->may_have_restarted = false;
   // A cut report may leave out ended runs of tasks that would be started again.
   if (!report.is_cut && unreconciled_.erase(worker->info.id) > 0) capacity_changed_ = true;
--- a/src/dispatch/worker.h
+++ b/src/dispatch/worker.h
@@ -105,6 +105,7 @@
   std::vector<EndedRun> ended;
   // The worker has more ended runs than fit into the report, or may have.
   bool is_cut = false;
+  uint64_t connection = 0;  // that carried the report; 0: not known
 };
 
 }  // namespace pomelopond::dispatch
--- a/src/dispatch/worker_calls.h
+++ b/src/dispatch/worker_calls.h
@@ -11,7 +11,8 @@
 
 namespace pomelopond::dispatch {
 
-// Recipient of an order. Another incarnation at the same endpoint refuses the order.
+// Recipient of an order. A worker with another id at the same endpoint refuses the order. A later
+// incarnation with the same id does not: only its answer tells.
 struct WorkerAddress {
   std::string worker;
   Endpoint endpoint;
@@ -24,6 +25,9 @@
   int64_t lease_end_ms = 0;  // on the worker's clock; 0: extends nothing
   int64_t acknowledged = 0;  // highest position of an ended run that the worker may delete
   Duration wait{};           // longest time that the worker may delay the answer until a run ends
+  // Connection of the last report. On any other one, which may reach a later incarnation, nothing
+  // is acknowledged and no lease is extended. 0: not known.
+  uint64_t connection = 0;
 };
 
 // Starts a run.
--- a/src/dispatch/worker_table.h
+++ b/src/dispatch/worker_table.h
@@ -108,8 +108,9 @@
 // A worker and its runs. Processor time is in thousandths of a core.
 struct WorkerState {
   WorkerInfo info;
-  bool registered = false;      // present in the registry at the last update
-  TimePoint deregistered_at{};  // when the registration was last found missing
+  uint64_t report_connection = 0;  // that carried the last report
+  bool registered = false;         // present in the registry at the last update
+  TimePoint deregistered_at{};     // when the registration was last found missing
   // The worker has answered as an incarnation that is not registered yet, so it may have another
   // capacity and other labels than `info`.
   bool info_outdated = false;
--- a/src/http/connection_pool.cc
+++ b/src/http/connection_pool.cc
@@ -139,9 +139,16 @@
 ConnectionPool::~ConnectionPool() = default;
 
 void ConnectionPool::Send(const ServerLane& lane, const HttpRequest& request, Duration timeout,
-                          HttpCallback done) {
-  impl_->Send(std::make_unique<PoolCall>(lane, request, timeout, std::move(done),
-                                         impl_->max_answer_bytes(), Now()));
+                          HttpCallback done, const ConnectionTie& tie) {
+  auto call = std::make_unique<PoolCall>(lane, request, timeout, std::move(done),
+                                         impl_->max_answer_bytes(), Now());
+  call->tied_to = tie.connection;
+  if (tie.connection != 0) {
+    HttpRequest other = request;
+    other.body = tie.other_body;
+    call->other_text = RequestText(other, lane.endpoint);
+  }
+  impl_->Send(std::move(call));
 }
 
 void ConnectionPool::Disconnect() { impl_->Disconnect(); }
--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -3,7 +3,9 @@
 #define POMELOPOND_HTTP_CONNECTION_POOL_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
+#include <string>
 
 #include "base/endpoint.h"
 #include "base/time.h"
@@ -20,6 +22,13 @@
   int max_connections = 1;  // further calls wait for one
 };
 
+// Ties the body of a request to a connection. A connection ends with the process at its other end,
+// so what only that process may be told does not reach its successor.
+struct ConnectionTie {
+  uint64_t connection = 0;  // HttpResult::connection of an earlier call; 0: the body is not tied
+  std::string other_body;   // for any other connection
+};
+
 struct ConnectionPoolOptions {
   // A longer body is a malformed answer.
   size_t max_answer_bytes = size_t{16} << 20;
@@ -48,8 +57,8 @@
   // exactly once, on the pool's thread, and must not block. Results are those of HttpResult; a
   // connection that can't be made in time and a request that can't be written as HTTP are
   // kTargetUnreachable. Redirects are passed to `done` like any other answer. Thread-safe.
-  void Send(const ServerLane& lane, const HttpRequest& request, Duration timeout,
-            HttpCallback done);
+  void Send(const ServerLane& lane, const HttpRequest& request, Duration timeout, HttpCallback done,
+            const ConnectionTie& tie = {});
 
   // Ends the calls that wait for a connection with kTargetUnreachable. Closes the idle connections
   // now and the others after their answers. Thread-safe.
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -20,6 +20,8 @@
   HttpResponse response;
   Duration queued{};  // time that the call of a ConnectionPool waited for a connection
   Duration took{};    // time from the call to its result, with the wait
+  // Number of the connection of a ConnectionPool that carried the request; 0: none.
+  uint64_t connection = 0;
 };
 
 using HttpCallback = std::function<void(HttpResult)>;
--- a/src/http/internal/pool_call.cc
+++ b/src/http/internal/pool_call.cc
@@ -71,6 +71,7 @@
   result.response = std::move(response);
   result.queued = (sent_at == TimePoint{} ? now : sent_at) - created_at;
   result.took = now - created_at;
+  result.connection = connection_number;
   std::exchange(done, nullptr)(std::move(result));
 }
 
--- a/src/http/internal/pool_call.h
+++ b/src/http/internal/pool_call.h
@@ -29,7 +29,9 @@
   sockaddr_in address{};  // port 0: the endpoint is no address, or the request can't be written
   uint16_t lane = 0;
   int max_connections = 1;
-  std::string text;  // of the request
+  std::string text;        // of the request
+  uint64_t tied_to = 0;    // number of the connection that carries `text`; 0: any
+  std::string other_text;  // for any other connection, if it is tied to one
   HttpCallback done;
   AnswerParser parser;
   TimePoint created_at;
@@ -37,6 +39,7 @@
   TimePoint sent_at;  // when it got a connection; zero before that
   PoolLane* pool_lane = nullptr;
   PoolConnection* connection = nullptr;  // null while it waits for one
+  uint64_t connection_number = 0;        // of that connection
 };
 
 using PoolCallPtr = std::unique_ptr<PoolCall>;
--- a/src/http/internal/pool_lane.h
+++ b/src/http/internal/pool_lane.h
@@ -14,6 +14,7 @@
 
 struct PoolConnection {
   int fd = -1;
+  uint64_t number = 0;  // tells it apart from all others of the pool
   ConnectionState state = ConnectionState::kConnecting;
   uint32_t watched = 0;  // epoll events
   bool closes = false;   // after the answer to its call
--- a/src/http/internal/pool_reactor.cc
+++ b/src/http/internal/pool_reactor.cc
@@ -139,6 +139,8 @@
     }
     call->sent_at = now;
     call->connection = it;
+    call->connection_number = it->number;
+    if (call->tied_to != 0 && call->tied_to != it->number) call->text.swap(call->other_text);
     it->call = std::move(call);
     it->written = 0;
     if (it->state != ConnectionState::kConnecting) Write(it, now);
@@ -163,6 +165,7 @@
   }
   if (it->fd < 0) return nullptr;
   it->lane = lane;
+  it->number = ++connections_;
   const int on = 1;
   setsockopt(it->fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
   const int failed = connect(it->fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
--- a/src/http/internal/pool_reactor.h
+++ b/src/http/internal/pool_reactor.h
@@ -65,6 +65,7 @@
   void EndCall(PoolCall* call, TimePoint now);
 
   const ConnectionPoolOptions options_;
+  uint64_t connections_ = 0;  // that were begun
   const int epoll_;
   const int wake_fd_;
   int ready_ = 0;  // number of events to handle
--- a/tests/dispatch/restart_test.cc
+++ b/tests/dispatch/restart_test.cc
@@ -272,5 +272,20 @@
   EXPECT_EQ(it.dispatcher.workers().at("w1").runs.count(second.run), 1U);
 }
 
+// Guards against an acknowledgement on a connection on which its ends were not listed.
+TEST(ReportConnectionTest, HeartbeatsNameTheConnectionOfTheLastReport) {
+  Scenario it;
+  it.AddWorkers({MakeWorker("w1")});
+  for (const uint64_t connection : {7, 7, 9}) {
+    HeartbeatOrder order;
+    order.to = {"w1", it.dispatcher.workers().at("w1").info.endpoint};
+    it.dispatcher.OnReport(order, {it.Accepted(), {}, {}, false, connection}, it.now, it.WallMs());
+    it.Advance(milliseconds(1000));
+    it.Decide();
+    ASSERT_EQ(it.orders.heartbeats.size(), 1U);
+    EXPECT_EQ(it.orders.heartbeats[0].connection, connection);
+  }
+}
+
 }  // namespace
 }  // namespace pomelopond::dispatch
--- a/tests/dispatch/simulated_worker.h
+++ b/tests/dispatch/simulated_worker.h
@@ -136,6 +136,11 @@
 // Takes a heartbeat. The report follows at once, or when a run ends.
 inline OrderStatus HoldOn(SimulatedWorker* worker, const HeartbeatOrder& order) {
   if (!PassesFence(worker, order.epoch)) return OrderStatus::kStaleEpoch;
+  // Each incarnation has a connection of its own.
+  const bool tied = order.connection != 0;
+  if (tied && order.connection != static_cast<uint64_t>(worker->info.incarnation)) {
+    return OrderStatus::kAccepted;
+  }
   worker->lease_end_ms = std::max(worker->lease_end_ms, order.lease_end_ms);
   std::vector<EndedRun>& ended = worker->ended;
   ended.erase(
@@ -148,6 +153,7 @@
 inline Report ReportOf(const SimulatedWorker& worker, OrderStatus status, TimePoint now) {
   Report report = AnswerOf(worker, status, now);
   report.answer.incarnation = worker.info.incarnation;
+  report.connection = static_cast<uint64_t>(worker.info.incarnation);
   if (status != OrderStatus::kAccepted) return report;
   const auto best_effort = std::count_if(worker.active.begin(), worker.active.end(),
                                          [](const auto& it) { return it.second.step.best_effort; });
--- a/tests/http/connection_pool_test.cc
+++ b/tests/http/connection_pool_test.cc
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <future>
 #include <memory>
@@ -50,6 +51,11 @@
     const ssize_t got = recv(fd_, buf.data(), n, MSG_WAITALL);
     return got < 0 ? 0 : static_cast<size_t>(got);
   }
+  std::string ReadBody(size_t n) {
+    std::string body(n, 0);
+    body.resize(static_cast<size_t>(std::max<ssize_t>(0, recv(fd_, body.data(), n, MSG_WAITALL))));
+    return body;
+  }
   void Write(const std::string& bytes) { send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL); }
   bool IsClosedByClient() { return WaitReadable(fd_, kTimeout) && ReadHead().empty(); }
   void Close() {
@@ -380,5 +386,42 @@
   EXPECT_TRUE(server.IsClosedByClient());
 }
 
+// Guards against a body that reaches another process than the one that it is meant for: the server
+// starts again between two calls, and the pool opens a new connection (review/9).
+TEST_F(ConnectionPoolTest, TiedBodyGoesOutOnItsConnectionOnly) {
+  Listen();
+  const auto send = [this](uint64_t connection) {
+    const auto promise = std::make_shared<std::promise<HttpResult>>();
+    pool->Send(lane, {"POST", "/a", {}, "tied"}, kTimeout,
+               [promise](HttpResult it) { promise->set_value(std::move(it)); },
+               {connection, "for others"});
+    return promise->get_future();
+  };
+  const auto body_of = [](ServerConnection* server) {
+    const std::string head = server->ReadHead();
+    const size_t n = std::stoul(head.substr(head.find("Content-Length: ") + 16));
+    std::string body = server->ReadBody(n);
+    server->Write(kGood);
+    return body;
+  };
+  std::future<HttpResult> first = send(0);
+  ServerConnection before = Accept();
+  EXPECT_EQ(body_of(&before), "tied");
+  const uint64_t connection = first.get().connection;
+  EXPECT_NE(connection, 0U);
+  std::future<HttpResult> second = send(connection);
+  EXPECT_EQ(body_of(&before), "tied");
+  EXPECT_EQ(second.get().connection, connection);
+  before.Close();
+  std::future<HttpResult> third = send(connection);
+  ServerConnection after = Accept();
+  EXPECT_EQ(body_of(&after), "for others");
+  const uint64_t next = third.get().connection;
+  EXPECT_NE(next, connection);
+  std::future<HttpResult> fourth = send(next);
+  EXPECT_EQ(body_of(&after), "tied");
+  fourth.get();
+}
+
 }  // namespace
 }  // namespace pomelopond::http
--- a/tests/platform/worker_api_test.cc
+++ b/tests/platform/worker_api_test.cc
@@ -5,6 +5,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <atomic>
+#include <future>
 #include <map>
 #include <mutex>
 #include <thread>
@@ -294,5 +295,47 @@
   EXPECT_EQ(calls["/api/run-start"] + calls["/api/run-stop"], 2);
 }
 
+// Guards against an acknowledgement that a worker gets which has started again since: it would
+// forget an end that it has not listed, and the task would be done twice (review/9). The lease is
+// on the clock of the earlier process as well.
+TEST(WorkerApiRestartTest, NothingIsAcknowledgedOnAnotherConnection) {
+  const Endpoint endpoint{"127.77.2.201", 7600};
+  std::mutex mutex;
+  std::vector<Json> bodies;
+  const auto handler = [&](const http::HttpRequest& request, const http::Reply& reply) {
+    const std::lock_guard<std::mutex> lock(mutex);
+    bodies.push_back(Json::parse(request.body));
+    reply(http::JsonResponse(
+        200, {{"clock_ms", 1}, {"running", Json::array()}, {"ended", Json::array()}}));
+  };
+  metrics::Registry metrics;
+  WorkerApi api(&metrics);
+  const auto hold = [&](uint64_t connection, int64_t acknowledged) {
+    std::promise<Report> answer;
+    api.Heartbeat({{"w1", endpoint}, 7, 5000, acknowledged, {}, connection},
+                  [&answer](Report it) { answer.set_value(std::move(it)); });
+    return answer.get_future().get();
+  };
+  uint64_t connection = 0;
+  for (const int64_t acknowledged : {3, 171, 500}) {
+    auto server = std::make_unique<http::HttpServer>(endpoint, 1000, handler);
+    ASSERT_FALSE(server->Start());
+    Report report = hold(connection, acknowledged);
+    for (int n = 0; n < 20 && report.answer.status != OrderStatus::kAccepted; ++n) {
+      report = hold(connection, acknowledged);
+    }
+    ASSERT_EQ(report.answer.status, OrderStatus::kAccepted);
+    if (connection != 0) {
+      EXPECT_EQ(bodies.back().at("last_seen"), 0);
+      EXPECT_EQ(bodies.back().count("until_ms"), 0U);
+    }
+    connection = report.connection;
+    hold(connection, acknowledged);
+    EXPECT_EQ(bodies.back().at("last_seen"), acknowledged);
+    EXPECT_EQ(bodies.back().at("until_ms"), 5000);
+    server->Stop(std::chrono::seconds(20));
+  }
+}
+
 }  // namespace
 }  // namespace pomelopond::platform
