--- a/src/base/result_code.h
+++ b/src/base/result_code.h
@@ -73,8 +73,8 @@
 // Returns the name of a code in answers and logs, such as "queue_full".
 const char* ResultName(ResultCode code);
 
-// Codes 1xx to 3xx, 7xx, kStoreUnavailable and kStoreRejected mean that nothing was run. All other codes of 4xx,
-// 5xx and 6xx leave the outcome unknown.
+// Codes 1xx to 3xx, 7xx, kStoreUnavailable and kStoreRejected mean that nothing was run. All other
+// codes of 4xx, 5xx and 6xx leave the outcome unknown.
 Outcome OutcomeOf(ResultCode code);
 
 // Returns "done", "not-run" or "unknown", the value of the Pomelopond-Outcome header.
--- a/src/entry/job_service.h
+++ b/src/entry/job_service.h
@@ -52,7 +52,8 @@
 
   // Calls `done` with a result as described for Submit(), or with kNotFound if the job does not
   // exist. In that case a creation that is still under way, on any host, fails with kCancelled.
-  void Cancel(const std::string& id, TimePoint deadline, std::function<void(std::error_code)> done);
+  void Cancel(const std::string& id, TimePoint deadline,
+              const std::function<void(std::error_code)>& done);
 
   // Calls `done` with the number of accepted jobs of the queue of which no task is known to have
   // started. The number is at most 2 s old; kOutdated if no such number is to be had.
@@ -82,7 +83,7 @@
   // Accepts a job if the owner's sum, and the large jobs that may not be in it yet, leave room for
   // it.
   void SubmitLarge(const jobs::Job& job, TimePoint retry_deadline, TimePoint deadline,
-                   std::function<void(std::error_code)> done);
+                   const std::function<void(std::error_code)>& done);
   void CreateLarge(const jobs::Job& job, const store::Item& large_jobs, TimePoint deadline,
                    const std::function<void(std::error_code)>& again,
                    const std::function<void(std::error_code)>& done);
@@ -90,7 +91,7 @@
                             const std::function<void(std::error_code)>& again,
                             const std::function<void(std::error_code)>& done);
   void TryCancel(const std::string& id, TimePoint retry_deadline, TimePoint deadline,
-                 std::function<void(std::error_code)> done);
+                 const std::function<void(std::error_code)>& done);
   // Forbids the creation of a job that does not exist. Calls `again` with the error if the store
   // cannot be asked, or if the job exists by now.
   void CancelUnknown(const std::string& id, TimePoint deadline,
--- a/src/entry/job_service_writes.cc
+++ b/src/entry/job_service_writes.cc
@@ -58,8 +58,7 @@
   }
   if (!Admit("submit", job.id)) return done(ResultCode::kStoreUnavailable);
   if (bytes > most / dispatch::kSmallJobsInMemory && most > 0) {
-    return SubmitLarge(job, RetryDeadline(Now(), kMaxUnknownTime, deadline), deadline,
-                       std::move(done));
+    return SubmitLarge(job, RetryDeadline(Now(), kMaxUnknownTime, deadline), deadline, done);
   }
   StartWrite(CreationOf(job), deadline, std::move(done));
 }
@@ -81,7 +80,7 @@
 }
 
 void JobService::SubmitLarge(const jobs::Job& job, TimePoint retry_deadline, TimePoint deadline,
-                             std::function<void(std::error_code)> done) {
+                             const std::function<void(std::error_code)>& done) {
   const auto again = [this, job, retry_deadline, deadline, done](std::error_code ec) {
     RetryRead<int>(
         retry_deadline, ec,
@@ -130,7 +129,7 @@
 void JobService::RefuseUnlessAccepted(const std::string& id,
                                       const std::function<void(std::error_code)>& again,
                                       const std::function<void(std::error_code)>& done) {
-  store_->Get(JobKey(id), [this, id, again, done](const Result<store::Item>& item) {
+  store_->Get(JobKey(id), [id, again, done](const Result<store::Item>& item) {
     if (!item.ok()) return again(item.ec);
     if (item.value.revision != 0) return done({});
     Log(LogLevel::kInfo, "jobs", "refused",
@@ -193,13 +192,13 @@
 }
 
 void JobService::Cancel(const std::string& id, TimePoint deadline,
-                        std::function<void(std::error_code)> done) {
+                        const std::function<void(std::error_code)>& done) {
   if (!Admit("cancel", id)) return done(ResultCode::kStoreUnavailable);
-  TryCancel(id, RetryDeadline(Now(), kMaxUnknownTime, deadline), deadline, std::move(done));
+  TryCancel(id, RetryDeadline(Now(), kMaxUnknownTime, deadline), deadline, done);
 }
 
 void JobService::TryCancel(const std::string& id, TimePoint retry_deadline, TimePoint deadline,
-                           std::function<void(std::error_code)> done) {
+                           const std::function<void(std::error_code)>& done) {
   const auto again = [this, id, retry_deadline, deadline, done](std::error_code ec) {
     RetryRead<int>(
         retry_deadline, ec,
--- a/src/entry/shared_lease.cc
+++ b/src/entry/shared_lease.cc
@@ -16,26 +16,28 @@
       key_time_(key_time),
       lease_time_(std::min<Duration>(key_time + key_time / 4, kMaxLeaseTime)) {}
 
-void SharedLease::Get(TimePoint now, std::function<void(Result<int64_t>)> done) {
-  int64_t lease = 0;
+int64_t SharedLease::WaitUnlessShared(TimePoint now, const Waiter& waiter) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (lease_ != 0 && now < shared_until_) return lease_;
+  waiting_.push_back(waiter);
+  return 0;
+}
+
+void SharedLease::Get(TimePoint now, const Waiter& done) {
+  const int64_t lease = WaitUnlessShared(now, done);
+  if (lease != 0) return done({{}, lease});
   {
     const std::lock_guard<std::mutex> lock(mutex_);
-    if (lease_ != 0 && now < shared_until_) {
-      lease = lease_;
-    } else {
-      waiting_.push_back(std::move(done));
-      if (granting_) return;
-      granting_ = true;
-    }
+    if (granting_) return;
+    granting_ = true;
   }
-  if (lease != 0) return done({{}, lease});
   store_->GrantLease(lease_time_,
                      [this, now](const Result<store::Lease>& it) { OnGranted(it, now); });
 }
 
 // The lease runs from the arrival of the call, so it lasts until `sent` and its time at least.
 void SharedLease::OnGranted(const Result<store::Lease>& lease, TimePoint sent) {
-  Waiters waiting;
+  std::vector<Waiter> waiting;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     granting_ = false;
--- a/src/entry/shared_lease.h
+++ b/src/entry/shared_lease.h
@@ -21,13 +21,15 @@
 
   // Calls `done` with the id of a lease for a key that is written at once, or with the error of the
   // store's answer. Thread-safe.
-  void Get(TimePoint now, std::function<void(Result<int64_t>)> done);
+  using Waiter = std::function<void(Result<int64_t>)>;
+  void Get(TimePoint now, const Waiter& done);
 
   // The store has said that the lease has ended. Thread-safe.
   void Drop(int64_t lease);
 
  private:
-  using Waiters = std::vector<std::function<void(Result<int64_t>)>>;
+  // Returns the shared lease, or 0 once `waiter` waits for the next one.
+  int64_t WaitUnlessShared(TimePoint now, const Waiter& waiter);
   void OnGranted(const Result<store::Lease>& lease, TimePoint sent);
 
   store::KeyStore* const store_;
@@ -38,7 +40,7 @@
   int64_t lease_ = 0;
   TimePoint shared_until_;
   bool granting_ = false;
-  Waiters waiting_;  // for the lease that is being granted
+  std::vector<Waiter> waiting_;  // for the lease that is being granted
 };
 
 }  // namespace pomelopond::entry
--- a/tests/dispatch/large_job_test.cc
+++ b/tests/dispatch/large_job_test.cc
@@ -84,9 +84,8 @@
   job.rules.max_attempts = 1000;
   it_.dispatcher.AddJob(job, {}, false);
   for (int n = 0; n < 100; ++n) Round([](const RunId&) { return EndKind::kStopped; });
-  int64_t done = 0;
   for (int n = 0; n < 3000 && State() != jobs::JobState::kCompleted; ++n) {
-    done += Round(
+    Round(
         [&random](const RunId&) { return random() % 3 == 0 ? EndKind::kStopped : EndKind::kDone; });
   }
   EXPECT_EQ(State(), jobs::JobState::kCompleted);
--- a/tests/soak/entry_soak_test.cc
+++ b/tests/soak/entry_soak_test.cc
@@ -148,7 +148,7 @@
   std::mutex mutex_;  // guards the members below
   std::map<std::string, AcceptedJob> jobs_;
   std::map<std::string, int64_t> left_jobs_;  // when their cancellation was acknowledged, in ms
-  std::map<std::string, TimePoint> queues_;  // by prefix: when the configuration was confirmed
+  std::map<std::string, TimePoint> queues_;   // by prefix: when the configuration was confirmed
   std::vector<std::string> faults_;
 };
 
