Jobs that are already accepted are neither refused for their size nor left without a run

Cause: found by reading the change. A repeated creation of an accepted job was refused with 413 if the smallest memory of all hosts had become less since; and a job that an earlier version accepted, whose record might be too large, had room for no task.

Change: the refusal looks for the job first; such a job goes on task by task.

Measured: LargeJobTest.JobThatWasAcceptedWithoutALimitGoesOn and the new lines of JobMemoryTest.JobThatNoHostCanHoldIsTooLarge pass; not run without the change.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -105,7 +105,9 @@
   if (jobs_.count(job.id) > 0) return;
   JobEntry& entry = jobs_[job.id] = MakeEntry(job, progress, inherited);
   entry.revision = revision;
-  entry.max_tasks_under_way = jobs::MaxTasksUnderWay(job, limits_.max_value_bytes);
+  // A job that an earlier version accepted goes on task by task, whatever its record may take.
+  entry.max_tasks_under_way =
+      std::max<int64_t>(1, jobs::MaxTasksUnderWay(job, limits_.max_value_bytes));
   newest_revision_ = std::max(newest_revision_, revision);
   entry.max_memory_bytes = MaxMemoryBytes(job, limits_.max_value_bytes);
   if (jobs::IsFinal(entry.state)) {
--- a/src/entry/job_service.h
+++ b/src/entry/job_service.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "base/result.h"
+#include "base/result_code.h"
 #include "base/time.h"
 #include "dispatch/waiting_counts.h"
 #include "entry/prefix_watcher.h"
@@ -87,7 +88,8 @@
   void CreateLarge(const jobs::Job& job, const store::Item& large_jobs, TimePoint deadline,
                    const std::function<void(std::error_code)>& again,
                    const std::function<void(std::error_code)>& done);
-  void RefuseUnlessAccepted(const std::string& id,
+  // Calls `done` with the code, or without an error if the job is already accepted.
+  void RefuseUnlessAccepted(const std::string& id, ResultCode code,
                             const std::function<void(std::error_code)>& again,
                             const std::function<void(std::error_code)>& done);
   void TryCancel(const std::string& id, TimePoint retry_deadline, TimePoint deadline,
--- a/src/entry/job_service_writes.cc
+++ b/src/entry/job_service_writes.cc
@@ -51,12 +51,11 @@
   }
   const int64_t most = options_.job_memory_bytes();
   const int64_t bytes = dispatch::MaxMemoryBytes(job, options_.max_value_bytes);
+  if (!Admit("submit", job.id)) return done(ResultCode::kStoreUnavailable);
+  // The smallest memory of all hosts may have been larger when the job was accepted.
   if (most > 0 && bytes > most) {
-    Log(LogLevel::kInfo, "jobs", "too_large",
-        {{"job", job.id}, {"memory_bytes", bytes}, {"job_memory_bytes", most}});
-    return done(ResultCode::kTooLarge);
+    return RefuseUnlessAccepted(job.id, ResultCode::kTooLarge, done, done);
   }
-  if (!Admit("submit", job.id)) return done(ResultCode::kStoreUnavailable);
   if (bytes > most / dispatch::kSmallJobsInMemory && most > 0) {
     return SubmitLarge(job, RetryDeadline(Now(), kMaxUnknownTime, deadline), deadline, done);
   }
@@ -113,7 +112,7 @@
         const int64_t others = all_in_sum ? 0 : std::strtoll(large_jobs.value.c_str(), nullptr, 10);
         const int64_t bytes = others + dispatch::MaxMemoryBytes(job, options_.max_value_bytes);
         if (sum.job_bytes + bytes > options_.job_memory_bytes()) {
-          return RefuseUnlessAccepted(job.id, again, done);
+          return RefuseUnlessAccepted(job.id, ResultCode::kPoolFull, again, done);
         }
         PendingWrite create = CreationOf(job);
         create.transaction.conditions.push_back({kLargeJobsKey, large_jobs.revision});
@@ -126,15 +125,15 @@
       });
 }
 
-void JobService::RefuseUnlessAccepted(const std::string& id,
+void JobService::RefuseUnlessAccepted(const std::string& id, ResultCode code,
                                       const std::function<void(std::error_code)>& again,
                                       const std::function<void(std::error_code)>& done) {
-  store_->Get(JobKey(id), [id, again, done](const Result<store::Item>& item) {
+  store_->Get(JobKey(id), [id, code, again, done](const Result<store::Item>& item) {
     if (!item.ok()) return again(item.ec);
     if (item.value.revision != 0) return done({});
     Log(LogLevel::kInfo, "jobs", "refused",
-        {{"request", "submit"}, {"id", id}, {"reason", "pool_full"}});
-    done(ResultCode::kPoolFull);
+        {{"request", "submit"}, {"id", id}, {"reason", ResultName(code)}});
+    done(code);
   });
 }
 
--- a/tests/dispatch/large_job_test.cc
+++ b/tests/dispatch/large_job_test.cc
@@ -183,6 +183,17 @@
   EXPECT_EQ(started.size() + done.size(), 4000U);
 }
 
+// Guards against a job of an earlier version that never starts, since its record might be too
+// large.
+TEST_F(LargeJobTest, JobThatWasAcceptedWithoutALimitGoesOn) {
+  jobs::Job job = MakeJob(kJob, {MakeStep(3, 10)});
+  job.rules.max_attempts = 200000;
+  ASSERT_NE(jobs::StorageError(job, DispatchLimits().max_value_bytes), "");
+  it_.dispatcher.AddJob(job, {}, false);
+  for (int n = 0; n < 20 && State() != jobs::JobState::kCompleted; ++n) Round(Done);
+  EXPECT_EQ(State(), jobs::JobState::kCompleted);
+}
+
 // Guards against a host that accepts what the store cannot hold, and against one that refuses what
 // it can.
 TEST(JobSizeTest, JobsAreWeighedByTheStoresLimit) {
--- a/tests/entry/job_memory_test.cc
+++ b/tests/entry/job_memory_test.cc
@@ -175,6 +175,9 @@
   job.steps.resize(5, job.steps[0]);
   ASSERT_GT(dispatch::MaxMemoryBytes(job, kValueBytes), kJobMemory);
   EXPECT_EQ(*Submit(0, job), std::error_code(ResultCode::kTooLarge));
+  // Accepted when the smallest host was larger.
+  store.Apply({{}, {{JobKey(job.id), jobs::Encode(job), 0}}, {}});
+  EXPECT_EQ(*Submit(0, job), std::error_code());
 }
 
 // Guards against jobs that fit the owner's host but not the smaller ones that may take over.
