Comments: what the weight of a job counts

Cause: the read-through. The comment and the postmortem called the weight the largest memory of a job, but it counts one failed run a task, and no run shows that small jobs fit the rest of the memory. Change: the texts say so.

--- a/src/dispatch/job_memory.h
+++ b/src/dispatch/job_memory.h
@@ -9,8 +9,9 @@
 
 namespace pomelopond::dispatch {
 
-// Largest number of bytes that the state of the job takes in an owner, without its runs: these are
-// bounded by the workers. `max_value_bytes` is the store's largest value.
+// Number of bytes that the state of the job takes in an owner, with one failed run for each task
+// under way and without its active runs, which the workers bound. `max_value_bytes` is the store's
+// largest value.
 int64_t MaxMemoryBytes(const jobs::Job& job, int64_t max_value_bytes);
 
 // The part of a process's memory that jobs may take. The rest is for workers, runs, messages and
@@ -18,7 +19,7 @@
 inline int64_t JobMemoryOf(int64_t memory_bytes) { return memory_bytes / 8 * 5; }
 
 // Jobs with at most this part of the jobs' memory are accepted without a look at the sum. What is
-// accepted of them until the owner marks the pool as full fits into the rest of the memory.
+// accepted of them until the owner marks the pool as full is taken from the rest of the memory.
 inline constexpr int64_t kSmallJobsInMemory = 1024;
 
 }  // namespace pomelopond::dispatch
