Ends wait for the change that makes them unimportant to be durable

Cause: an end that changed nothing in memory was acknowledged at once, although the state that makes it unimportant (a failed or completed job, a closed occurrence, the end of another gang member) was not stored yet. If the owner went before the commit, the next one ran the task again (TWICE) or counted too few failures (BUDGET).

Change: such an end is acknowledged at once only if its job has no change that is not durable, else with the newest generation of changes.

--- a/src/dispatch/commits.cc
+++ b/src/dispatch/commits.cc
@@ -207,6 +207,7 @@
 
 void Dispatcher::OnCommitted(const Commit& commit) {
   commit_in_flight_ = false;
+  jobs_in_commit_.clear();
   if (HasPoolState(commit)) pool_state_alone_ = false;
   for (const std::string& it : commit.removed_jobs) {
     // The placement refers to its jobs.
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -85,6 +85,12 @@
   dirty_.emplace_back(generation_, job);
 }
 
+bool Dispatcher::IsDurable(const std::string& job) const {
+  if (dirty_jobs_.count(job) > 0) return false;
+  return std::none_of(jobs_in_commit_.begin(), jobs_in_commit_.end(),
+                      [&job](const auto& it) { return it.second == job; });
+}
+
 void Dispatcher::UpdatePlaceable(JobEntry* entry) {
   const bool waiting = HasWaitingTask(*entry);
   if (waiting) capacity_changed_ = true;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -194,6 +194,8 @@
 
  private:
   void MarkDirty(const std::string& job);
+  // True when all changes of the job so far are durable.
+  bool IsDurable(const std::string& job) const;
   void UpdatePlaceable(JobEntry* entry);
 
   // Runs.
@@ -220,7 +222,8 @@
   void ApplyActiveRuns(WorkerState* worker, const Report& report, TimePoint sent, TimePoint now,
                        int64_t wall_ms);
   void BeginReported(const jobs::TaskId& task, int64_t wall_ms);
-  // Returns true when the durable state must change.
+  // Returns true when the end must not be acknowledged before the next commits are durable: it has
+  // changed the state of its job, or changes nothing because of a state that is not durable.
   bool ApplyEnd(WorkerState* worker, const EndedRun& end, TimePoint now, int64_t wall_ms);
   void RecordFailure(JobEntry* entry, const RunId& id, int64_t wall_ms);
   void FinishTask(JobEntry* entry, const jobs::TaskId& id, int64_t wall_ms);
@@ -363,7 +366,8 @@
   std::set<std::string> dirty_jobs_;
   uint64_t generation_ = 0;
   bool commit_in_flight_ = false;
-  std::vector<std::pair<uint64_t, std::string>> jobs_in_commit_;  // from the front of `dirty_`
+  // Those in the commit in flight, from the front of `dirty_`.
+  std::vector<std::pair<uint64_t, std::string>> jobs_in_commit_;
   // After a rejected commit: jobs at the front of `dirty_` that are written one by one.
   size_t jobs_to_isolate_ = 0;
   // After a rejected commit: what belongs to no job is written without jobs, and not before.
--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -162,7 +162,8 @@
       (entry == nullptr || (state != nullptr && RecordStepFailure(state, worker->info.id, took)))) {
     CountFailure(worker, now);
   }
-  if (task == nullptr || jobs::IsFinal(entry->state)) return false;
+  // The end changes nothing, perhaps because of a change that is not durable itself.
+  if (task == nullptr || jobs::IsFinal(entry->state)) return !IsDurable(end.id.task.job);
   task->last_run = std::max(task->last_run, end.id.run);
   const jobs::Step& step = StepOf(*entry, end.id.task);
   UpdateCheckpoint(entry, task, end.id, end.checkpoint);
@@ -385,7 +386,7 @@
   for (const EndedRun& it : report.ended) changed = ApplyEnd(worker, it, now, wall_ms) || changed;
   ApplyActiveRuns(worker, report, worker->heartbeat_sent_at, now, wall_ms);
   if (changed) worker->generation = generation_;
-  // Ended runs that change no durable state are acknowledged at once.
+  // Ended runs that the durable state needs no change for are acknowledged at once.
   if (!changed && all_durable) worker->acknowledged = worker->processed;
   const bool settled = worker->processed == worker->acknowledged && !worker->lease_bounded;
   worker->next_heartbeat = settled ? now : now + kUncommittedRetry;
