The random search plays a troubled store and checks what workers forget

The store of SimulatedFleet is down in series, with registrations that lapse and owners that are lost behind it, and carries out commits after their senders gave up on them. Each end that a worker is told to forget must be stored, and no task starts again after it.

--- a/tests/dispatch/late_call_pool.cc
+++ b/tests/dispatch/late_call_pool.cc
@@ -41,7 +41,8 @@
   for (auto& [id, worker] : workers_) {
     const auto run = std::find_if(worker.active.begin(), worker.active.end(),
                                   [&task](const auto& it) { return it.first.task == task; });
-    if (run != worker.active.end()) return EndRun(&worker, RunId(run->first), EndKind::kDone);
+    if (run != worker.active.end())
+      return EndRun(&worker, RunId(run->first), EndKind::kDone, it_.now);
   }
 }
 
--- a/tests/dispatch/random_fleet_test.cc
+++ b/tests/dispatch/random_fleet_test.cc
@@ -237,27 +237,46 @@
   return out;
 }
 
-struct StoreLimits {
-  int64_t known_value_bytes = 1048576;  // as the settings say
+// Besides those of all days: a store that is slow, loses answers, carries out commits late and is
+// down, in series, with owners lost behind it.
+Troubles AddStoreTroubles(SimulatedFleet* fleet, Troubles troubles) {
+  const auto rate = [fleet](double most) {
+    return most * static_cast<double>(fleet->Between(0, 10)) / 10;
+  };
+  troubles.late_commit = rate(0.3);
+  troubles.outages = rate(0.5);
+  troubles.slow_store = rate(0.7);
+  troubles.takeovers = rate(0.5);
+  return troubles;
+}
+
+struct DayOptions {
+  double failing_share = 0;             // of the jobs: their tasks always fail
+  int64_t known_value_bytes = 1048576;  // largest value of the store, as the settings say
   int64_t value_bytes = 1048576;
+  bool store_troubles = false;
+  bool checks_progress = true;
 };
 
 // Plays the day of a seed: phases of troubles, each followed by calm. Returns what was violated.
-std::vector<std::string> PlayDay(uint64_t seed, double failing_share, const StoreLimits& store) {
+std::vector<std::string> PlayDay(uint64_t seed, const DayOptions& options) {
   constexpr int kPhases = 2;
   SimulatedFleet fleet(seed);
-  fleet.limits.max_value_bytes = store.known_value_bytes;
-  fleet.store_value_bytes = store.value_bytes;
+  fleet.limits.max_value_bytes = options.known_value_bytes;
+  fleet.store_value_bytes = options.value_bytes;
   fleet.limits.finished_retention = seconds(5);
   fleet.limits.max_starts_in_flight = fleet.Chance(0.3) ? 4 : 64;
   const int64_t workers = fleet.Between(3, 10);
   for (int64_t n = 0; n < workers; ++n) fleet.AddWorker();
   fleet.TakeOver(false);
-  JobSource jobs(&fleet, failing_share);
+  JobSource jobs(&fleet, options.failing_share);
   const double per_second = static_cast<double>(fleet.Between(2, 30)) / 10;
   for (int phase = 0; phase < kPhases && fleet.violations().empty(); ++phase) {
     fleet.on_tick = [&] { jobs.SubmitSome(per_second); };
-    fleet.Run(fleet.MsBetween(3000, 12000), DrawTroubles(&fleet));
+    const Duration length = fleet.MsBetween(3000, 12000);
+    Troubles troubles = DrawTroubles(&fleet);
+    if (options.store_troubles) troubles = AddStoreTroubles(&fleet, troubles);
+    fleet.Run(length, troubles);
     fleet.EndTroubles();
     fleet.on_tick = [&] { jobs.SubmitSome(per_second / 4); };
     fleet.Run(kLongestWait, {});
@@ -268,11 +287,11 @@
       if (fleet.now() < next_check) return;
       next_check = fleet.now() + kCheckInterval;
       // Tasks of a job whose record has no room for one more wait for others of the job.
-      if (store.known_value_bytes == StoreLimits().known_value_bytes) progress.Check();
+      if (options.checks_progress) progress.Check();
     };
     fleet.Run(seconds(5), {});
   }
-  if (store.known_value_bytes <= store.value_bytes && fleet.rejected_commits > 0) {
+  if (options.known_value_bytes <= options.value_bytes && fleet.rejected_commits > 0) {
     fleet.Violation("a commit was rejected although the limit is known");
   }
   return fleet.violations();
@@ -291,12 +310,11 @@
 #endif
 
 // Other seeds: FLEET_SEED is the first one and FLEET_SEEDS their number.
-void PlayDays(double failing_share, const StoreLimits& store = {}) {
+void PlayDays(const DayOptions& options) {
   const int64_t first = FromEnvironment("FLEET_SEED", 1);
   const int64_t count = FromEnvironment("FLEET_SEEDS", kSeeds);
   for (int64_t seed = first; seed < first + count; ++seed) {
-    const std::vector<std::string> violations =
-        PlayDay(static_cast<uint64_t>(seed), failing_share, store);
+    const std::vector<std::string> violations = PlayDay(static_cast<uint64_t>(seed), options);
     if (violations.empty()) continue;
     ADD_FAILURE() << "seed " << seed << ": " << violations.front();
   }
@@ -304,16 +322,49 @@
 
 // Guards against tasks that never start, run twice or start where they must not, and against counts
 // that drift, in situations that no one has thought of.
-TEST(RandomFleetTest, KeepsItsPromisesOnRandomDays) { PlayDays(0); }
+TEST(RandomFleetTest, KeepsItsPromisesOnRandomDays) { PlayDays({}); }
 
 // Guards against the same beside tasks that fail wherever they run.
-TEST(RandomFleetTest, KeepsItsPromisesBesideTasksThatAlwaysFail) { PlayDays(0.05); }
+TEST(RandomFleetTest, KeepsItsPromisesBesideTasksThatAlwaysFail) {
+  DayOptions options;
+  options.failing_share = 0.05;
+  PlayDays(options);
+}
 
-// Guards against records that outgrow a small store: few tasks of a job may be under way.
-TEST(RandomFleetTest, KeepsRecordsWithinTheStoresLimit) { PlayDays(0.05, {900, 900}); }
+// Guards against records that outgrow a small store: few tasks of a job may be under way, and the
+// others wait.
+TEST(RandomFleetTest, KeepsRecordsWithinTheStoresLimit) {
+  DayOptions options;
+  options.failing_share = 0.05;
+  options.known_value_bytes = options.value_bytes = 900;
+  options.checks_progress = false;
+  PlayDays(options);
+}
 
 // Guards against commits that a job whose record the store rejects holds up: all other jobs go on.
-TEST(RandomFleetTest, GoesOnBesideRecordsThatTheStoreRejects) { PlayDays(0, {1048576, 130}); }
+TEST(RandomFleetTest, GoesOnBesideRecordsThatTheStoreRejects) {
+  DayOptions options;
+  options.value_bytes = 130;
+  PlayDays(options);
+}
+
+// Guards against tasks that never start or run twice after outages of the store in series, slow and
+// late commits, and owners that are lost behind them.
+TEST(RandomFleetTest, KeepsItsPromisesBesideStoreTroubles) {
+  DayOptions options;
+  options.store_troubles = true;
+  PlayDays(options);
+}
+
+// Guards against ends that workers are told to forget before they are stored, after which a later
+// owner runs the tasks again (review/6). Jobs that fail bring the most of them.
+TEST(RandomFleetTest, ForgetsNoEndBeforeItIsStored) {
+  DayOptions options;
+  options.failing_share = 0.2;
+  options.store_troubles = true;
+  options.checks_progress = false;
+  PlayDays(options);
+}
 
 }  // namespace
 }  // namespace pomelopond::dispatch
--- a/tests/dispatch/simulated_fleet.cc
+++ b/tests/dispatch/simulated_fleet.cc
@@ -6,13 +6,9 @@
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::seconds;
 
 constexpr const char* kLabel = "label-a";
 constexpr int kRacks = 3;
-constexpr Duration kCommitRetry = milliseconds(200);
-constexpr Duration kCommitBatchDelay = milliseconds(15);
-constexpr Duration kOwnershipProofInterval = seconds(1);
 
 }  // namespace
 
@@ -52,9 +48,17 @@
   }
 }
 
+SimulatedOwner* SimulatedFleet::OwnerOf(int64_t epoch) {
+  for (const auto& it : owners_) {
+    if (!it->gone && it->epoch == epoch) return it.get();
+  }
+  return nullptr;
+}
+
 // Jobs.
 
 void SimulatedFleet::Submit(const jobs::Job& job) {
+  if (IsStoreDown()) return;
   store_.revision += 1;
   store_.jobs[job.id] = {job, store_.revision};
   At(now_ + kWatchDelay, [this, job, revision = store_.revision] {
@@ -64,7 +68,7 @@
 }
 
 void SimulatedFleet::Cancel(const std::string& id) {
-  if (store_.jobs.count(id) == 0) return;
+  if (IsStoreDown() || store_.jobs.count(id) == 0) return;
   store_.cancelled.insert(id);
   At(now_ + kWatchDelay, [this, id] {
     ForOwners([&](SimulatedOwner* it) {
@@ -80,9 +84,12 @@
   if (!earlier_continues && owner() != nullptr) owner()->gone = true;
   store_.epoch += 1;
   store_.revision += 1;
+  store_.last_commit = 0;
+  store_.term_revision = store_.revision;
   owners_.push_back(std::make_unique<SimulatedOwner>(limits, store_.epoch, now_));
   if (owners_.size() > 3) owners_.erase(owners_.begin());
   SimulatedOwner* it = owners_.back().get();
+  it->term_revision = store_.term_revision;
   it->dispatcher.OnOwnershipProof(now_);
   it->dispatcher.OnProvenRevision(store_.revision);
   Load(it);
@@ -133,98 +140,6 @@
   ReadTerm(owner);
 }
 
-// Commits.
-
-void SimulatedFleet::WriteCommit(SimulatedOwner* owner) {
-  if (now_ < owner->next_commit) return;
-  if (!owner->commit) owner->commit = owner->dispatcher.NextCommit(now_, WallMs());
-  const bool proof_due = now_ - owner->last_proof >= kOwnershipProofInterval ||
-                         owner->dispatcher.AwaitsOwnershipProof(now_);
-  if (!owner->commit && proof_due) owner->commit.emplace();
-  if (!owner->commit) return;
-  owner->next_commit = TimePoint::max();
-  const bool lost = Chance(troubles_.lost_commit);
-  const bool lands = !lost || Chance(0.5);
-  const bool slow = Chance(troubles_.slow_store);
-  const TimePoint landing = now_ + (slow ? MsBetween(30, 3000) : MsBetween(4, 30));
-  if (!IsStorable(*owner->commit)) {
-    rejected_commits += 1;
-    At(landing, [this, owner_epoch = owner->epoch] {
-      ForOwners([&](SimulatedOwner* it) {
-        if (it->epoch != owner_epoch) return;
-        it->dispatcher.OnCommitRejected(*it->commit, now_, WallMs());
-        it->commit.reset();
-        it->next_commit = now_ + kCommitBatchDelay;
-        Check(it);
-      });
-    });
-    return;
-  }
-  At(landing, [this, owner_epoch = owner->epoch, began = now_, lost, lands] {
-    ForOwners([&](SimulatedOwner* it) {
-      if (it->epoch != owner_epoch) return;
-      if (lands && it->epoch == store_.epoch) Land(*it);
-      const bool replaced = it->epoch != store_.epoch;
-      At(now_ + MsBetween(2, 10), [this, owner_epoch, began, lost, replaced] {
-        ForOwners([&](SimulatedOwner* owner) {
-          if (owner->epoch == owner_epoch) FinishCommit(owner, began, lost, replaced);
-        });
-      });
-    });
-  });
-}
-
-bool SimulatedFleet::IsStorable(const Commit& commit) const {
-  return std::all_of(commit.progress.begin(), commit.progress.end(), [this](const auto& it) {
-    return static_cast<int64_t>(it.second.size()) <= store_value_bytes;
-  });
-}
-
-void SimulatedFleet::Land(const SimulatedOwner& owner) {
-  const Commit& commit = *owner.commit;
-  store_.revision += 1;
-  for (const auto& [id, bytes] : commit.progress) store_.progress[id] = bytes;
-  if (commit.workers_in_use) store_.workers_in_use = *commit.workers_in_use;
-  if (commit.lease_bounds) store_.lease_bounds = *commit.lease_bounds;
-  for (const std::string& id : commit.removed_jobs) {
-    store_.jobs.erase(id);
-    store_.progress.erase(id);
-    store_.cancelled.erase(id);
-  }
-}
-
-void SimulatedFleet::FinishCommit(SimulatedOwner* owner, TimePoint began, bool lost,
-                                  bool replaced) {
-  if (lost) {
-    owner->next_commit = now_ + kCommitRetry;
-    return;
-  }
-  if (replaced) {
-    owner->gone = true;
-    return;
-  }
-  owner->next_commit = now_ + kCommitBatchDelay;
-  owner->last_proof = began;
-  owner->dispatcher.OnOwnershipProof(began);
-  owner->dispatcher.OnCommitted(*owner->commit);
-  owner->commit.reset();
-  Check(owner);
-}
-
-void SimulatedFleet::ReadTerm(SimulatedOwner* owner) {
-  const int64_t revision = owner->dispatcher.UnprovenRevision();
-  if (revision == 0 || owner->term_read_in_flight) return;
-  owner->term_read_in_flight = true;
-  At(now_ + MsBetween(4, 20), [this, epoch = owner->epoch, revision] {
-    ForOwners([&](SimulatedOwner* it) {
-      if (it->epoch != epoch) return;
-      it->term_read_in_flight = false;
-      if (it->epoch == store_.epoch) it->dispatcher.OnProvenRevision(revision);
-      if (it->epoch != store_.epoch) it->gone = true;
-    });
-  });
-}
-
 // Workers.
 
 WorkerInfo SimulatedFleet::DrawInfo(const std::string& id, const Endpoint& endpoint) {
@@ -330,7 +245,9 @@
       AddWorker();
     }
   }
-  if (happens(troubles.takeovers)) TakeOver(Chance(0.5));
+  if (happens(troubles.takeovers) && !IsStoreDown()) TakeOver(Chance(0.5));
+  if (happens(troubles.outages)) StopStore();
+  TakeOverIfDue();
   if (happens(troubles.cancels) && !store_.jobs.empty()) {
     auto it = store_.jobs.begin();
     std::advance(it, Between(0, static_cast<int64_t>(store_.jobs.size()) - 1));
@@ -339,6 +256,9 @@
 }
 
 void SimulatedFleet::EndTroubles() {
+  store_down_until_ = std::min(store_down_until_, now_);
+  if (takeover_at_) takeover_at_ = now_;
+  TakeOverIfDue();
   for (auto& [endpoint, it] : workers_) {
     it.silent_until = std::min(it.silent_until, now_);
     it.unhealthy_until = std::min(it.unhealthy_until, now_);
@@ -391,7 +311,7 @@
     for (const auto& [worker, id] : members) {
       const bool alone =
           complete == complete_gangs_.end() && now_ - worker->active.at(id).began >= kGangTimeout;
-      if (end || alone) EndRun(worker, id, end.value_or(EndKind::kGangIncomplete));
+      if (end || alone) EndRun(worker, id, end.value_or(EndKind::kGangIncomplete), now_);
     }
   }
 }
--- a/tests/dispatch/simulated_fleet.h
+++ b/tests/dispatch/simulated_fleet.h
@@ -36,12 +36,17 @@
   double registry_gaps = 0;
   double takeovers = 0;
   double cancels = 0;
+  double late_commit = 0;  // without an answer, and carried out seconds later
+  double outages = 0;      // of the store
 };
 
 // What the store holds.
 struct SimulatedStore {
-  int64_t epoch = 0;
   int64_t revision = 1;
+  // The term: the owner's epoch, the number of its last commit, and the revision of the record.
+  int64_t epoch = 0;
+  int64_t last_commit = 0;
+  int64_t term_revision = 0;
   std::map<std::string, std::pair<jobs::Job, int64_t>> jobs;  // and the revision of the record
   std::map<std::string, std::string> progress;                // encoded
   std::set<std::string> cancelled;
@@ -59,6 +64,9 @@
   bool gone = false;
   bool watches_registry = false;
   std::optional<Commit> commit;
+  bool commit_in_flight = false;
+  int64_t last_commit = 0;
+  int64_t term_revision = 0;
   TimePoint next_commit{};
   TimePoint last_proof;
   bool term_read_in_flight = false;
@@ -67,6 +75,30 @@
   std::multiset<std::pair<std::string, RunId>> orders;  // worker and run, as above
 };
 
+// A call with a commit, on the condition that the term has not changed.
+struct CommitCall {
+  int64_t epoch = 0;
+  int64_t number = 0;
+  int64_t term_revision = 0;
+  TimePoint began;
+  std::shared_ptr<const Commit> commit;
+};
+
+enum class CommitOutcome {
+  kCommitted,
+  kRejected,       // the store will never accept it
+  kReplaced,       // a later owner has taken over
+  kStaleRevision,  // the sender did not know the newest revision of its own term
+  kUnknown,        // refused or not answered
+};
+
+// What the workers know of a task.
+struct TaskHistory {
+  TimePoint last_start{};
+  bool done_forgotten = false;         // a worker was told to forget an end as done
+  std::set<int64_t> failed_forgotten;  // runs whose ends as failed workers were told to forget
+};
+
 class SimulatedFleet {
  public:
   explicit SimulatedFleet(uint64_t seed) : random_(seed) {}
@@ -123,6 +155,8 @@
   void At(TimePoint time, std::function<void()> work) { events_.emplace(time, std::move(work)); }
   void RunEvents(TimePoint until);
   void ForOwners(const std::function<void(SimulatedOwner*)>& work);
+  // Returns null if there is no such owner any more.
+  SimulatedOwner* OwnerOf(int64_t epoch);
   void StepOwner(SimulatedOwner* owner);
   void Learn(SimulatedOwner* owner, const std::string& worker, int64_t incarnation);
   void Update(SimulatedOwner* owner, const WorkerInfo& info);
@@ -131,6 +165,8 @@
   void CheckJob(const SimulatedOwner& owner, const JobEntry& entry);
   void CheckWorkers(const SimulatedOwner& owner);
   void CheckStart(SimulatedOwner* owner, const StartOrder& order);
+  void CheckForgotten(const SimulatedWorker& worker, const std::vector<EndedRun>& ends);
+  bool IsStored(const EndedRun& end) const;
 
   // Calls.
   void Send(SimulatedOwner* owner, const Orders& orders);
@@ -144,13 +180,19 @@
                 const Finish& finish);
   void CheckExecution(const SimulatedWorker& worker, const RunId& id, bool same_kind);
   void CheckTwice(const SimulatedWorker& worker, const RunId& id);
+  void CheckHistory(const SimulatedWorker& worker, const RunId& id);
   SimulatedWorker* WorkerAt(const Endpoint& endpoint);
 
-  // Commits.
+  // The store.
+  bool IsStoreDown() const { return now_ < store_down_until_; }
+  void StopStore();
+  void TakeOverIfDue();
   void WriteCommit(SimulatedOwner* owner);
   bool IsStorable(const Commit& commit) const;
-  void Land(const SimulatedOwner& owner);
-  void FinishCommit(SimulatedOwner* owner, TimePoint began, bool lost, bool replaced);
+  CommitOutcome CarryOut(const CommitCall& call);
+  void AnswerCommit(const CommitCall& call, Duration delay, CommitOutcome outcome);
+  void FinishCommit(SimulatedOwner* owner, const CommitCall& call, CommitOutcome outcome,
+                    int64_t term_revision);
   void ReadTerm(SimulatedOwner* owner);
 
   // Troubles.
@@ -167,6 +209,8 @@
   std::mt19937_64 random_;
   TimePoint now_ = kStart;
   SimulatedStore store_;
+  TimePoint store_down_until_{};
+  std::optional<TimePoint> takeover_at_;  // by another host, once the store is back
   Troubles troubles_;
   std::multimap<TimePoint, std::function<void()>> events_;
   std::map<Endpoint, SimulatedWorker> workers_;
@@ -175,6 +219,7 @@
   // By job, occurrence, step and run: when the gang, all of whose members were active, is done.
   std::map<std::tuple<std::string, int, int, int64_t>, TimePoint> complete_gangs_;
   std::set<std::string> started_jobs_;  // jobs of which a worker has started a run
+  std::map<jobs::TaskId, TaskHistory> histories_;
   int next_worker_ = 1;
   int64_t next_incarnation_ = 1;
 };
--- a/tests/dispatch/simulated_fleet_calls.cc
+++ b/tests/dispatch/simulated_fleet_calls.cc
@@ -140,7 +140,9 @@
     });
   };
   const auto execute = [this, order, finish](SimulatedWorker* worker) -> std::optional<Report> {
-    const OrderStatus status = HoldOn(worker, order);
+    std::vector<EndedRun> forgotten;
+    const OrderStatus status = HoldOn(worker, order, &forgotten);
+    CheckForgotten(*worker, forgotten);
     if (status != OrderStatus::kAccepted || !worker->ended.empty() ||
         order.wait == Duration::zero()) {
       return ReportOf(*worker, status, now_);
--- a/tests/dispatch/simulated_fleet_checks.cc
+++ b/tests/dispatch/simulated_fleet_checks.cc
@@ -143,6 +143,7 @@
 void SimulatedFleet::CheckExecution(const SimulatedWorker& worker, const RunId& id,
                                     bool same_kind) {
   CheckTwice(worker, id);
+  CheckHistory(worker, id);
   if (!same_kind) return;
   const jobs::Step& step = worker.active.at(id).step;
   const std::string where = Text(id) + " on " + worker.info.id;
@@ -164,6 +165,64 @@
   }
 }
 
+// Checks a run that has just started against the ends that workers have forgotten.
+void SimulatedFleet::CheckHistory(const SimulatedWorker& worker, const RunId& id) {
+  const jobs::Step& step = worker.active.at(id).step;
+  if (step.perpetual || step.speculative) return;
+  const std::string where = Text(id) + " on " + worker.info.id;
+  TaskHistory& history = histories_[id.task];
+  history.last_start = now_;
+  if (history.done_forgotten) Violation("task starts again after its end was forgotten: " + where);
+  const auto job = store_.jobs.find(id.task.job);
+  if (job == store_.jobs.end()) return;
+  const auto most = static_cast<size_t>(job->second.first.rules.max_attempts);
+  if (history.failed_forgotten.size() >= most) Violation("too many runs: " + where);
+}
+
+// True when no later owner can start the task again, or count fewer failures than there were.
+bool SimulatedFleet::IsStored(const EndedRun& end) const {
+  const jobs::TaskId& id = end.id.task;
+  const auto job = store_.jobs.find(id.job);
+  if (job == store_.jobs.end() || store_.cancelled.count(id.job) > 0) return true;
+  const auto record = store_.progress.find(id.job);
+  if (record == store_.progress.end()) return false;
+  const jobs::JobProgress progress = jobs::DecodeProgress(record->second).value;
+  if (jobs::IsFinal(progress.state) || jobs::IsDone(progress, id)) return true;
+  if (end.kind == EndKind::kDone) return false;
+  // The first member holds the failures of the whole gang.
+  const bool gang = job->second.first.steps[static_cast<size_t>(id.step)].gang;
+  const auto task = progress.tasks.find({id.occurrence, id.step, gang ? 0 : id.index});
+  if (task == progress.tasks.end()) return false;
+  const std::vector<int64_t>& failed = task->second.failed_runs;
+  return std::find(failed.begin(), failed.end(), end.id.run) != failed.end();
+}
+
+// Checks ends that a worker was told to forget. What was listed before the lease ended counts for
+// nothing if the task has started again since.
+void SimulatedFleet::CheckForgotten(const SimulatedWorker& worker,
+                                    const std::vector<EndedRun>& ends) {
+  for (const EndedRun& it : ends) {
+    if (it.kind != EndKind::kDone && it.kind != EndKind::kFailed) continue;
+    const auto job = store_.jobs.find(it.id.task.job);
+    if (job == store_.jobs.end()) continue;
+    const jobs::Step& step = job->second.first.steps[static_cast<size_t>(it.id.task.step)];
+    if (step.perpetual || step.speculative) continue;
+    const std::string where = Text(it.id) + " on " + worker.info.id;
+    if (!IsStored(it)) Violation("an end is forgotten before it is stored: " + where);
+    const TimePoint ended_at = worker.ended_at.at(it.sequence);
+    if (worker.lapsed_at >= ended_at) continue;
+    TaskHistory& history = histories_[it.id.task];
+    if (it.kind == EndKind::kFailed) {
+      history.failed_forgotten.insert(it.id.run);
+      continue;
+    }
+    history.done_forgotten = true;
+    if (history.last_start > ended_at) {
+      Violation("task has started again after an end that is forgotten now: " + where);
+    }
+  }
+}
+
 void SimulatedFleet::CheckTwice(const SimulatedWorker& worker, const RunId& id) {
   const std::string where = Text(id) + " on " + worker.info.id;
   if (worker.active.at(id).step.speculative) return;
--- a/tests/dispatch/simulated_worker.h
+++ b/tests/dispatch/simulated_worker.h
@@ -48,9 +48,11 @@
   TimePoint leaves_at = TimePoint::max();
   int64_t epoch = 0;
   int64_t lease_end_ms = 0;
+  TimePoint lapsed_at{};  // when the lease was last found to have ended
   int64_t sequence = 0;
   std::map<RunId, SimulatedRun> active;
   std::vector<EndedRun> ended;
+  std::map<int64_t, TimePoint> ended_at;       // by position in the list of ended runs
   std::map<jobs::TaskId, int64_t> last_ended;  // highest run that was stopped or ended
 };
 
@@ -64,9 +66,10 @@
   return used;
 }
 
-inline void EndRun(SimulatedWorker* worker, const RunId& id, EndKind kind) {
+inline void EndRun(SimulatedWorker* worker, const RunId& id, EndKind kind, TimePoint now) {
   worker->active.erase(id);
   worker->ended.push_back({++worker->sequence, id, kind, {}});
+  worker->ended_at[worker->sequence] = now;
   int64_t& last = worker->last_ended[id.task];
   last = std::max(last, id.run);
 }
@@ -74,6 +77,7 @@
 // Ends the runs that end by themselves or with the lease. Gangs end by decision of the fleet.
 inline void Advance(SimulatedWorker* worker, TimePoint now) {
   const bool lapsed = ClockMs(*worker, now) >= worker->lease_end_ms;
+  if (lapsed) worker->lapsed_at = now;
   std::vector<std::pair<RunId, EndKind>> ends;
   for (const auto& [id, it] : worker->active) {
     if (lapsed) {
@@ -84,7 +88,7 @@
       ends.emplace_back(id, it.fails ? EndKind::kFailed : EndKind::kDone);
     }
   }
-  for (const auto& [id, kind] : ends) EndRun(worker, id, kind);
+  for (const auto& [id, kind] : ends) EndRun(worker, id, kind, now);
 }
 
 // Only reports name the incarnation, as on the platform.
@@ -133,8 +137,10 @@
   return OrderStatus::kAccepted;
 }
 
-// Takes a heartbeat. The report follows at once, or when a run ends.
-inline OrderStatus HoldOn(SimulatedWorker* worker, const HeartbeatOrder& order) {
+// Takes a heartbeat. The report follows at once, or when a run ends. Adds the ended runs that the
+// worker forgets to `forgotten`.
+inline OrderStatus HoldOn(SimulatedWorker* worker, const HeartbeatOrder& order,
+                          std::vector<EndedRun>* forgotten = nullptr) {
   if (!PassesFence(worker, order.epoch)) return OrderStatus::kStaleEpoch;
   // Each incarnation has a connection of its own.
   const bool tied = order.connection != 0;
@@ -143,10 +149,11 @@
   }
   worker->lease_end_ms = std::max(worker->lease_end_ms, order.lease_end_ms);
   std::vector<EndedRun>& ended = worker->ended;
-  ended.erase(
-      std::remove_if(ended.begin(), ended.end(),
-                     [&order](const EndedRun& it) { return it.sequence <= order.acknowledged; }),
-      ended.end());
+  const auto kept = std::find_if(ended.begin(), ended.end(), [&order](const EndedRun& it) {
+    return it.sequence > order.acknowledged;
+  });
+  if (forgotten != nullptr) forgotten->insert(forgotten->end(), ended.begin(), kept);
+  ended.erase(ended.begin(), kept);
   return OrderStatus::kAccepted;
 }
 
