A removed job does not come back with a list that was read before

Cause: when the store has forgotten its history, the jobs are listed again while the commit that deletes a finished job may be in flight. A list that the store answered first and that arrives second still holds the job, now without progress, and the owner started all of its tasks again (TWICE).

Change: the dispatcher remembers what it has removed, with the revision of the deletion, until all jobs up to that revision have been seen.

--- a/src/dispatch/commits.cc
+++ b/src/dispatch/commits.cc
@@ -205,7 +205,7 @@
   }
 }
 
-void Dispatcher::OnCommitted(const Commit& commit) {
+void Dispatcher::OnCommitted(const Commit& commit, int64_t revision) {
   commit_in_flight_ = false;
   jobs_in_commit_.clear();
   if (HasPoolState(commit)) pool_state_alone_ = false;
@@ -213,6 +213,7 @@
     // The placement refers to its jobs.
     if (IsInPlacement(FindEntry(it))) EndPlacement();
     jobs_.erase(it);
+    if (revision != 0) removed_jobs_[it] = revision;
   }
   const Result<std::vector<WorkerInUse>> in_use =
       DecodeWorkersInUse(commit.workers_in_use.value_or(std::string()));
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -1,6 +1,7 @@
 #include "dispatch/dispatcher.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include "base/log.h"
 #include "base/result_code.h"
@@ -108,7 +109,7 @@
 
 void Dispatcher::AddJob(const jobs::Job& job, const jobs::JobProgress& progress, bool inherited,
                         int64_t revision) {
-  if (jobs_.count(job.id) > 0) return;
+  if (jobs_.count(job.id) > 0 || removed_jobs_.count(job.id) > 0) return;
   JobEntry& entry = jobs_[job.id] = MakeEntry(job, progress, inherited);
   entry.revision = revision;
   // A job that an earlier version accepted goes on task by task, whatever its record may take.
@@ -126,6 +127,14 @@
   UpdatePlaceable(&entry);
 }
 
+void Dispatcher::OnJobsSeen(int64_t revision) {
+  jobs_revision_ = std::max(jobs_revision_, revision);
+  // Lists and changes that follow are newer.
+  for (auto it = removed_jobs_.begin(); it != removed_jobs_.end();) {
+    it = it->second <= revision ? removed_jobs_.erase(it) : std::next(it);
+  }
+}
+
 void Dispatcher::CancelJob(const std::string& id, int64_t wall_ms) {
   JobEntry* entry = FindEntry(id);
   if (entry == nullptr || jobs::IsFinal(entry->state)) return;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -154,7 +154,7 @@
               int64_t revision = 0);
   void CancelJob(const std::string& id, int64_t wall_ms);
   // All jobs whose records precede or have this store revision have been added.
-  void OnJobsSeen(int64_t revision) { jobs_revision_ = std::max(jobs_revision_, revision); }
+  void OnJobsSeen(int64_t revision);
 
   // Adds a worker on which an earlier owner may have started tasks. `bounds` are those of the
   // previous owner.
@@ -175,7 +175,8 @@
 
   // The next commit, or nothing when the state is durable or a commit is in flight.
   std::optional<Commit> NextCommit(TimePoint now, int64_t wall_ms);
-  void OnCommitted(const Commit& commit);
+  // `revision` is that of the store with the commit; 0: not known.
+  void OnCommitted(const Commit& commit, int64_t revision = 0);
   // The store will never accept the commit. What it holds is written in smaller commits, to find
   // what is at fault; a job that is at fault by itself fails.
   void OnCommitRejected(const Commit& commit, TimePoint now, int64_t wall_ms);
@@ -380,6 +381,9 @@
   std::optional<bool> written_full_;  // unset: not known what an earlier owner has written
   TimePoint counts_checked_at_;  // when the waiting counts were last compared with the written ones
   std::deque<std::pair<int64_t, std::string>> finished_;  // finished_ms and job id
+  // Jobs whose records have been deleted, with the store revision of the deletion. A list of the
+  // jobs that was read before it and arrives after it still holds them.
+  std::map<std::string, int64_t> removed_jobs_;
 };
 
 }  // namespace pomelopond::dispatch
--- a/src/entry/pool_owner_commits.cc
+++ b/src/entry/pool_owner_commits.cc
@@ -171,7 +171,7 @@
   last_ownership_proof_ = began;
   dispatcher_->OnOwnershipProof(began);
   dispatcher_->OnProvenRevision(revision);
-  dispatcher_->OnCommitted(*commit_);
+  dispatcher_->OnCommitted(*commit_, revision);
   commit_.reset();
   if (handover_commit_ && term_.last_commit >= *handover_commit_)
     StepDown("a much faster host asked");
--- a/tests/dispatch/simulated_fleet_store.cc
+++ b/tests/dispatch/simulated_fleet_store.cc
@@ -114,7 +114,7 @@
       owner->term_revision = term_revision;
       owner->last_proof = call.began;
       owner->dispatcher.OnOwnershipProof(call.began);
-      owner->dispatcher.OnCommitted(*owner->commit);
+      owner->dispatcher.OnCommitted(*owner->commit, term_revision);
       break;
   }
   owner->commit.reset();
