The soak plays slow commits, and outages in which the owner's lease ends and the owner is lost

Commits take effect and are answered up to 1.4 s later, beyond the time after which hosts give up on them. Outages are followed by the loss of the owner's key, a slow store and the end of the owner.

--- a/tests/soak/entry_soak_test.cc
+++ b/tests/soak/entry_soak_test.cc
@@ -20,6 +20,7 @@
 #include "base/endpoint.h"
 #include "base/json.h"
 #include "base/time.h"
+#include "entry/keys.h"
 #include "review/cluster.h"
 #include "review/worker.h"
 #include "tests/support/raw_client.h"
@@ -37,6 +38,8 @@
 constexpr Duration kCallTimeout = std::chrono::seconds(3);
 // Callers may be told what was true this long before their request.
 constexpr Duration kMaxAge = std::chrono::seconds(2);
+// Commits are answered this late at most. Hosts give up on them after a second.
+constexpr int kLongestCommitMs = 1400;
 // A caller that leaves waits this long for an answer.
 constexpr Duration kShortPatience = std::chrono::milliseconds(200);
 // No task of a job starts later than this after its cancellation was acknowledged.
@@ -95,6 +98,11 @@
       workers_.back()->Start();
     }
     queues_[review::kPrefix] = Now();
+    // The store calls this once a transaction has taken effect, before it answers.
+    cluster_->store.crash_after = [this](const std::vector<std::string>&) {
+      review::SleepMs(commit_delay_ms_.load());
+      return false;
+    };
   }
 
   ~EntrySoakTest() override { cluster_->Stop(); }
@@ -126,6 +134,9 @@
   void StopHost(Random* random, int signal, Duration pause);
   void FailWorker(Random* random);
   void AddQueue();
+  void StopStore(Duration length);
+  void SlowStore(int delay_ms, Duration length);
+  void LapseAndLoseOwner(Random* random);
   void EndTroubles(bool all);
   void After(Duration delay, std::function<void()> work) {
     ends_.emplace(Now() + delay, std::move(work));
@@ -143,6 +154,7 @@
   std::set<size_t> troubled_hosts_;
   std::set<size_t> troubled_workers_;
   bool store_troubled_ = false;
+  std::atomic<int> commit_delay_ms_{0};  // between the effect of a commit and its answer
   int config_version_ = 1;
 
   std::mutex mutex_;  // guards the members below
@@ -350,8 +362,38 @@
   queues_[prefixes.back()] = Now();
 }
 
+void EntrySoakTest::StopStore(Duration length) {
+  if (store_troubled_) return;
+  store_troubled_ = true;
+  cluster_->store.GoDown();
+  After(length, [this] {
+    cluster_->store.Return();
+    store_troubled_ = false;
+  });
+}
+
+void EntrySoakTest::SlowStore(int delay_ms, Duration length) {
+  commit_delay_ms_.store(delay_ms);
+  After(length, [this] { commit_delay_ms_.store(0); });
+}
+
+// An outage in which the owner's lease ends, with a slow store and a lost owner behind it.
+void EntrySoakTest::LapseAndLoseOwner(Random* random) {
+  const Duration outage = random->MsBetween(200, 2500);
+  StopStore(outage);
+  const int delay_ms = random->Between(50, 600);
+  After(outage, [this, delay_ms] {
+    cluster_->store.Remove(entry::kOwnerKey);
+    SlowStore(delay_ms, std::chrono::seconds(3));
+  });
+  const bool killed = random->Between(0, 1) == 0;
+  After(outage + random->MsBetween(0, 2500), [this, random, killed] {
+    StopHost(random, killed ? SIGKILL : SIGTERM, std::chrono::seconds(1));
+  });
+}
+
 void EntrySoakTest::MakeTrouble(Random* random) {
-  switch (random->Between(0, 9)) {
+  switch (random->Between(0, 11)) {
     case 0:
     case 1:
       return StopHost(random, SIGSTOP, random->MsBetween(500, 6000));
@@ -362,17 +404,15 @@
     case 4:
       return cluster_->hosts[static_cast<size_t>(random->Between(0, kHosts - 1))].Signal(SIGHUP);
     case 5:
-      if (store_troubled_) return;
-      store_troubled_ = true;
-      cluster_->store.GoDown();
-      return After(random->MsBetween(200, 3000), [this] {
-        cluster_->store.Return();
-        store_troubled_ = false;
-      });
+      return StopStore(random->MsBetween(200, 3000));
     case 6:
       return cluster_->store.SilenceOpenConnections();
     case 7:
       return AddQueue();
+    case 8:
+      return SlowStore(random->Between(50, kLongestCommitMs), random->MsBetween(1000, 5000));
+    case 9:
+      return LapseAndLoseOwner(random);
     default:
       return FailWorker(random);
   }
