The retention of a finished job runs from the commit of its final state

Cause: a job entered the queue of removals when it ended in the owner's memory. After an outage of the store longer than the retention, the commit that followed the one with the final state deleted the record, so callers were answered with 410 and never saw the state (LOST).

Change: a job enters the queue once the commit with its final state is durable.

Measured: FinishedRetentionTest.RunsFromTheCommitOfTheFinalState failed on the commit before: the next commit removed the job.

--- a/src/dispatch/commits.cc
+++ b/src/dispatch/commits.cc
@@ -117,11 +117,13 @@
       written_counts_ = std::move(counts);
     }
   }
+  for (const std::string& it : stored_final_) finished_.emplace_back(wall_ms, it);
+  stored_final_.clear();
   const auto keep =
       std::chrono::duration_cast<std::chrono::milliseconds>(limits_.finished_retention).count();
   while (!finished_.empty() && commit->removed_jobs.size() < kMaxRemovedInCommit) {
-    const auto& [finished_ms, id] = finished_.front();
-    if (finished_ms + keep > wall_ms) break;
+    const auto& [shown_since_ms, id] = finished_.front();
+    if (shown_since_ms + keep > wall_ms) break;
     commit->removed_jobs.push_back(id);
     finished_.pop_front();
   }
@@ -185,6 +187,7 @@
   JobEntry* entry = FindEntry(id);
   if (entry == nullptr || jobs::IsFinal(entry->state)) {
     Log(LogLevel::kError, "dispatch", "record_dropped", {{"job", id}});
+    if (entry != nullptr) stored_final_.push_back(id);
     return;
   }
   Log(LogLevel::kError, "dispatch", "job_unstorable",
@@ -207,6 +210,11 @@
 
 void Dispatcher::OnCommitted(const Commit& commit, int64_t revision) {
   commit_in_flight_ = false;
+  for (const auto& [generation, id] : jobs_in_commit_) {
+    const JobEntry* entry = FindEntry(id);
+    const bool newest = dirty_jobs_.count(id) == 0;
+    if (newest && entry != nullptr && jobs::IsFinal(entry->state)) stored_final_.push_back(id);
+  }
   jobs_in_commit_.clear();
   if (HasPoolState(commit)) pool_state_alone_ = false;
   for (const std::string& it : commit.removed_jobs) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -53,7 +53,8 @@
   // Longest time that a worker may delay its report until a run ends. All owners use the same one:
   // a new owner assumes that reports to earlier owners are delayed no longer.
   Duration report_wait = std::chrono::seconds(1);
-  // Retention of finished jobs, for callers that query their state.
+  // Retention of finished jobs, for callers that query their state. It runs from the commit of the
+  // final state: during an outage of the store no caller is told.
   Duration finished_retention = std::chrono::seconds(150);
   // Largest value that the store holds.
   int64_t max_value_bytes = 1048576;
@@ -380,7 +381,10 @@
   WaitingCounts written_counts_;
   std::optional<bool> written_full_;  // unset: not known what an earlier owner has written
   TimePoint counts_checked_at_;  // when the waiting counts were last compared with the written ones
-  std::deque<std::pair<int64_t, std::string>> finished_;  // finished_ms and job id
+  // Final jobs whose records have become durable since the last look at the pool's state.
+  std::vector<std::string> stored_final_;
+  // Those whose retention runs: since when callers can be told, in ms since the Unix epoch, and id.
+  std::deque<std::pair<int64_t, std::string>> finished_;
   // Jobs whose records have been deleted, with the store revision of the deletion. A list of the
   // jobs that was read before it and arrives after it still holds them.
   std::map<std::string, int64_t> removed_jobs_;
--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -109,7 +109,6 @@
   entry->state = state;
   entry->finished_ms = wall_ms;
   perpetual_.erase(std::remove(perpetual_.begin(), perpetual_.end(), entry), perpetual_.end());
-  finished_.emplace_back(wall_ms, entry->job.id);
   Log(LogLevel::kInfo, "dispatch", "job_finished",
       {{"job", entry->job.id}, {"state", jobs::JobStateName(state)}});
   StopAllRuns(entry);
