A job under the id of a removed one is taken if its record is newer

Change: only records that are older than the deletion are passed over.

Measured: RemovedJobTest.* passes; IdMayComeAgain tells the two apart.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -109,7 +109,9 @@
 
 void Dispatcher::AddJob(const jobs::Job& job, const jobs::JobProgress& progress, bool inherited,
                         int64_t revision) {
-  if (jobs_.count(job.id) > 0 || removed_jobs_.count(job.id) > 0) return;
+  if (jobs_.count(job.id) > 0) return;
+  const auto removed = removed_jobs_.find(job.id);
+  if (removed != removed_jobs_.end() && revision < removed->second) return;
   JobEntry& entry = jobs_[job.id] = MakeEntry(job, progress, inherited);
   entry.revision = revision;
   // A job that an earlier version accepted goes on task by task, whatever its record may take.
--- a/tests/dispatch/removed_job_test.cc
+++ b/tests/dispatch/removed_job_test.cc
@@ -9,7 +9,8 @@
 namespace {
 
 constexpr const char* kJob = "00000000000000aa";
-constexpr int64_t kDeletedAt = 50;  // store revision
+constexpr int64_t kCreatedAt = 20;  // store revisions
+constexpr int64_t kDeletedAt = 50;
 
 // An owner that has just deleted the record of a finished job.
 class RemovedJobTest : public ::testing::Test {
@@ -26,8 +27,9 @@
   }
 
   // The job arrives with a list of all jobs, and the owner decides.
-  void ListJob() {
-    it.dispatcher.AddJob(MakeJob(kJob, {MakeStep(1)}), {}, false);
+  void ListJob(int64_t revision) {
+    it.dispatcher.AddJob(MakeJob(kJob, {MakeStep(1)}), {}, false, revision);
+    it.dispatcher.OnProvenRevision(revision);
     it.Advance(std::chrono::milliseconds(100));
     it.Decide();
   }
@@ -38,17 +40,23 @@
 // Guards against a second run of all tasks of a removed job: a list that the store answered before
 // the deletion, and that arrives after it, still holds the job, now without progress.
 TEST_F(RemovedJobTest, IsNotAddedAgainByAnEarlierList) {
-  ListJob();
+  ListJob(kCreatedAt);
   EXPECT_TRUE(it.orders.starts.empty());
   it.dispatcher.OnJobsSeen(kDeletedAt - 1);
-  ListJob();
+  ListJob(kCreatedAt);
   EXPECT_TRUE(it.orders.starts.empty());
 }
 
-// Guards against ids that are refused, and remembered, for ever.
-TEST_F(RemovedJobTest, IdMayComeAgainOnceTheDeletionIsSeen) {
+// Guards against the loss of a job that is created under the id of a removed one.
+TEST_F(RemovedJobTest, IdMayComeAgain) {
+  ListJob(kDeletedAt + 1);
+  EXPECT_EQ(it.orders.starts.size(), 1U);
+}
+
+// Guards against ids that are remembered for ever.
+TEST_F(RemovedJobTest, IsForgottenOnceItsDeletionIsSeen) {
   it.dispatcher.OnJobsSeen(kDeletedAt);
-  ListJob();
+  ListJob(kCreatedAt);
   EXPECT_EQ(it.orders.starts.size(), 1U);
 }
 
