--- a/tests/dispatch/acknowledged_ends_test.cc
+++ b/tests/dispatch/acknowledged_ends_test.cc
@@ -2,7 +2,6 @@
 // they tell must be stored before: the next owner knows nothing else.
 #include <gtest/gtest.h>
 
-#include <algorithm>
 #include <map>
 #include <optional>
 #include <random>
@@ -10,6 +9,7 @@
 #include <vector>
 
 #include "tests/dispatch/scenario.h"
+#include "tests/dispatch/stored_end.h"
 
 namespace pomelopond::dispatch {
 namespace {
@@ -90,7 +90,8 @@
       const std::string& worker = heartbeat.to.worker;
       std::vector<EndedRun>& listed = listed_[worker];
       while (!listed.empty() && listed.front().sequence <= heartbeat.acknowledged) {
-        if (!IsStored(listed.front())) fault_ = "end of " + worker + " is forgotten, not stored";
+        if (!IsStored(Stored(), listed.front(), job_.steps[0].gang))
+          fault_ = "end of " + worker + " is forgotten, not stored";
         listed.erase(listed.begin());
       }
       std::vector<ActiveRun> active;
@@ -120,14 +121,8 @@
     it_.dispatcher.UpdateWorker(MakeWorker(worker, kCores * 1000), it_.now);
   }
 
-  bool IsStored(const EndedRun& end) const {
-    if (stored_.empty()) return false;
-    const jobs::JobProgress progress = jobs::DecodeProgress(stored_).value;
-    if (jobs::IsFinal(progress.state) || jobs::IsDone(progress, end.id.task)) return true;
-    return std::any_of(progress.tasks.begin(), progress.tasks.end(), [&end](const auto& it) {
-      const std::vector<int64_t>& failed = it.second.failed_runs;
-      return std::find(failed.begin(), failed.end(), end.id.run) != failed.end();
-    });
+  jobs::JobProgress Stored() const {
+    return stored_.empty() ? jobs::JobProgress{} : jobs::DecodeProgress(stored_).value;
   }
 
   const jobs::Job job_;
--- a/tests/dispatch/simulated_fleet.h
+++ b/tests/dispatch/simulated_fleet.h
@@ -166,7 +166,8 @@
   void CheckWorkers(const SimulatedOwner& owner);
   void CheckStart(SimulatedOwner* owner, const StartOrder& order);
   void CheckForgotten(const SimulatedWorker& worker, const std::vector<EndedRun>& ends);
-  bool IsStored(const EndedRun& end) const;
+  // True when the store holds what the end tells, or its job is cancelled or removed.
+  bool IsStoredOrOver(const EndedRun& end) const;
 
   // Calls.
   void Send(SimulatedOwner* owner, const Orders& orders);
--- a/tests/dispatch/simulated_fleet_checks.cc
+++ b/tests/dispatch/simulated_fleet_checks.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 
 #include "tests/dispatch/simulated_fleet.h"
+#include "tests/dispatch/stored_end.h"
 
 namespace pomelopond::dispatch {
 namespace {
@@ -179,22 +180,14 @@
   if (history.failed_forgotten.size() >= most) Violation("too many runs: " + where);
 }
 
-// True when no later owner can start the task again, or count fewer failures than there were.
-bool SimulatedFleet::IsStored(const EndedRun& end) const {
+bool SimulatedFleet::IsStoredOrOver(const EndedRun& end) const {
   const jobs::TaskId& id = end.id.task;
   const auto job = store_.jobs.find(id.job);
   if (job == store_.jobs.end() || store_.cancelled.count(id.job) > 0) return true;
   const auto record = store_.progress.find(id.job);
   if (record == store_.progress.end()) return false;
-  const jobs::JobProgress progress = jobs::DecodeProgress(record->second).value;
-  if (jobs::IsFinal(progress.state) || jobs::IsDone(progress, id)) return true;
-  if (end.kind == EndKind::kDone) return false;
-  // The first member holds the failures of the whole gang.
   const bool gang = job->second.first.steps[static_cast<size_t>(id.step)].gang;
-  const auto task = progress.tasks.find({id.occurrence, id.step, gang ? 0 : id.index});
-  if (task == progress.tasks.end()) return false;
-  const std::vector<int64_t>& failed = task->second.failed_runs;
-  return std::find(failed.begin(), failed.end(), end.id.run) != failed.end();
+  return IsStored(jobs::DecodeProgress(record->second).value, end, gang);
 }
 
 // Checks ends that a worker was told to forget. What was listed before the lease ended counts for
@@ -208,7 +201,7 @@
     const jobs::Step& step = job->second.first.steps[static_cast<size_t>(it.id.task.step)];
     if (step.perpetual || step.speculative) continue;
     const std::string where = Text(it.id) + " on " + worker.info.id;
-    if (!IsStored(it)) Violation("an end is forgotten before it is stored: " + where);
+    if (!IsStoredOrOver(it)) Violation("an end is forgotten before it is stored: " + where);
     const TimePoint ended_at = worker.ended_at.at(it.sequence);
     if (worker.lapsed_at >= ended_at) continue;
     TaskHistory& history = histories_[it.id.task];
--- a/tests/entry/shared_workers.h
+++ b/tests/entry/shared_workers.h
@@ -3,7 +3,6 @@
 #ifndef POMELOPOND_TESTS_ENTRY_SHARED_WORKERS_H_
 #define POMELOPOND_TESTS_ENTRY_SHARED_WORKERS_H_
 
-#include <algorithm>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -15,6 +14,7 @@
 #include "entry/keys.h"
 #include "jobs/progress.h"
 #include "tests/dispatch/simulated_worker.h"
+#include "tests/dispatch/stored_end.h"
 #include "tests/entry/troubled_store.h"
 
 namespace pomelopond::entry {
@@ -58,6 +58,7 @@
     });
   }
 
+  // Start() and Hold() are for use in `execute`, which runs with the lock.
   dispatch::Report Start(dispatch::SimulatedWorker* worker, const dispatch::StartOrder& order) {
     dispatch::SimulatedRun run;
     run.began = Now();
@@ -124,12 +125,7 @@
     const std::string bytes = store_.ValueOf(ProgressKey(job)).value;
     const jobs::JobProgress progress =
         bytes.empty() ? jobs::JobProgress{} : jobs::DecodeProgress(bytes).value;
-    if (jobs::IsFinal(progress.state) || jobs::IsDone(progress, end.id.task)) return;
-    const auto task = progress.tasks.find({0, end.id.task.step, end.id.task.index});
-    const bool counted =
-        task != progress.tasks.end() && std::count(task->second.failed_runs.begin(),
-                                                   task->second.failed_runs.end(), end.id.run) > 0;
-    if (end.kind == dispatch::EndKind::kFailed && counted) return;
+    if (dispatch::IsStored(progress, end, false)) return;
     faults_.push_back("forgotten before it is stored: " + Text(end.id) + " on " + worker.info.id);
   }
 
--- a/tests/entry/troubled_store.h
+++ b/tests/entry/troubled_store.h
@@ -3,7 +3,6 @@
 #ifndef POMELOPOND_TESTS_ENTRY_TROUBLED_STORE_H_
 #define POMELOPOND_TESTS_ENTRY_TROUBLED_STORE_H_
 
-#include <algorithm>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -40,15 +39,13 @@
     Call<store::Page>(std::move(done), kCallTimeout, [this, prefix, after] {
       store::Page page;
       page.revision = revision_;
-      for (auto it = items_.upper_bound(std::max(prefix, after)); it != items_.end(); ++it) {
+      auto it = after.empty() ? items_.lower_bound(prefix) : items_.upper_bound(after);
+      for (; it != items_.end(); ++it) {
         if (it->first.compare(0, prefix.size(), prefix) != 0) break;
         page.has_more = page.items.size() == kPageItems;
         if (page.has_more) break;
         page.items.push_back(it->second);
       }
-      // upper_bound() passes over a key that is the prefix itself.
-      const auto exact = items_.find(prefix);
-      if (after.empty() && exact != items_.end()) page.items.push_back(exact->second);
       return Result<store::Page>{{}, page};
     });
   }
