Evacuation of failure domains

Change: the watch of the configuration covers all keys of the operators, so evacuations cost no further store call. An owner starts nothing before it has listed them, nor while its watch is broken. Workers of an evacuated domain accept no tasks; starts without an answer are stopped; perpetual and checkpointed runs move into room that nobody waits for. Cold workers come last and get starts at their service's rate.

--- a/src/dispatch/choose_worker.cc
+++ b/src/dispatch/choose_worker.cc
@@ -68,8 +68,12 @@
   return request.shares_processor ? ExpectedTailRatio(worker, request) : 0;
 }
 
-// Smaller scores are better.
-using Score = std::tuple<bool, bool, bool, bool, int64_t>;
+// Smaller scores are better. The first part tells how little the worker itself is to be preferred.
+using Score = std::tuple<int, bool, bool, bool, int64_t>;
+
+// A suspect worker may fail the task, a cold one is only slow.
+constexpr int kSuspectPenalty = 2;
+constexpr int kColdPenalty = 1;
 
 // `tail` is the worker's ScoredTailRatio().
 Score ScoreOf(const WorkerState& worker, const PlacementRequest& request, double tail,
@@ -78,6 +82,7 @@
   const bool suspect =
       now < worker.suspect_until ||
       (request.task != nullptr && request.task->failed_on.count(worker.info.id) > 0);
+  const int penalty = (suspect ? kSuspectPenalty : 0) + (IsCold(worker, now) ? kColdPenalty : 0);
   const bool outside_preferred_rack =
       !step.preferred_rack.empty() && worker.info.rack != step.preferred_rack;
   const int64_t spare_cpu = SpareCpu(worker);
@@ -86,16 +91,16 @@
     const bool long_tail = request.shares_processor && (tail > kMaxExpectedTailRatio ||
                                                         HasLongTail(*request.colocation, worker));
     const auto tail_permille = static_cast<int64_t>(std::min(tail, 1e6) * 1000);
-    return {suspect, outside_preferred_rack, long_tail, false,
+    return {penalty, outside_preferred_rack, long_tail, false,
             long_tail ? tail_permille : -spare_cpu};
   }
   if (step.target_tail_ms > 0) {
-    return {suspect, outside_preferred_rack, ServesOthers(worker, step.image), worker.serving == 0,
+    return {penalty, outside_preferred_rack, ServesOthers(worker, step.image), worker.serving == 0,
             spare_cpu};
   }
   // Tasks with a reservation and no tail target don't interfere with latency-critical tasks. Placed
   // beside them, they leave the other workers to best-effort tasks.
-  return {suspect, outside_preferred_rack, worker.serving == 0, worker.best_effort_cpu > 0,
+  return {penalty, outside_preferred_rack, worker.serving == 0, worker.best_effort_cpu > 0,
           -spare_cpu};
 }
 
@@ -103,10 +108,9 @@
 bool IsBestInOrder(const Score& score, const jobs::Step& step) {
   // The index does not know which images a worker serves.
   if (!step.best_effort && step.target_tail_ms > 0) return false;
-  const bool suspect = std::get<0>(score);
   const bool outside_preferred_rack = std::get<1>(score);
   const bool long_tail = step.best_effort && std::get<2>(score);
-  return !suspect && !outside_preferred_rack && !long_tail;
+  return std::get<0>(score) == 0 && !outside_preferred_rack && !long_tail;
 }
 
 // Returns the worker with the best score, and of those the one with the lowest id. `order` lists
@@ -145,7 +149,10 @@
   return registered && !worker.info.draining;
 }
 
+bool IsCold(const WorkerState& worker, TimePoint now) { return now < worker.cold_until; }
+
 bool AcceptsTasks(const WorkerState& worker, TimePoint now) {
+  if (worker.evacuated || (IsCold(worker, now) && now < worker.next_cold_start)) return false;
   return IsMember(worker, now) && worker.recorded && worker.contacted && !worker.info_outdated &&
          !worker.lease_bounded && worker.unanswered_calls == 0 && now >= worker.backoff_until;
 }
@@ -213,7 +220,7 @@
   const Resources need = StepReservation(*request.step);
   std::map<std::string, int> tasks;
   for (const auto& [id, it] : workers) {
-    if (it.info.service != request.service) continue;
+    if (it.info.service != request.service || it.evacuated) continue;
     Resources available = it.info.capacity;
     for (int n = 0; n < request.step->replicas && Fits(need, available); ++n) {
       tasks[it.info.rack] += 1;
@@ -252,8 +259,11 @@
 }
 
 bool IsUnderused(const SpareProcessor& spare) {
-  return static_cast<double>(spare.reserved) <
-         kUnderusedFraction * static_cast<double>(spare.capacity);
+  const auto underused = [](int64_t reserved, int64_t capacity) {
+    return static_cast<double>(reserved) < kUnderusedFraction * static_cast<double>(capacity);
+  };
+  return underused(spare.reserved, spare.capacity) ||
+         underused(spare.open_reserved, spare.open_capacity);
 }
 
 bool HasUnusedProcessor(const SpareProcessor& spare, int64_t cpu_milli) {
@@ -274,6 +284,8 @@
     SpareProcessor& of_service = *last;
     of_service.capacity += it.info.capacity.cpu_milli;
     of_service.reserved += it.used.cpu_milli;
+    of_service.open_capacity += it.evacuated ? 0 : it.info.capacity.cpu_milli;
+    of_service.open_reserved += it.evacuated ? 0 : it.used.cpu_milli;
     if (!AcceptsTasks(it, now)) continue;
     of_service.most = std::max(of_service.most, SpareCpu(it));
     of_service.left += SpareCpu(it) + it.best_effort_cpu;
@@ -288,7 +300,7 @@
     const WorkerInfo& info = entry.second.info;
     const bool labelled = step.required_label.empty() || info.labels.count(step.required_label) > 0;
     return info.service == service && labelled && Fits(step.request, info.capacity) &&
-           IsMember(entry.second, now);
+           IsMember(entry.second, now) && !entry.second.evacuated;
   });
 }
 
--- a/src/dispatch/choose_worker.h
+++ b/src/dispatch/choose_worker.h
@@ -37,6 +37,9 @@
 // True when the worker is registered and stays, so that it may get new tasks, now or later.
 bool IsMember(const WorkerState& worker, TimePoint now);
 
+// True while the worker is slow because it is cold.
+bool IsCold(const WorkerState& worker, TimePoint now);
+
 // True when the worker accepts new tasks of any kind.
 bool AcceptsTasks(const WorkerState& worker, TimePoint now);
 
@@ -69,15 +72,19 @@
   int64_t most = 0;      // on one worker, at the begin of the placement
   int64_t capacity = 0;  // of the members
   int64_t reserved = 0;  // on the members
-  int64_t left = 0;      // not reserved, or reserved and left unused, on those that accept tasks
-  int64_t in_use = 0;    // of that, by best-effort runs, and what this placement has added
+  // The same without members whose failure domain is evacuated.
+  int64_t open_capacity = 0;
+  int64_t open_reserved = 0;
+  int64_t left = 0;    // not reserved, or reserved and left unused, on those that accept tasks
+  int64_t in_use = 0;  // of that, by best-effort runs, and what this placement has added
   bool short_of_first_runs = false;  // a first run has found no worker in this placement
   // A task of a job on time that some worker could run when it is empty has found no worker.
   bool wanted = false;
 };
 
-// True while so little of the service's processor time is reserved that each idle job is to get a
-// run, even if best-effort tasks have requested the rest.
+// True while so little of the service's processor time is reserved, on all members or on those that
+// are not evacuated, that each idle job is to get a run, even if best-effort tasks have requested
+// the rest.
 bool IsUnderused(const SpareProcessor& spare);
 
 // True while best-effort runs use so little of what is left that another one of `cpu_milli` takes
--- a/src/dispatch/decide.cc
+++ b/src/dispatch/decide.cc
@@ -69,6 +69,7 @@
   LogReconciliation(now);
   UpdateTasksAway(now);
   EvictFromDrainingWorkers(checked);
+  MoveFromEvacuatedDomains(now, wall_ms);
   ReleaseOverdueStarts(now);
   PlaceTasks(now, wall_ms, &orders);
   DecidePace(checked, now, &orders);
@@ -237,7 +238,7 @@
       run.call_in_flight = true;
       orders->stops.push_back({AddressOf(*worker), epoch_, id});
     }
-    if (run.phase != RunPhase::kStarting) continue;
+    if (run.phase != RunPhase::kStarting || starts_held_) continue;
     const std::optional<StartOrder> order = MakeStartOrder(worker, id, now);
     if (!order) {
       // An earlier start order may still take effect, but it cannot be sent again.
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -17,6 +18,7 @@
 #include "base/time.h"
 #include "dispatch/choose_worker.h"
 #include "dispatch/colocation.h"
+#include "dispatch/evacuation.h"
 #include "dispatch/job_rank.h"
 #include "dispatch/job_table.h"
 #include "dispatch/job_wait.h"
@@ -165,6 +167,16 @@
   void DeregisterWorker(const std::string& id, TimePoint now);
   std::vector<std::string> RegisteredWorkers() const;
 
+  // Replaces the set of failure domains in which no task may start. Before the first call there is
+  // none.
+  void SetEvacuatedDomains(const std::set<std::string>& domains, TimePoint now);
+  // While starts are held, no task starts anywhere and no start order is repeated.
+  void HoldStarts(bool hold) { starts_held_ = hold; }
+  // Starts per second that a cold worker accepts, by service; services without a limit are absent.
+  void SetColdStartRates(std::map<std::string, double> rates) {
+    cold_start_rates_ = std::move(rates);
+  }
+
   void OnReport(const HeartbeatOrder& order, const Report& report, TimePoint now, int64_t wall_ms);
   void OnStarted(const StartOrder& order, const Answer& answer, TimePoint now);
   void OnStopped(const StopOrder& order, const Answer& answer, TimePoint now);
@@ -296,6 +308,16 @@
                  Orders* orders);
   void StartRun(WorkerState* worker, JobEntry* entry, const RunId& id, TimePoint now,
                 Orders* orders);
+  void StopStartsInEvacuatedDomains();
+  // Stops runs in evacuated domains that can go on elsewhere.
+  void MoveFromEvacuatedDomains(TimePoint now, int64_t wall_ms);
+  // `targets` and `moved_steps` are the workers and perpetual steps that the round has used.
+  void MoveRun(WorkerState* worker, const RunId& id, std::set<std::string>* targets,
+               std::set<std::tuple<std::string, int, int>>* moved_steps, EvacuationRound* round,
+               TimePoint now);
+  std::optional<int> MostUrgentWaiting(const std::string& service, TimePoint now,
+                                       int64_t wall_ms) const;
+  void LogDomain(const char* event, const std::string& domain) const;
   void EvictFromDrainingWorkers(const std::vector<WorkerState*>& checked);
   void OrderPace(WorkerState* worker, const PaceChange& change, TimePoint now, Orders* orders);
   void StopInterference(WorkerState* worker, TimePoint now);
@@ -324,6 +346,11 @@
   const TimePoint took_over_;
   TimePoint last_proof_;
   bool superseded_ = false;
+  std::set<std::string> evacuated_domains_;
+  bool starts_held_ = false;
+  std::map<std::string, double> cold_start_rates_;  // by service
+  TimePoint next_evacuation_move_{};
+  EvacuationRound evacuation_round_;  // the last one
 
   std::unordered_map<std::string, JobEntry> jobs_;
   std::map<std::string, WorkerState> workers_;
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -82,7 +82,7 @@
 
 void Dispatcher::PlaceTasks(TimePoint now, int64_t wall_ms, Orders* orders) {
   // Without a recent proof of ownership no start order would be sent.
-  if (now >= last_proof_ + limits_.lease_horizon) return;
+  if (now >= last_proof_ + limits_.lease_horizon || starts_held_) return;
   if (IsAtStartLimit()) return;
   // Most decisions follow an answer that frees no capacity.
   const Duration interval =
@@ -380,6 +380,7 @@
       std::chrono::duration<double, std::milli>(ExpectedMs(durations_, StepOf(*entry, id.task))));
   const std::optional<StartOrder> order = MakeStartOrder(worker, id, now);
   if (!order) return EndRun(worker, id);
+  LimitColdStarts(worker, cold_start_rates_, now);
   worker->runs[id].call_in_flight = true;
   starts_in_flight_ += 1;
   starts_ += 1;
--- a/src/dispatch/pool_summary.cc
+++ b/src/dispatch/pool_summary.cc
@@ -44,6 +44,7 @@
       out.longest_away = std::max(out.longest_away, task.away);
     }
   }
+  out.evacuation_round = evacuation_round_;
   out.run_lines_left_out = run_lines_left_out_;
   out.starts = starts_;
   out.ends = ends_;
@@ -67,6 +68,10 @@
     for (const auto& [id, run] : it.runs) {
       out.paced_runs += run.best_effort && run.pace < kFullPace ? 1 : 0;
     }
+    if (it.evacuated) {
+      out.evacuated_workers += it.registered ? 1 : 0;
+      CountEvacuationRuns(it, &out.evacuated_runs);
+    }
     out.high_tail_workers += WorstTailRatio(it) > kHighTailRatio ? 1 : 0;
     if (!AcceptsTasks(it, now)) continue;
     out.workers += 1;
--- a/src/dispatch/pool_summary.h
+++ b/src/dispatch/pool_summary.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "base/time.h"
+#include "dispatch/evacuation.h"
 
 namespace pomelopond::dispatch {
 
@@ -47,6 +48,10 @@
   int64_t best_effort_used_cpu = 0;  // used by best-effort tasks, as last reported
   int paced_runs = 0;                // best-effort runs below their full processor share
   int high_tail_workers = 0;         // workers whose tails keep further best-effort tasks away
+  // Registered workers in evacuated failure domains, and their runs.
+  int evacuated_workers = 0;
+  EvacuationRuns evacuated_runs;
+  EvacuationRound evacuation_round;  // the last one
   // Neither reserved nor requested by best-effort tasks, on workers that accept tasks.
   int64_t free_cpu = 0;
 };
--- a/src/dispatch/worker.h
+++ b/src/dispatch/worker.h
@@ -25,12 +25,13 @@
   std::string rack;
   bool draining = false;    // the worker shuts down soon and accepts no new tasks
   int64_t incarnation = 0;  // differs after each restart; 0: not published
+  int64_t cold_ms = 0;      // how much longer the worker is slow because it is cold, in ms
 
   friend bool operator==(const WorkerInfo& a, const WorkerInfo& b) {
     return std::tie(a.id, a.service, a.endpoint, a.failure_domain, a.capacity, a.labels, a.rack,
-                    a.draining, a.incarnation) == std::tie(b.id, b.service, b.endpoint,
-                                                           b.failure_domain, b.capacity, b.labels,
-                                                           b.rack, b.draining, b.incarnation);
+                    a.draining, a.incarnation, a.cold_ms) ==
+           std::tie(b.id, b.service, b.endpoint, b.failure_domain, b.capacity, b.labels, b.rack,
+                    b.draining, b.incarnation, b.cold_ms);
   }
   friend bool operator!=(const WorkerInfo& a, const WorkerInfo& b) { return !(a == b); }
 };
--- a/src/dispatch/worker_table.cc
+++ b/src/dispatch/worker_table.cc
@@ -47,6 +47,8 @@
       return "stalled";
     case StopReason::kDraining:
       return "draining";
+    case StopReason::kEvacuated:
+      return "evacuated";
     case StopReason::kUnwanted:
       return "unwanted";
     case StopReason::kUncertain:
--- a/src/dispatch/worker_table.h
+++ b/src/dispatch/worker_table.h
@@ -35,6 +35,7 @@
   kTail,       // it lengthens a tail over its target
   kStalled,    // its reports show no progress
   kDraining,   // its worker shuts down soon
+  kEvacuated,  // the failure domain of its worker is evacuated
   kUnwanted,   // another run of the task is wanted, or none
   kUncertain,  // its start can neither be confirmed nor sent again
 };
@@ -111,6 +112,9 @@
   uint64_t report_connection = 0;  // that carried the last report
   bool registered = false;         // present in the registry at the last update
   TimePoint deregistered_at{};     // when the registration was last found missing
+  bool evacuated = false;          // its failure domain is evacuated, so it gets no tasks
+  TimePoint cold_until{};          // the worker is slow until then because it is cold
+  TimePoint next_cold_start{};     // while it is cold, it accepts no task before this time
   // The worker has answered as an incarnation that is not registered yet, so it may have another
   // capacity and other labels than `info`.
   bool info_outdated = false;
--- a/src/entry/pool_log.cc
+++ b/src/entry/pool_log.cc
@@ -58,6 +58,20 @@
        {"free_cpu", it.free_cpu}});
 }
 
+void LogEvacuation(const dispatch::PoolSummary& it) {
+  if (it.evacuated_workers == 0 && it.evacuated_runs.Total() == 0) return;
+  Log(LogLevel::kInfo, "owner", "evacuation_progress",
+      {{"workers", it.evacuated_workers},
+       {"perpetual", it.evacuated_runs.perpetual},
+       {"checkpointed", it.evacuated_runs.checkpointed},
+       {"others", it.evacuated_runs.others},
+       {"stopping", it.evacuated_runs.stopping},
+       {"without_room", it.evacuation_round.without_room},
+       {"at_limit", it.evacuation_round.at_limit},
+       {"behind_waiting", it.evacuation_round.behind_waiting},
+       {"free_cpu", it.free_cpu}});
+}
+
 void LogWait(const dispatch::JobWait& wait) {
   using dispatch::Obstacle;
   const auto workers = [&wait](Obstacle it) { return Count(wait.obstacles, it); };
--- a/src/entry/pool_log.h
+++ b/src/entry/pool_log.h
@@ -11,6 +11,8 @@
 namespace pomelopond::entry {
 
 void LogPool(const dispatch::PoolSummary& it, int64_t epoch);
+// Only while a failure domain is evacuated.
+void LogEvacuation(const dispatch::PoolSummary& it);
 void LogWait(const dispatch::JobWait& wait);
 void LogTaskAway(const dispatch::TaskAway& task);
 
--- a/src/entry/pool_owner.cc
+++ b/src/entry/pool_owner.cc
@@ -23,6 +23,23 @@
 // A host that could not load the state leaves the pool to slower ones for this time.
 constexpr Duration kRequestRest = std::chrono::seconds(30);
 constexpr Duration kSummaryInterval = std::chrono::seconds(2);
+// While the store answers, the evacuations are confirmed each 0.7 s. If they are not for this time,
+// their watch is broken. An evacuation must be in force within 5 s.
+constexpr Duration kMaxEvacuationAge = std::chrono::seconds(3);
+
+// True when tasks might start in a failure domain whose evacuation this host has missed: the store
+// has answered other calls of this host since it last confirmed the evacuations.
+bool MissesEvacuations(const CatalogView& view, TimePoint store_answered_at) {
+  return view.evacuated == nullptr || store_answered_at > view.confirmed_at + kMaxEvacuationAge;
+}
+
+std::map<std::string, double> ColdStartRates(const jobs::Catalog& catalog) {
+  std::map<std::string, double> out;
+  for (const jobs::Service& it : catalog.services) {
+    if (it.cold_starts_per_s > 0) out[it.name] = it.cold_starts_per_s;
+  }
+  return out;
+}
 
 }  // namespace
 
@@ -195,6 +212,8 @@
   last_ownership_proof_ = began;
   jobs_loaded_ = false;
   progress_.clear();
+  applied_catalog_.reset();
+  starts_held_ = false;
   After(options_.lease / kRenewalsPerLease, [this] { RenewOwnerLease(); });
   Load();
 }
@@ -227,6 +246,7 @@
     no_request_before_ = now + kRequestRest;
     return StepDown("loading the state timed out");
   }
+  ApplyCatalog(now);
   Send(dispatcher_->Decide(now, WallClockMs()));
   if (dispatcher_->superseded()) return StepDown("a worker reported a later epoch");
   WriteCommit();
@@ -234,10 +254,32 @@
   if (now >= next_summary_) LogSummary(now);
 }
 
+void PoolOwner::ApplyCatalog(TimePoint now) {
+  if (!options_.catalog) return;
+  const CatalogView view = options_.catalog();
+  const bool hold = MissesEvacuations(view, last_ownership_proof_);
+  if (hold != starts_held_) {
+    Log(hold ? LogLevel::kWarn : LogLevel::kInfo, "owner", hold ? "starts_held" : "starts_released",
+        {{"evacuations_known", view.evacuated != nullptr},
+         {"age_ms", Milliseconds(now - view.confirmed_at)}});
+  }
+  starts_held_ = hold;
+  dispatcher_->HoldStarts(hold);
+  if (view.evacuated != nullptr) dispatcher_->SetEvacuatedDomains(*view.evacuated, now);
+  if (view.catalog == applied_catalog_) return;
+  applied_catalog_ = view.catalog;
+  dispatcher_->SetColdStartRates(ColdStartRates(*view.catalog));
+}
+
 void PoolOwner::LogSummary(TimePoint now) {
   next_summary_ = now + kSummaryInterval;
   const int64_t wall_ms = WallClockMs();
-  LogPool(dispatcher_->Summary(now, wall_ms), term_.epoch);
+  const dispatch::PoolSummary summary = dispatcher_->Summary(now, wall_ms);
+  LogPool(summary, term_.epoch);
+  LogEvacuation(summary);
+  metrics_->Set("evacuated_workers", summary.evacuated_workers);
+  metrics_->Set("evacuated_runs", summary.evacuated_runs.Total());
+  metrics_->Set("starts_held", starts_held_ ? 1 : 0);
   for (const dispatch::JobWait& it : dispatcher_->ExplainWaits(now, wall_ms)) LogWait(it);
   for (const dispatch::TaskAway& it : dispatcher_->ExplainTasksAway(now)) LogTaskAway(it);
 }
--- a/src/entry/pool_owner.h
+++ b/src/entry/pool_owner.h
@@ -18,6 +18,7 @@
 #include "dispatch/dispatcher.h"
 #include "dispatch/worker_calls.h"
 #include "entry/candidate.h"
+#include "entry/catalog_watcher.h"
 #include "entry/prefix_watcher.h"
 #include "entry/term.h"
 #include "metrics/registry.h"
@@ -33,6 +34,8 @@
   dispatch::DispatchLimits limits;
   // Processor time of this host in thousandths of a core; 0: unknown.
   int64_t processor_milli = 0;
+  // Returns what the operators have stored, as far as this host knows. Unset: nothing.
+  std::function<CatalogView()> catalog;
   int64_t memory_bytes = 0;                  // memory that this process may take; 0: unknown
   double link_mbps = 0;                      // rate of this host's link, for the log; 0: unknown
   dispatch::PermitCalls* permits = nullptr;  // grants permits; null if no queue needs them
@@ -107,6 +110,8 @@
   void OnOwnerKeyWritten(const Result<store::CommitResult>& result);
   void Tick();
   void LogSummary(TimePoint now);
+  // Passes the operators' catalog and evacuations on to the dispatcher.
+  void ApplyCatalog(TimePoint now);
   void Send(const dispatch::Orders& orders);
   void SendPermitOrder(const dispatch::PermitOrder& order);
   void WriteCommit();
@@ -173,6 +178,8 @@
   // Last time at which this process was certain to be the owner.
   TimePoint last_ownership_proof_;
   TimePoint next_summary_;
+  jobs::CatalogPtr applied_catalog_;  // by the dispatcher
+  bool starts_held_ = false;          // by the dispatcher
   std::unique_ptr<EventLoop> loop_;
 };
 
--- a/src/jobs/catalog.h
+++ b/src/jobs/catalog.h
@@ -19,9 +19,17 @@
   QueueRules rules;
 };
 
+// A pool of workers that queues send their tasks to.
+struct Service {
+  std::string name;
+  // Starts per second that a worker accepts while it is cold; 0: not limited.
+  double cold_starts_per_s = 0;
+};
+
 struct Catalog {
   int64_t version = 0;
   std::vector<Queue> queues;
+  std::vector<Service> services;
 };
 
 using CatalogPtr = std::shared_ptr<const Catalog>;
--- a/src/jobs/limits.h
+++ b/src/jobs/limits.h
@@ -19,6 +19,8 @@
 inline constexpr int64_t kMaxDurationMs = 10000000000000;
 // Largest distance of a point in time from the Unix epoch, in ms.
 inline constexpr int64_t kMaxTimeMs = 1000000000000000;
+// Largest rate of starts on a cold worker.
+inline constexpr double kMaxColdStartsPerS = 1000000;
 // Largest factor of a queue's objective.
 inline constexpr double kMaxStretch = 1000000;
 // Largest number of a run, which no worker reaches, and largest epoch. An epoch has 100,000 runs of
--- a/tests/dispatch/random_fleet_test.cc
+++ b/tests/dispatch/random_fleet_test.cc
@@ -211,7 +211,8 @@
   bool IsSettled(const SimulatedWorker& worker) const {
     const auto entry = fleet_.store().registry.find(worker.info.id);
     return entry != fleet_.store().registry.end() && entry->second == worker.info &&
-           !worker.info.draining && worker.leaves_at == TimePoint::max();
+           !worker.info.draining && worker.leaves_at == TimePoint::max() &&
+           fleet_.store().evacuated.count(worker.info.failure_domain) == 0;
   }
 
   SimulatedFleet& fleet_;
@@ -255,6 +256,7 @@
   int64_t known_value_bytes = 1048576;  // largest value of the store, as the settings say
   int64_t value_bytes = 1048576;
   bool store_troubles = false;
+  double evacuations = 0;  // per second
   bool checks_progress = true;
 };
 
@@ -264,6 +266,7 @@
   SimulatedFleet fleet(seed);
   fleet.limits.max_value_bytes = options.known_value_bytes;
   fleet.store_value_bytes = options.value_bytes;
+  fleet.has_evacuations = options.evacuations > 0;
   fleet.limits.finished_retention = seconds(5);
   fleet.limits.max_starts_in_flight = fleet.Chance(0.3) ? 4 : 64;
   const int64_t workers = fleet.Between(3, 10);
@@ -276,6 +279,7 @@
     const Duration length = fleet.MsBetween(3000, 12000);
     Troubles troubles = DrawTroubles(&fleet);
     if (options.store_troubles) troubles = AddStoreTroubles(&fleet, troubles);
+    troubles.evacuations = options.evacuations;
     fleet.Run(length, troubles);
     fleet.EndTroubles();
     fleet.on_tick = [&] { jobs.SubmitSome(per_second / 4); };
@@ -289,7 +293,9 @@
       // Tasks of a job whose record has no room for one more wait for others of the job.
       if (options.checks_progress) progress.Check();
     };
-    fleet.Run(seconds(5), {});
+    Troubles calm;
+    calm.evacuations = options.evacuations;
+    fleet.Run(seconds(5), calm);
   }
   if (options.known_value_bytes <= options.value_bytes && fleet.rejected_commits > 0) {
     fleet.Violation("a commit was rejected although the limit is known");
@@ -356,6 +362,15 @@
   PlayDays(options);
 }
 
+// Guards against tasks that start in an evacuated failure domain, or find no other place, with an
+// owner that is lost halfway and a store in trouble.
+TEST(RandomFleetTest, KeepsItsPromisesBesideEvacuations) {
+  DayOptions options;
+  options.store_troubles = true;
+  options.evacuations = 0.4;
+  PlayDays(options);
+}
+
 // Guards against ends that workers are told to forget before they are stored, after which a later
 // owner runs the tasks again (review/6). Jobs that fail bring the most of them.
 TEST(RandomFleetTest, ForgetsNoEndBeforeItIsStored) {
--- a/tests/dispatch/simulated_fleet.cc
+++ b/tests/dispatch/simulated_fleet.cc
@@ -10,6 +10,9 @@
 constexpr const char* kLabel = "label-a";
 constexpr int kRacks = 3;
 
+// Each rack is a failure domain.
+std::string DomainOf(const std::string& rack) { return "domain-of-" + rack; }
+
 }  // namespace
 
 std::string Text(const RunId& id) { return Text(id.task) + " run " + std::to_string(id.run); }
@@ -78,6 +81,26 @@
   });
 }
 
+void SimulatedFleet::Evacuate(const std::string& domain, Duration duration) {
+  if (IsStoreDown() || store_.evacuated.count(domain) > 0) return;
+  store_.evacuated[domain] = now_;
+  At(now_ + kWatchDelay, [this] { PassEvacuationsOn(); });
+  At(now_ + duration, [this, domain] {
+    store_.evacuated.erase(domain);
+    At(now_ + kWatchDelay, [this] { PassEvacuationsOn(); });
+  });
+}
+
+void SimulatedFleet::PassEvacuationsOn() {
+  std::set<std::string> domains;
+  for (const auto& [domain, since] : store_.evacuated) domains.insert(domain);
+  ForOwners([&](SimulatedOwner* it) {
+    if (!it->knows_evacuations) return;
+    it->dispatcher.SetEvacuatedDomains(domains, now_);
+    Check(it);
+  });
+}
+
 // Owners.
 
 void SimulatedFleet::TakeOver(bool earlier_continues) {
@@ -92,9 +115,21 @@
   it->term_revision = store_.term_revision;
   it->dispatcher.OnOwnershipProof(now_);
   it->dispatcher.OnProvenRevision(store_.revision);
+  if (has_evacuations) LoadEvacuations(it);
   Load(it);
 }
 
+void SimulatedFleet::LoadEvacuations(SimulatedOwner* owner) {
+  owner->dispatcher.HoldStarts(true);
+  At(now_ + kWatchDelay, [this, epoch = owner->epoch] {
+    SimulatedOwner* it = OwnerOf(epoch);
+    if (it == nullptr) return;
+    it->knows_evacuations = true;
+    it->dispatcher.HoldStarts(false);
+    PassEvacuationsOn();
+  });
+}
+
 void SimulatedFleet::Load(SimulatedOwner* owner) {
   const LeaseBounds bounds = DecodeLeaseBounds(store_.lease_bounds).value;
   for (const WorkerInUse& it : DecodeWorkersInUse(store_.workers_in_use).value) {
@@ -149,6 +184,7 @@
   info.endpoint = endpoint;
   info.capacity = {1000 * Between(2, 16), 1000 * Between(2, 16), Between(0, 2)};
   info.rack = "rack-" + std::to_string(Between(1, kRacks));
+  info.failure_domain = DomainOf(info.rack);
   if (Chance(0.5)) info.labels.insert(kLabel);
   info.incarnation = next_incarnation_++;
   return info;
@@ -197,6 +233,7 @@
   SimulatedWorker next;
   next.info = DrawInfo(worker->info.id, worker->info.endpoint);
   next.info.rack = worker->info.rack;
+  next.info.failure_domain = worker->info.failure_domain;
   next.booted = now_;
   next.clock_rate = worker->clock_rate;
   next.enforces_capacity = worker->enforces_capacity;
@@ -247,6 +284,9 @@
   }
   if (happens(troubles.takeovers) && !IsStoreDown()) TakeOver(Chance(0.5));
   if (happens(troubles.outages)) StopStore();
+  if (happens(troubles.evacuations)) {
+    Evacuate(DomainOf("rack-" + std::to_string(Between(1, kRacks))), MsBetween(500, 8000));
+  }
   TakeOverIfDue();
   if (happens(troubles.cancels) && !store_.jobs.empty()) {
     auto it = store_.jobs.begin();
--- a/tests/dispatch/simulated_fleet.h
+++ b/tests/dispatch/simulated_fleet.h
@@ -38,6 +38,7 @@
   double cancels = 0;
   double late_commit = 0;  // without an answer, and carried out seconds later
   double outages = 0;      // of the store
+  double evacuations = 0;  // of a failure domain, which is taken back some seconds later
 };
 
 // What the store holds.
@@ -53,6 +54,7 @@
   std::string workers_in_use = Encode(std::vector<WorkerInUse>{});
   std::string lease_bounds = Encode(LeaseBounds{});
   std::map<std::string, WorkerInfo> registry;
+  std::map<std::string, TimePoint> evacuated;  // failure domains, and since when
 };
 
 struct SimulatedOwner {
@@ -63,6 +65,7 @@
   const int64_t epoch;
   bool gone = false;
   bool watches_registry = false;
+  bool knows_evacuations = false;
   std::optional<Commit> commit;
   bool commit_in_flight = false;
   int64_t last_commit = 0;
@@ -128,6 +131,7 @@
   void AddWorker();
   void Submit(const jobs::Job& job);
   void Cancel(const std::string& id);
+  void Evacuate(const std::string& domain, Duration duration);
   void TakeOver(bool earlier_continues);
   // Advances the fleet by `duration` under the troubles.
   void Run(Duration duration, const Troubles& troubles);
@@ -139,6 +143,8 @@
   DispatchLimits limits;
   // The store rejects larger values, whatever the limits say.
   int64_t store_value_bytes = 1048576;
+  // Owners read the evacuations before they start anything.
+  bool has_evacuations = false;
   int rejected_commits = 0;
   std::function<void()> on_tick;
 
@@ -146,6 +152,8 @@
   static constexpr TimePoint kStart{std::chrono::hours(1)};
   static constexpr Duration kTick = std::chrono::milliseconds(25);
   static constexpr Duration kCallTimeout = std::chrono::seconds(1);
+  // An owner knows of an evacuation within this time.
+  static constexpr Duration kMaxEvacuationDelay = std::chrono::milliseconds(100);
   static constexpr Duration kWatchDelay = std::chrono::milliseconds(20);
   static constexpr Duration kPermitValidity = std::chrono::seconds(5);
 
@@ -161,10 +169,14 @@
   void Learn(SimulatedOwner* owner, const std::string& worker, int64_t incarnation);
   void Update(SimulatedOwner* owner, const WorkerInfo& info);
   void Load(SimulatedOwner* owner);
+  void LoadEvacuations(SimulatedOwner* owner);
   void Check(SimulatedOwner* owner);
   void CheckJob(const SimulatedOwner& owner, const JobEntry& entry);
   void CheckWorkers(const SimulatedOwner& owner);
   void CheckStart(SimulatedOwner* owner, const StartOrder& order);
+  void CheckDomain(const StartOrder& order);
+  // Tells the owners, except for one that has not read the evacuations yet.
+  void PassEvacuationsOn();
   void CheckForgotten(const SimulatedWorker& worker, const std::vector<EndedRun>& ends);
   // True when the store holds what the end tells, or its job is cancelled or removed.
   bool IsStoredOrOver(const EndedRun& end) const;
--- a/tests/dispatch/simulated_fleet_checks.cc
+++ b/tests/dispatch/simulated_fleet_checks.cc
@@ -109,9 +109,19 @@
   }
 }
 
+void SimulatedFleet::CheckDomain(const StartOrder& order) {
+  const SimulatedWorker* worker = WorkerAt(order.to.endpoint);
+  // Another worker may have the address by now. It refuses an order that does not name it.
+  if (worker == nullptr || worker->info.id != order.to.worker) return;
+  const auto since = store_.evacuated.find(worker->info.failure_domain);
+  if (since == store_.evacuated.end() || now_ <= since->second + kMaxEvacuationDelay) return;
+  Violation("start in an evacuated domain: " + Text(order.run) + " on " + order.to.worker);
+}
+
 // Checks a start order of the present owner.
 void SimulatedFleet::CheckStart(SimulatedOwner* owner, const StartOrder& order) {
   if (owner->epoch != store_.epoch) return;
+  CheckDomain(order);
   const RunId& id = order.run;
   const JobEntry* entry = owner->dispatcher.FindJob(id.task.job);
   if (entry == nullptr) return Violation("start for an unknown job: " + Text(id));
--- a/tests/entry/waiting_count_test.cc
+++ b/tests/entry/waiting_count_test.cc
@@ -23,7 +23,8 @@
 class WaitingCountTest : public ::testing::Test {
  protected:
   WaitingCountTest()
-      : catalog(&store, timer.Get(), "config", ReadNone, &catalog_health, &revisions),
+      : catalog(&store, timer.Get(), {"config", "config", "evacuated/"}, ReadNone, &catalog_health,
+                &revisions),
         service({}, &store, timer.Get(), &metrics, &health, &revisions),
         owner(OptionsOf("host-1"), &store, &workers, timer.Get(), &metrics) {
     catalog.Start();
