--- a/src/jobs/job.cc
+++ b/src/jobs/job.cc
@@ -12,7 +12,6 @@
 
 constexpr int kMaxReplicas = 10000;
 constexpr int kMaxSteps = 1000;
-constexpr size_t kMaxSpecBytes = 4000;
 
 int64_t NumberAt(const Json& in, const char* key, int64_t min, int64_t max) {
   return RequireWholeNumber(in.at(key), key, min, max);
@@ -153,7 +152,7 @@
 }
 
 std::string ValidationError(const Job& job) {
-  if (job.spec.size() > kMaxSpecBytes) return "spec is longer than 4000 bytes";
+  if (job.spec.size() > static_cast<size_t>(kMaxSpecBytes)) return "spec is longer than 4000 bytes";
   if (job.steps.empty()) return "there are no steps";
   if (job.steps.size() > static_cast<size_t>(kMaxSteps)) return "there are more than 1000 steps";
   int64_t tasks = 0;
--- a/src/jobs/limits.h
+++ b/src/jobs/limits.h
@@ -10,6 +10,8 @@
 
 inline constexpr int64_t kMaxInt = std::numeric_limits<int>::max();
 inline constexpr int64_t kMinInt = std::numeric_limits<int>::min();
+// Length of a job's spec in bytes.
+inline constexpr int64_t kMaxSpecBytes = 4000;
 // Tasks of one occurrence, over all steps. Each takes some hundred bytes of the owner's memory.
 inline constexpr int64_t kMaxTasks = 50000;
 // Tasks of all occurrences of a job. How many of them are open at one time is bounded by
