Moves out of an evacuated domain hold the room that they were ordered for

Cause: a round chose a worker for each run as if the runs before it had not been told to move. Runs of one kind got the same worker, so a round moved one of them, and the next round, if the stop took longer than 200 ms, stopped another run for the same room. Where no worker had room, each run had a look at all workers.

Change: a move occupies its room during a round until its run has ended. At most 8 runs are being moved. A request that found no room is not repeated in the round.

The two new tests failed before: one stop in place of three, and a second stop for room for one.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -10,7 +10,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -311,10 +310,14 @@
   void StopStartsInEvacuatedDomains();
   // Stops runs in evacuated domains that can go on elsewhere.
   void MoveFromEvacuatedDomains(TimePoint now, int64_t wall_ms);
-  // `targets` and `moved_steps` are the workers and perpetual steps that the round has used.
-  void MoveRun(WorkerState* worker, const RunId& id, std::set<std::string>* targets,
-               std::set<std::tuple<std::string, int, int>>* moved_steps, EvacuationRound* round,
+  void EraseEndedMoves();
+  // Occupies room for the task on the worker that it moves to, until ReleaseTarget().
+  void ReserveTarget(const EvacuationMove& move, TimePoint now);
+  void ReleaseTarget(const EvacuationMove& move);
+  // `unplaceable` are the requests that have found no worker in this round.
+  void MoveRun(WorkerState* worker, const RunId& id, UnplaceableRequests* unplaceable,
                TimePoint now);
+  bool IsStepMoving(const jobs::TaskId& id) const;
   std::optional<int> MostUrgentWaiting(const std::string& service, TimePoint now,
                                        int64_t wall_ms) const;
   void LogDomain(const char* event, const std::string& domain) const;
@@ -350,7 +353,8 @@
   bool starts_held_ = false;
   std::map<std::string, double> cold_start_rates_;  // by service
   TimePoint next_evacuation_move_{};
-  EvacuationRound evacuation_round_;  // the last one
+  EvacuationRound evacuation_round_;              // the last one
+  std::vector<EvacuationMove> evacuation_moves_;  // whose runs have not ended
 
   std::unordered_map<std::string, JobEntry> jobs_;
   std::map<std::string, WorkerState> workers_;
--- a/src/dispatch/evacuation.cc
+++ b/src/dispatch/evacuation.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <optional>
 #include <set>
-#include <tuple>
 #include <vector>
 
 #include "base/log.h"
@@ -15,11 +14,11 @@
 namespace pomelopond::dispatch {
 namespace {
 
-// Interval between rounds of moves. The runs of a round have mostly started elsewhere by the next
-// one, so it sees the room that is left.
+// Interval between rounds of moves. Most runs of a round have ended by the next one.
 constexpr Duration kMoveInterval = std::chrono::milliseconds(200);
-// Runs that one round moves. More would exceed the start orders in flight.
-constexpr int kMovesPerRound = 8;
+// Largest number of runs that are told to move and have not ended. Their tasks start elsewhere soon
+// after, and other tasks need the start orders in flight too.
+constexpr size_t kMaxMoves = 8;
 // A perpetual task serves once its worker reports this progress.
 constexpr int kServingPercent = 100;
 
@@ -124,15 +123,42 @@
   return most;
 }
 
+void Dispatcher::EraseEndedMoves() {
+  const auto has_ended = [this](const EvacuationMove& it) {
+    const WorkerState* worker = FindWorker(it.from);
+    return worker == nullptr || worker->runs.count(it.run) == 0;
+  };
+  evacuation_moves_.erase(
+      std::remove_if(evacuation_moves_.begin(), evacuation_moves_.end(), has_ended),
+      evacuation_moves_.end());
+}
+
+void Dispatcher::ReserveTarget(const EvacuationMove& move, TimePoint now) {
+  WorkerState* target = FindWorker(move.to);
+  const JobEntry* entry = FindEntry(move.run.task.job);
+  if (target == nullptr || entry == nullptr || !HasStep(entry->job, move.run.task)) return;
+  AddRun(target, move.run, StepOf(*entry, move.run.task), entry->job.rules.priority, now);
+  Reindex(&index_, target);
+}
+
+void Dispatcher::ReleaseTarget(const EvacuationMove& move) {
+  WorkerState* target = FindWorker(move.to);
+  if (target == nullptr || target->runs.count(move.run) == 0) return;
+  RemoveRun(target, move.run);
+  Reindex(&index_, target);
+}
+
 // Runs move only into room that no waiting task of the same or a more urgent priority wants: they
-// are at work where they are.
+// are at work where they are. During the round, moves that are not complete occupy the room that
+// they were ordered for, so that no more runs are stopped than the rest of the pool can take.
 void Dispatcher::MoveFromEvacuatedDomains(TimePoint now, int64_t wall_ms) {
   if (evacuated_domains_.empty() || starts_held_ || now < next_evacuation_move_) return;
   next_evacuation_move_ = now + kMoveInterval;
-  EvacuationRound round;
+  EraseEndedMoves();
+  for (const EvacuationMove& it : evacuation_moves_) ReserveTarget(it, now);
+  evacuation_round_ = {};
+  UnplaceableRequests unplaceable;
   std::map<std::string, std::optional<int>> waiting;
-  std::set<std::string> targets;
-  std::set<std::tuple<std::string, int, int>> moved_steps;
   for (auto& [worker_id, worker] : workers_) {
     if (!worker.evacuated || !worker.contacted || worker.unanswered_calls > 0) continue;
     std::vector<RunId> movable;
@@ -144,46 +170,55 @@
     const auto [urgent, added] = waiting.try_emplace(worker.info.service);
     if (added) urgent->second = MostUrgentWaiting(worker.info.service, now, wall_ms);
     for (const RunId& id : movable) {
-      if (round.moved >= kMovesPerRound) break;
+      if (evacuation_moves_.size() >= kMaxMoves) break;
       if (urgent->second && worker.runs.at(id).priority >= *urgent->second) {
-        round.behind_waiting += 1;
+        evacuation_round_.behind_waiting += 1;
         continue;
       }
-      MoveRun(&worker, id, &targets, &moved_steps, &round, now);
+      MoveRun(&worker, id, &unplaceable, now);
     }
   }
-  evacuation_round_ = round;
+  for (const EvacuationMove& it : evacuation_moves_) ReleaseTarget(it);
 }
 
-void Dispatcher::MoveRun(WorkerState* worker, const RunId& id, std::set<std::string>* targets,
-                         std::set<std::tuple<std::string, int, int>>* moved_steps,
-                         EvacuationRound* round, TimePoint now) {
+void Dispatcher::MoveRun(WorkerState* worker, const RunId& id, UnplaceableRequests* unplaceable,
+                         TimePoint now) {
   JobEntry* entry = FindEntry(id.task.job);
   const TaskState* task = entry == nullptr ? nullptr : FindTask(entry, id.task);
   if (task == nullptr || jobs::IsFinal(entry->state)) return;
   const jobs::Step& step = StepOf(*entry, id.task);
   if (step.gang) return;
-  // The tasks that this round has moved still count as available.
-  const std::tuple<std::string, int, int> key{id.task.job, id.task.occurrence, id.task.step};
-  const bool limited =
-      step.perpetual && (moved_steps->count(key) > 0 || !MayBecomeUnavailable(*entry, id.task));
-  if (limited) {
-    round->at_limit += 1;
+  if (step.perpetual && (IsStepMoving(id.task) || !MayBecomeUnavailable(*entry, id.task))) {
+    evacuation_round_.at_limit += 1;
     return;
   }
+  // Many runs of an evacuated domain want the same, and a look at all workers for each of them
+  // takes long.
+  const bool known = IsUnplaceable(*unplaceable, *entry, step);
   PlacementRequest request = RequestOf(entry, id.task);
   request.task = task;
-  const WorkerState* target = ChooseWorker(index_, request, now);
-  // Room that another run of this round moves to is no longer there.
-  if (target == nullptr || !targets->insert(target->info.id).second) {
-    round->without_room += 1;
+  const WorkerState* target = known ? nullptr : ChooseWorker(index_, request, now);
+  if (target == nullptr) {
+    // Tasks of a queue that requires permits may lack only these.
+    if (!entry->job.rules.needs_permits) RecordUnplaceable(unplaceable, *entry, step);
+    evacuation_round_.without_room += 1;
     return;
   }
-  moved_steps->insert(key);
-  round->moved += 1;
+  evacuation_moves_.push_back({worker->info.id, id, target->info.id});
+  ReserveTarget(evacuation_moves_.back(), now);
+  evacuation_round_.moved += 1;
   Log(LogLevel::kInfo, "dispatch", "run_evacuated",
       {{"job", id.task.job}, {"run", id.run}, {"worker", worker->info.id}});
   RequestStop(worker, id, StopReason::kEvacuated);
 }
 
+// The tasks of a perpetual step move one after the other.
+bool Dispatcher::IsStepMoving(const jobs::TaskId& id) const {
+  return std::any_of(
+      evacuation_moves_.begin(), evacuation_moves_.end(), [&id](const EvacuationMove& it) {
+        const jobs::TaskId& task = it.run.task;
+        return task.job == id.job && task.occurrence == id.occurrence && task.step == id.step;
+      });
+}
+
 }  // namespace pomelopond::dispatch
--- a/src/dispatch/evacuation.h
+++ b/src/dispatch/evacuation.h
@@ -32,6 +32,13 @@
   int behind_waiting = 0;  // waiting tasks want the room
 };
 
+// A run that was told to stop so that its task goes on elsewhere.
+struct EvacuationMove {
+  std::string from;  // worker of the run
+  RunId run;
+  std::string to;  // worker that had room for the task
+};
+
 // True when the scheduler may make the task of a perpetual step unavailable: few enough of the
 // step's other tasks are, for any cause.
 bool MayBecomeUnavailable(const JobEntry& entry, const jobs::TaskId& id);
--- a/tests/dispatch/evacuation_test.cc
+++ b/tests/dispatch/evacuation_test.cc
@@ -217,6 +217,37 @@
   EXPECT_TRUE(StopsOn(it_.orders, "w1").empty());
 }
 
+// Guards against moves one at a time into a worker that has room for more.
+TEST_F(EvacuationTest, SeveralRunsMoveIntoTheRoomOfOneWorker) {
+  jobs::Step saving = MakeStep(3);
+  saving.checkpoint = true;
+  StartOnW1(MakeJob("a", {saving}));
+  it_.AddWorkers({WorkerIn("w2", "west")});
+  Evacuate();
+  it_.Advance(seconds(1));
+  it_.Decide();
+  EXPECT_EQ(StopsOn(it_.orders, "w1").size(), 3u);
+}
+
+// Guards against runs that are stopped for room which an earlier run, whose end takes long, was
+// already stopped for.
+TEST_F(EvacuationTest, RunsThatAreStillBeingStoppedHoldTheRoomTheyMoveTo) {
+  jobs::Step saving = MakeStep(3);
+  saving.checkpoint = true;
+  StartOnW1(MakeJob("a", {saving}));
+  it_.AddWorkers({WorkerIn("w2", "west")});
+  WorkerInfo small = WorkerIn("w2", "west");
+  small.capacity.cpu_milli = 1000;
+  it_.dispatcher.UpdateWorker(small, it_.now);
+  Evacuate();
+  it_.Advance(milliseconds(500));
+  it_.Decide();
+  EXPECT_EQ(StopsOn(it_.orders, "w1").size(), 1u);
+  it_.Advance(milliseconds(500));
+  it_.Decide();
+  EXPECT_TRUE(StopsOn(it_.orders, "w1").empty());
+}
+
 // Guards against idle jobs that wait for good because the evacuated third counts as room.
 TEST_F(EvacuationTest, PoolIsUnderusedIfTheRestOfItIs) {
   SpareProcessor spare;
