Cold workers: restarts that a report shows first, gangs, very low rates

Cause: a worker that starts again and answers before it registers has its new incarnation already when it registers, so with the same `cold_ms` the registration counted as a repeated one and the worker as warm. A gang placed all its members on one cold worker before any of them counted. A rate near 0 gave an interval out of the range of Duration.

Change: a registration after such an answer is a new one. Each chosen gang member counts at once. The interval is at most the rest of the cold time.

The three new tests failed before.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -182,8 +182,10 @@
   if (older) return;
   state.registered = true;
   const bool moved = state.info.endpoint != info.endpoint;
-  // A list that is read again repeats what was registered before.
-  const bool repeated = !added && !restarted && state.info.cold_ms == info.cold_ms;
+  // A list that is read again repeats what was registered before. An answer may have shown the
+  // restart already.
+  const bool repeated =
+      !added && !restarted && !state.info_outdated && state.info.cold_ms == info.cold_ms;
   if (!repeated) state.cold_until = now + std::chrono::milliseconds(info.cold_ms);
   state.info = info;
   state.evacuated = evacuated_domains_.count(info.failure_domain) > 0;
--- a/src/dispatch/evacuation.cc
+++ b/src/dispatch/evacuation.cc
@@ -59,8 +59,11 @@
   if (!IsCold(*worker, now)) return;
   const auto rate = rates.find(worker->info.service);
   if (rate == rates.end()) return;
+  // A rate may be so low that the interval is out of the range of Duration.
+  const std::chrono::duration<double> interval(1 / rate->second);
+  const std::chrono::duration<double> cold_for = worker->cold_until - now;
   worker->next_cold_start =
-      now + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / rate->second));
+      now + std::chrono::duration_cast<Duration>(std::min(interval, cold_for));
 }
 
 void Dispatcher::SetEvacuatedDomains(const std::set<std::string>& domains, TimePoint now) {
--- a/src/dispatch/gangs.cc
+++ b/src/dispatch/gangs.cc
@@ -1,5 +1,6 @@
 // Placement of gangs: steps whose tasks start together or not at all.
 #include <algorithm>
+#include <utility>
 
 #include "dispatch/choose_worker.h"
 #include "dispatch/dispatcher.h"
@@ -25,7 +26,7 @@
     if (it.progress.checkpoint_run > newest->progress.checkpoint_run) newest = &it;
   }
   const std::string checkpoint = newest->progress.checkpoint;
-  std::vector<WorkerState*> chosen;
+  std::vector<std::pair<WorkerState*, TimePoint>> chosen;  // with its `next_cold_start` before
   for (id.index = 0; id.index < static_cast<int>(state->tasks.size()); ++id.index) {
     PlacementRequest request = RequestOf(entry, id);
     request.rack = rack;
@@ -34,15 +35,17 @@
     AddRun(worker, {id, run}, *request.step, entry->job.rules.priority, now);
     Reindex(&index_, worker);
     state->tasks[static_cast<size_t>(id.index)].runs.push_back({run, worker->info.id});
-    chosen.push_back(worker);
+    chosen.emplace_back(worker, worker->next_cold_start);
+    LimitColdStarts(worker, cold_start_rates_, now);
   }
   const bool complete = chosen.size() == state->tasks.size();
   for (id.index = 0; id.index < static_cast<int>(chosen.size()); ++id.index) {
-    WorkerState* worker = chosen[static_cast<size_t>(id.index)];
+    const auto& [worker, next_cold_start] = chosen[static_cast<size_t>(id.index)];
     TaskState& task = state->tasks[static_cast<size_t>(id.index)];
     RemoveRun(worker, {id, run});
     Reindex(&index_, worker);
     task.runs.clear();
+    if (!complete) worker->next_cold_start = next_cold_start;
     if (!complete) continue;
     task.progress.checkpoint = checkpoint;
     StartRun(worker, entry, {id, run}, now, orders);
--- a/tests/dispatch/evacuation_test.cc
+++ b/tests/dispatch/evacuation_test.cc
@@ -317,6 +317,48 @@
   EXPECT_FALSE(IsCold(it_.dispatcher.workers().at("w1"), it_.now));
 }
 
+// Guards against a worker that starts again, shows this in a report before it registers, and is
+// then taken for warm.
+TEST_F(EvacuationTest, WorkerIsColdAgainAfterARestartThatAReportShowsFirst) {
+  WorkerInfo cold = WorkerIn("w1", "east");
+  cold.cold_ms = 5000;
+  it_.AddWorkers({cold});
+  it_.Advance(seconds(6));
+  const HeartbeatOrder order{{"w1", cold.endpoint}, 1, 0, 0, {}};
+  it_.dispatcher.OnReport(order, {{OrderStatus::kAccepted, 100, 2}, {}, {}}, it_.now, it_.WallMs());
+  cold.incarnation = 2;
+  it_.dispatcher.UpdateWorker(cold, it_.now);
+  EXPECT_TRUE(IsCold(it_.dispatcher.workers().at("w1"), it_.now));
+}
+
+// Guards against a gang whose members start on one cold worker all at once.
+TEST_F(EvacuationTest, GangKeepsToTheRateOfAColdWorker) {
+  jobs::Step gang = MakeStep(3);
+  gang.gang = true;
+  WorkerInfo cold = WorkerIn("w1", "east");
+  cold.cold_ms = 5000;
+  it_.AddWorkers({cold});
+  it_.dispatcher.SetColdStartRates({{"pool", 2}});
+  it_.dispatcher.AddJob(MakeJob("a", {gang}), {}, false);
+  it_.Decide();
+  EXPECT_TRUE(it_.orders.starts.empty());
+  it_.Advance(seconds(6));
+  it_.Report("w1", {}, {});
+  it_.Decide();
+  EXPECT_EQ(it_.orders.starts.size(), 3u);
+}
+
+// Guards against a rate so low that the time to the next start is out of range.
+TEST_F(EvacuationTest, LowestRateOfColdStartsPermitsOne) {
+  WorkerInfo cold = WorkerIn("w1", "east");
+  cold.cold_ms = 5000;
+  it_.AddWorkers({cold});
+  it_.dispatcher.SetColdStartRates({{"pool", 1e-300}});
+  it_.dispatcher.AddJob(MakeJob("a", {MakeStep(2)}), {}, false);
+  it_.Decide();
+  EXPECT_EQ(it_.orders.starts.size(), 1u);
+}
+
 // Guards against more starts on a cold worker than its service's rate permits.
 TEST_F(EvacuationTest, ColdWorkerGetsStartsAtItsRate) {
   WorkerInfo cold = WorkerIn("w1", "east");
