Owners that may miss an evacuation stop unanswered starts, and learn sooner that they do not

Cause: while starts were held, a start without an answer was neither repeated nor stopped, so it could take effect until its lease ended, 5 s later (spec/evacuation.pml, row no-stop-held). After each outage of more than 3 s starts were held for the whole wait of the first watch call, 0.7 s. The metric of evacuated domains that the specification names was missing, and no test sent changes to a CatalogWatcher: the store of its tests fails each watch call.

Change: such a start is stopped. The watch call after a failed one waits 1 ms. Metric `evacuated_domains`.

--- a/src/dispatch/decide.cc
+++ b/src/dispatch/decide.cc
@@ -238,7 +238,13 @@
       run.call_in_flight = true;
       orders->stops.push_back({AddressOf(*worker), epoch_, id});
     }
-    if (run.phase != RunPhase::kStarting || starts_held_) continue;
+    if (run.phase != RunPhase::kStarting) continue;
+    // Until starts are released, the worker's failure domain may be evacuated and the order, which
+    // got no answer, take effect.
+    if (starts_held_) {
+      RequestStop(worker, id, StopReason::kUncertain);
+      continue;
+    }
     const std::optional<StartOrder> order = MakeStartOrder(worker, id, now);
     if (!order) {
       // An earlier start order may still take effect, but it cannot be sent again.
--- a/src/dispatch/pool_summary.cc
+++ b/src/dispatch/pool_summary.cc
@@ -44,6 +44,7 @@
       out.longest_away = std::max(out.longest_away, task.away);
     }
   }
+  out.evacuated_domains = static_cast<int>(evacuated_domains_.size());
   out.evacuation_round = evacuation_round_;
   out.run_lines_left_out = run_lines_left_out_;
   out.starts = starts_;
--- a/src/dispatch/pool_summary.h
+++ b/src/dispatch/pool_summary.h
@@ -48,6 +48,7 @@
   int64_t best_effort_used_cpu = 0;  // used by best-effort tasks, as last reported
   int paced_runs = 0;                // best-effort runs below their full processor share
   int high_tail_workers = 0;         // workers whose tails keep further best-effort tasks away
+  int evacuated_domains = 0;
   // Registered workers in evacuated failure domains, and their runs.
   int evacuated_workers = 0;
   EvacuationRuns evacuated_runs;
--- a/src/entry/pool_owner.cc
+++ b/src/entry/pool_owner.cc
@@ -277,6 +277,7 @@
   const dispatch::PoolSummary summary = dispatcher_->Summary(now, wall_ms);
   LogPool(summary, term_.epoch);
   LogEvacuation(summary);
+  metrics_->Set("evacuated_domains", summary.evacuated_domains);
   metrics_->Set("evacuated_workers", summary.evacuated_workers);
   metrics_->Set("evacuated_runs", summary.evacuated_runs.Total());
   metrics_->Set("starts_held", starts_held_ ? 1 : 0);
--- a/src/entry/prefix_watcher.cc
+++ b/src/entry/prefix_watcher.cc
@@ -8,6 +8,9 @@
 namespace {
 
 constexpr Duration kRetryDelay = std::chrono::milliseconds(100);
+// Wait of the watch call that follows a failed one. Its answer confirms what is known as soon as
+// the store answers again; an owner starts nothing before that.
+constexpr Duration kWaitAfterFailure = std::chrono::milliseconds(1);
 
 }  // namespace
 
@@ -56,24 +59,26 @@
                  self->revision_ = revision;
                  self->handlers_.on_list(std::move(items));
                  self->handlers_.on_current(sent, revision);
-                 self->Watch();
+                 self->Watch(self->wait_);
                });
 }
 
-void PrefixWatcher::Watch() {
+void PrefixWatcher::Watch(Duration wait) {
   if (stopped()) return;
-  store_->Watch(prefix_, revision_, wait_,
+  store_->Watch(prefix_, revision_, wait,
                 [self = shared_from_this(), sent = Now()](Result<store::Changes> result) {
                   if (self->stopped()) return;
                   if (result.ec == ResultCode::kNotFound) return self->Start();
-                  if (!result.ok()) return self->Retry(result.ec, [self] { self->Watch(); });
+                  if (!result.ok()) {
+                    return self->Retry(result.ec, [self] { self->Watch(kWaitAfterFailure); });
+                  }
                   self->handlers_.on_success();
                   self->revision_ = result.value.revision;
                   if (!result.value.changes.empty()) {
                     self->handlers_.on_changes(std::move(result.value.changes));
                   }
                   self->handlers_.on_current(sent, self->revision_);
-                  self->Watch();
+                  self->Watch(self->wait_);
                 });
 }
 
--- a/src/entry/prefix_watcher.h
+++ b/src/entry/prefix_watcher.h
@@ -45,7 +45,7 @@
   // `revision` is that of the first page, and `sent` when the call for it was sent.
   void List(const std::string& after, std::vector<store::Item> items, int64_t revision,
             TimePoint sent);
-  void Watch();
+  void Watch(Duration wait);
   void Retry(std::error_code ec, const std::function<void()>& again);
   bool stopped();
 
--- a/tests/dispatch/evacuation_test.cc
+++ b/tests/dispatch/evacuation_test.cc
@@ -170,6 +170,7 @@
   it_.Decide();
   EXPECT_TRUE(it_.orders.stops.empty());
   const PoolSummary summary = it_.dispatcher.Summary(it_.now, it_.WallMs());
+  EXPECT_EQ(summary.evacuated_domains, 1);
   EXPECT_EQ(summary.evacuated_runs.perpetual, 1);
   EXPECT_EQ(summary.evacuation_round.without_room, 1);
 }
@@ -275,18 +276,22 @@
   EXPECT_EQ(it_.orders.starts.size(), 1u);
 }
 
-// Guards against a start order that is repeated while starts are held.
-TEST_F(EvacuationTest, HeldStartsAreNotRepeated) {
+// Guards against a start order without an answer that is repeated while starts are held, or takes
+// effect late in a domain whose evacuation this owner has missed.
+TEST_F(EvacuationTest, HeldStartsAreNotRepeatedButStopped) {
   it_.AddWorkers({WorkerIn("w1", "east")});
   it_.dispatcher.AddJob(MakeJob("a", {MakeStep(1)}), {}, false);
   it_.Decide();
   ASSERT_EQ(it_.orders.starts.size(), 1u);
+  const RunId run = it_.orders.starts[0].run;
   it_.dispatcher.OnStarted(it_.orders.starts[0], {OrderStatus::kNoAnswer, 0, 0}, it_.now);
   it_.dispatcher.HoldStarts(true);
   it_.Advance(seconds(1));
   it_.Report("w1", {}, {});
   it_.Decide();
   EXPECT_TRUE(it_.orders.starts.empty());
+  it_.Decide();
+  EXPECT_EQ(StopsOn(it_.orders, "w1"), std::vector<RunId>{run});
 }
 
 // Guards against tasks that are placed on cold workers beside warm ones with less room.
