--- a/tests/dispatch/simulated_worker.h
+++ b/tests/dispatch/simulated_worker.h
@@ -16,6 +16,7 @@
 namespace pomelopond::dispatch {
 
 inline constexpr Duration kStopTime = std::chrono::milliseconds(200);
+inline constexpr Duration kLoadingTime = std::chrono::milliseconds(500);
 inline constexpr size_t kMaxReportedEnds = 500;
 inline constexpr Duration kGangTimeout = std::chrono::seconds(2);
 
@@ -157,6 +158,13 @@
   return OrderStatus::kAccepted;
 }
 
+// A perpetual task serves once it has been loaded.
+inline int PercentOf(const SimulatedRun& run, TimePoint now) {
+  if (run.step.perpetual) return now >= run.began + kLoadingTime ? 100 : 0;
+  if (run.work <= Duration::zero()) return 0;
+  return static_cast<int>(std::min<int64_t>(99, (now - run.began) * 100 / run.work));
+}
+
 inline Report ReportOf(const SimulatedWorker& worker, OrderStatus status, TimePoint now) {
   Report report = AnswerOf(worker, status, now);
   report.answer.incarnation = worker.info.incarnation;
@@ -168,11 +176,7 @@
     // Tails rise with the number of best-effort runs beside them.
     const int64_t tail = 20 + 12 * best_effort + Ms(now - it.began) / 100 % 5;
     const int64_t load = it.step.target_tail_ms > 0 ? tail : it.step.request.cpu_milli / 2;
-    const int percent =
-        it.work > Duration::zero()
-            ? static_cast<int>(std::min<int64_t>(99, (now - it.began) * 100 / it.work))
-            : 0;
-    report.active.push_back({id, "", percent, load});
+    report.active.push_back({id, "", PercentOf(it, now), load});
   }
   report.ended = worker.ended;
   report.is_cut = report.ended.size() >= kMaxReportedEnds;
