--- a/tests/dispatch/evacuation_test.cc
+++ b/tests/dispatch/evacuation_test.cc
@@ -170,6 +170,7 @@
   it_.Decide();
   EXPECT_TRUE(it_.orders.stops.empty());
   const PoolSummary summary = it_.dispatcher.Summary(it_.now, it_.WallMs());
+  EXPECT_EQ(summary.evacuated_domains, 1);
   EXPECT_EQ(summary.evacuated_runs.perpetual, 1);
   EXPECT_EQ(summary.evacuation_round.without_room, 1);
 }
@@ -217,6 +218,37 @@
   EXPECT_TRUE(StopsOn(it_.orders, "w1").empty());
 }
 
+// Guards against moves one at a time into a worker that has room for more.
+TEST_F(EvacuationTest, SeveralRunsMoveIntoTheRoomOfOneWorker) {
+  jobs::Step saving = MakeStep(3);
+  saving.checkpoint = true;
+  StartOnW1(MakeJob("a", {saving}));
+  it_.AddWorkers({WorkerIn("w2", "west")});
+  Evacuate();
+  it_.Advance(seconds(1));
+  it_.Decide();
+  EXPECT_EQ(StopsOn(it_.orders, "w1").size(), 3u);
+}
+
+// Guards against runs that are stopped for room which an earlier run, whose end takes long, was
+// already stopped for.
+TEST_F(EvacuationTest, RunsThatAreStillBeingStoppedHoldTheRoomTheyMoveTo) {
+  jobs::Step saving = MakeStep(3);
+  saving.checkpoint = true;
+  StartOnW1(MakeJob("a", {saving}));
+  it_.AddWorkers({WorkerIn("w2", "west")});
+  WorkerInfo small = WorkerIn("w2", "west");
+  small.capacity.cpu_milli = 1000;
+  it_.dispatcher.UpdateWorker(small, it_.now);
+  Evacuate();
+  it_.Advance(milliseconds(500));
+  it_.Decide();
+  EXPECT_EQ(StopsOn(it_.orders, "w1").size(), 1u);
+  it_.Advance(milliseconds(500));
+  it_.Decide();
+  EXPECT_TRUE(StopsOn(it_.orders, "w1").empty());
+}
+
 // Guards against idle jobs that wait for good because the evacuated third counts as room.
 TEST_F(EvacuationTest, PoolIsUnderusedIfTheRestOfItIs) {
   SpareProcessor spare;
@@ -244,18 +276,22 @@
   EXPECT_EQ(it_.orders.starts.size(), 1u);
 }
 
-// Guards against a start order that is repeated while starts are held.
-TEST_F(EvacuationTest, HeldStartsAreNotRepeated) {
+// Guards against a start order without an answer that is repeated while starts are held, or takes
+// effect late in a domain whose evacuation this owner has missed.
+TEST_F(EvacuationTest, HeldStartsAreNotRepeatedButStopped) {
   it_.AddWorkers({WorkerIn("w1", "east")});
   it_.dispatcher.AddJob(MakeJob("a", {MakeStep(1)}), {}, false);
   it_.Decide();
   ASSERT_EQ(it_.orders.starts.size(), 1u);
+  const RunId run = it_.orders.starts[0].run;
   it_.dispatcher.OnStarted(it_.orders.starts[0], {OrderStatus::kNoAnswer, 0, 0}, it_.now);
   it_.dispatcher.HoldStarts(true);
   it_.Advance(seconds(1));
   it_.Report("w1", {}, {});
   it_.Decide();
   EXPECT_TRUE(it_.orders.starts.empty());
+  it_.Decide();
+  EXPECT_EQ(StopsOn(it_.orders, "w1"), std::vector<RunId>{run});
 }
 
 // Guards against tasks that are placed on cold workers beside warm ones with less room.
@@ -286,6 +322,48 @@
   EXPECT_FALSE(IsCold(it_.dispatcher.workers().at("w1"), it_.now));
 }
 
+// Guards against a worker that starts again, shows this in a report before it registers, and is
+// then taken for warm.
+TEST_F(EvacuationTest, WorkerIsColdAgainAfterARestartThatAReportShowsFirst) {
+  WorkerInfo cold = WorkerIn("w1", "east");
+  cold.cold_ms = 5000;
+  it_.AddWorkers({cold});
+  it_.Advance(seconds(6));
+  const HeartbeatOrder order{{"w1", cold.endpoint}, 1, 0, 0, {}};
+  it_.dispatcher.OnReport(order, {{OrderStatus::kAccepted, 100, 2}, {}, {}}, it_.now, it_.WallMs());
+  cold.incarnation = 2;
+  it_.dispatcher.UpdateWorker(cold, it_.now);
+  EXPECT_TRUE(IsCold(it_.dispatcher.workers().at("w1"), it_.now));
+}
+
+// Guards against a gang whose members start on one cold worker all at once.
+TEST_F(EvacuationTest, GangKeepsToTheRateOfAColdWorker) {
+  jobs::Step gang = MakeStep(3);
+  gang.gang = true;
+  WorkerInfo cold = WorkerIn("w1", "east");
+  cold.cold_ms = 5000;
+  it_.AddWorkers({cold});
+  it_.dispatcher.SetColdStartRates({{"pool", 2}});
+  it_.dispatcher.AddJob(MakeJob("a", {gang}), {}, false);
+  it_.Decide();
+  EXPECT_TRUE(it_.orders.starts.empty());
+  it_.Advance(seconds(6));
+  it_.Report("w1", {}, {});
+  it_.Decide();
+  EXPECT_EQ(it_.orders.starts.size(), 3u);
+}
+
+// Guards against a rate so low that the time to the next start is out of range.
+TEST_F(EvacuationTest, LowestRateOfColdStartsPermitsOne) {
+  WorkerInfo cold = WorkerIn("w1", "east");
+  cold.cold_ms = 5000;
+  it_.AddWorkers({cold});
+  it_.dispatcher.SetColdStartRates({{"pool", 1e-300}});
+  it_.dispatcher.AddJob(MakeJob("a", {MakeStep(2)}), {}, false);
+  it_.Decide();
+  EXPECT_EQ(it_.orders.starts.size(), 1u);
+}
+
 // Guards against more starts on a cold worker than its service's rate permits.
 TEST_F(EvacuationTest, ColdWorkerGetsStartsAtItsRate) {
   WorkerInfo cold = WorkerIn("w1", "east");
