Slow workers: measured speed, last place, rescue of their runs, copies of speculative tasks

Cause: the owner did not know that a worker is slow, so tasks started and stayed there. Change: the progress of runs is compared with that of the same image on other workers (worker_speed.*); slow workers come last, and their runs resume, restart or get a copy elsewhere (rescue.*), if rescue_slow_runs is set.

--- a/src/dispatch/choose_worker.cc
+++ b/src/dispatch/choose_worker.cc
@@ -71,10 +71,19 @@
 // Smaller scores are better. The first part tells how little the worker itself is to be preferred.
 using Score = std::tuple<int, bool, bool, bool, int64_t>;
 
-// A suspect worker may fail the task, a cold one is only slow.
-constexpr int kSuspectPenalty = 2;
+// A suspect worker may fail the task, a slow one takes several times as long, and a cold one is
+// slow for a moment.
+constexpr int kSuspectPenalty = 4;
+constexpr int kSlowPenalty = 2;
 constexpr int kColdPenalty = 1;
 
+// True when a run of the step on the worker would take long. A probe may.
+bool IsSlowFor(const WorkerState& worker, const jobs::Step& step, TimePoint now) {
+  return worker.speed.is_avoided &&
+         (step.perpetual || step.gang ||
+          !MayProbe(worker.speed, step.checkpoint || step.speculative, now));
+}
+
 // `tail` is the worker's ScoredTailRatio().
 Score ScoreOf(const WorkerState& worker, const PlacementRequest& request, double tail,
               TimePoint now) {
@@ -82,7 +91,9 @@
   const bool suspect =
       now < worker.suspect_until ||
       (request.task != nullptr && request.task->failed_on.count(worker.info.id) > 0);
-  const int penalty = (suspect ? kSuspectPenalty : 0) + (IsCold(worker, now) ? kColdPenalty : 0);
+  const int penalty = (suspect ? kSuspectPenalty : 0) +
+                      (IsSlowFor(worker, step, now) ? kSlowPenalty : 0) +
+                      (IsCold(worker, now) ? kColdPenalty : 0);
   const bool outside_preferred_rack =
       !step.preferred_rack.empty() && worker.info.rack != step.preferred_rack;
   const int64_t spare_cpu = SpareCpu(worker);
@@ -166,6 +177,7 @@
   if (worker.info.service != request.service || !AcceptsTasks(worker, now)) return false;
   // Failed runs of a perpetual task consume no attempts, so a suspect worker is better than none.
   if (now < worker.suspect_until && !step.perpetual) return false;
+  if (request.avoids_slow && worker.speed.is_avoided) return false;
   if (!request.rack.empty() && worker.info.rack != request.rack) return false;
   if (!step.required_label.empty() && worker.info.labels.count(step.required_label) == 0) {
     return false;
--- a/src/dispatch/choose_worker.h
+++ b/src/dispatch/choose_worker.h
@@ -26,6 +26,7 @@
   const ImageSlowdowns* slowdowns = nullptr;
   const StepPermits* permits = nullptr;  // if set, only workers with a valid permit are eligible
   std::string rack;                      // if set, only workers of this rack are eligible
+  bool avoids_slow = false;              // slow workers are not eligible
   // A best-effort task may start where others have requested all processor time.
   bool shares_processor = false;
   // Highest ratios of tail latency to target, as reported and as expected with the task, beside
--- a/src/dispatch/decide.cc
+++ b/src/dispatch/decide.cc
@@ -72,6 +72,7 @@
   MoveFromEvacuatedDomains(now, wall_ms);
   ReleaseOverdueStarts(now);
   PlaceTasks(now, wall_ms, &orders);
+  RescueSlowRuns(now, wall_ms, &orders);
   DecidePace(checked, now, &orders);
   RetryRuns(now, &orders);
   DecideHeartbeats(checked, now, &orders);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -26,6 +26,7 @@
 #include "dispatch/pace.h"
 #include "dispatch/pool_summary.h"
 #include "dispatch/preemption.h"
+#include "dispatch/rescue.h"
 #include "dispatch/tasks_away.h"
 #include "dispatch/unplaceable_requests.h"
 #include "dispatch/waiting_counts.h"
@@ -62,6 +63,8 @@
   int64_t max_value_bytes = 1048576;
   // Memory that jobs may take in any owner; 0: unknown, so that none is refused for it.
   int64_t job_memory_bytes = 0;
+  // Avoid slow workers, rescue their runs, and start copies of speculative tasks.
+  bool rescue_slow_runs = false;
 };
 
 // Orders that one decision produces, to be sent at once.
@@ -318,6 +321,28 @@
   std::optional<int> MostUrgentWaiting(const std::string& service, TimePoint now,
                                        int64_t wall_ms) const;
   void LogDomain(const char* event, const std::string& domain) const;
+  // Slow workers (dispatch/rescue.cc).
+  class RescueRoom;
+  void MeasureRun(WorkerState* worker, const JobEntry& entry, const RunId& id, RunState* run,
+                  int percent, bool ended, TimePoint now);
+  // The run has completed.
+  void MeasureEnd(WorkerState* worker, RunState* run, const RunId& id, TimePoint now);
+  void UpdateWorkerSpeeds(TimePoint now);
+  // Returns false when there have been too many lines.
+  bool TakeRescueLine(TimePoint now);
+  void RescueSlowRuns(TimePoint now, int64_t wall_ms, Orders* orders);
+  std::vector<RescueCandidate> RescueCandidates(TimePoint now);
+  void ReserveForPending(RescueRoom* room);
+  bool IsBehindWaiting(const RescueCandidate& candidate,
+                       std::map<std::string, std::optional<int>>* waiting, TimePoint now,
+                       int64_t wall_ms) const;
+  WorkerState* RescueTarget(const RescueCandidate& candidate, RescueRoom* room,
+                            std::set<std::tuple<std::string, int, int>>* moved_steps,
+                            TimePoint now);
+  void LogRescue(const RescueCandidate& candidate, const WorkerState& target, TimePoint now);
+  void StopSlowRun(const RescueCandidate& candidate, const WorkerState& target, TimePoint now);
+  void StartCopy(const RescueCandidate& candidate, WorkerState* target, TimePoint now,
+                 Orders* orders);
   void EvictFromDrainingWorkers(const std::vector<WorkerState*>& checked);
   void OrderPace(WorkerState* worker, const PaceChange& change, TimePoint now, Orders* orders);
   void StopInterference(WorkerState* worker, TimePoint now);
@@ -351,6 +376,8 @@
   std::map<std::string, double> cold_start_rates_;  // by service
   TimePoint next_evacuation_move_{};
   EvacuationRound evacuation_round_;  // the last one
+  SpeedModel speeds_;
+  RescueState rescue_;
 
   std::unordered_map<std::string, JobEntry> jobs_;
   std::map<std::string, WorkerState> workers_;
--- a/src/dispatch/job_table.h
+++ b/src/dispatch/job_table.h
@@ -33,6 +33,8 @@
   // end any more. Set for perpetual tasks only: another task may already be done by an earlier run
   // whose end is not known yet.
   bool adopted = false;
+  int rescues = 0;  // from slow workers
+  TimePoint rescued_at{};
   // Since when no run of the task has been at work, for a perpetual task (dispatch/tasks_away.h).
   std::optional<TimePoint> away_since;
 };
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -376,8 +376,10 @@
   UpdatePlaceable(entry);
   RunProgress& progress = worker->runs.at(id).progress;
   progress.resumes = !task->progress.checkpoint.empty();
-  progress.expected_time = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double, std::milli>(ExpectedMs(durations_, StepOf(*entry, id.task))));
+  progress.expected_time =
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(
+          ExpectedMs(durations_, StepOf(*entry, id.task)) / ExpectedSpeed(worker->speed)));
+  RecordStartOnSlowWorker(&worker->speed, now);
   const std::optional<StartOrder> order = MakeStartOrder(worker, id, now);
   if (!order) return EndRun(worker, id);
   LimitColdStarts(worker, cold_start_rates_, now);
--- a/src/dispatch/pool_summary.cc
+++ b/src/dispatch/pool_summary.cc
@@ -45,6 +45,8 @@
     }
   }
   out.evacuation_round = evacuation_round_;
+  out.rescues = rescue_.counts;
+  out.rescue_round = rescue_.round;
   out.run_lines_left_out = run_lines_left_out_;
   out.starts = starts_;
   out.ends = ends_;
@@ -68,6 +70,8 @@
     for (const auto& [id, run] : it.runs) {
       out.paced_runs += run.best_effort && run.pace < kFullPace ? 1 : 0;
     }
+    out.slow_workers += it.speed.slow ? 1 : 0;
+    out.slow_runs += it.speed.slow ? static_cast<int>(it.runs.size()) : 0;
     if (it.evacuated) {
       out.evacuated_workers += it.registered ? 1 : 0;
       CountEvacuationRuns(it, &out.evacuated_runs);
--- a/src/dispatch/pool_summary.h
+++ b/src/dispatch/pool_summary.h
@@ -7,6 +7,7 @@
 
 #include "base/time.h"
 #include "dispatch/evacuation.h"
+#include "dispatch/rescue.h"
 
 namespace pomelopond::dispatch {
 
@@ -52,6 +53,10 @@
   int evacuated_workers = 0;
   EvacuationRuns evacuated_runs;
   EvacuationRound evacuation_round;  // the last one
+  int slow_workers = 0;  // whether they are avoided or not
+  int slow_runs = 0;     // runs on them
+  RescueCounts rescues;
+  RescueRound rescue_round;  // the last one
   // Neither reserved nor requested by best-effort tasks, on workers that accept tasks.
   int64_t free_cpu = 0;
 };
--- a/src/dispatch/preemption.cc
+++ b/src/dispatch/preemption.cc
@@ -9,14 +9,6 @@
 // apart.
 constexpr Duration kCheckpointInterval = std::chrono::seconds(1);
 
-// Core-seconds of work that are lost when the run is stopped.
-double LostWork(const RunState& run, TimePoint now) {
-  Duration lost = now - run.ordered_at;
-  if (run.checkpoint) lost = std::min(lost, kCheckpointInterval);
-  return static_cast<double>(lost.count()) / 1e6 * static_cast<double>(run.request.cpu_milli) /
-         1000;
-}
-
 struct PreemptionCandidate {
   Preemption preemption;
   double lost_work = 0;
@@ -54,6 +46,13 @@
 
 }  // namespace
 
+double LostWork(const RunState& run, TimePoint now) {
+  Duration lost = now - run.ordered_at;
+  if (run.checkpoint) lost = std::min(lost, kCheckpointInterval);
+  return static_cast<double>(lost.count()) / 1e6 * static_cast<double>(run.request.cpu_milli) /
+         1000;
+}
+
 Resources MostRoom(const std::map<std::string, WorkerState>& workers, const std::string& service,
                    int priority, TimePoint now) {
   Resources most;
--- a/src/dispatch/preemption.h
+++ b/src/dispatch/preemption.h
@@ -11,6 +11,9 @@
 
 namespace pomelopond::dispatch {
 
+// Core-seconds of work that are lost when the run is stopped.
+double LostWork(const RunState& run, TimePoint now);
+
 // Capacity by worker id that waiting tasks have reserved, including capacity that stopping runs
 // will free.
 using ReservedCapacity = std::map<std::string, Resources>;
--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -92,9 +92,11 @@
 void Dispatcher::StopRuns(const jobs::TaskId& id) {
   JobEntry* entry = FindEntry(id.job);
   const TaskState* task = FindTask(entry, id);
+  const StopReason reason =
+      StepOf(*entry, id).speculative ? StopReason::kRedundantCopy : StopReason::kJobOver;
   for (const RunLocation& it : task->runs) {
     WorkerState* worker = FindWorker(it.worker);
-    if (worker != nullptr) RequestStop(worker, {id, it.run}, StopReason::kJobOver);
+    if (worker != nullptr) RequestStop(worker, {id, it.run}, reason);
   }
 }
 
@@ -149,7 +151,10 @@
   BeginReported(end.id.task, wall_ms);
   const auto run = worker->runs.find(end.id);
   const Duration took = run == worker->runs.end() ? Duration::zero() : now - run->second.ordered_at;
-  if (run != worker->runs.end()) LogWatchedRun(*worker, end, run->second, now);
+  if (run != worker->runs.end()) {
+    LogWatchedRun(*worker, end, run->second, now);
+    if (end.kind == EndKind::kDone) MeasureEnd(worker, &run->second, end.id, now);
+  }
   EndRun(worker, end.id);
   JobEntry* entry = FindEntry(end.id.task.job);
   TaskState* task = entry == nullptr ? nullptr : FindTask(entry, end.id.task);
@@ -180,7 +185,8 @@
   if (step.perpetual || task->progress.done) return true;
   if (end.kind == EndKind::kFailed) RecordFailure(entry, end.id, wall_ms);
   if (end.kind != EndKind::kDone) return true;
-  if (took > Duration::zero() && end.id.run == task->first_run) {
+  // A slow worker tells nothing of the duration elsewhere.
+  if (took > Duration::zero() && end.id.run == task->first_run && !worker->speed.is_avoided) {
     LearnDuration(&durations_, step, Milliseconds(took));
   }
   FinishTask(entry, end.id.task, wall_ms);
@@ -316,6 +322,7 @@
     RecordLoad(worker, &run, it.load);
     TaskState* task = entry == nullptr ? nullptr : FindTask(entry, it.id.task);
     if (task == nullptr) continue;
+    MeasureRun(worker, *entry, it.id, &run, it.percent, false, now);
     UpdateCheckpoint(entry, task, it.id, it.checkpoint);
     StopIfStalled(worker, entry, it.id, run, now);
     const bool wanted = run.phase == RunPhase::kRunning && run.perpetual;
--- a/src/dispatch/worker_table.cc
+++ b/src/dispatch/worker_table.cc
@@ -49,6 +49,10 @@
       return "draining";
     case StopReason::kEvacuated:
       return "evacuated";
+    case StopReason::kSlowWorker:
+      return "slow_worker";
+    case StopReason::kRedundantCopy:
+      return "redundant_copy";
     case StopReason::kUnwanted:
       return "unwanted";
     case StopReason::kUncertain:
--- a/src/dispatch/worker_table.h
+++ b/src/dispatch/worker_table.h
@@ -13,6 +13,7 @@
 #include "dispatch/refusal_backoff.h"
 #include "dispatch/run_progress.h"
 #include "dispatch/worker.h"
+#include "dispatch/worker_speed.h"
 #include "jobs/job.h"
 #include "planning/interference.h"
 
@@ -30,14 +31,16 @@
 // Why the owner stops a run.
 enum class StopReason {
   kNone,
-  kJobOver,    // the task is done, or its job is finished or cancelled
-  kPreempted,  // a task of a more urgent queue needs the capacity
-  kTail,       // it lengthens a tail over its target
-  kStalled,    // its reports show no progress
-  kDraining,   // its worker shuts down soon
-  kEvacuated,  // the failure domain of its worker is evacuated
-  kUnwanted,   // another run of the task is wanted, or none
-  kUncertain,  // its start can neither be confirmed nor sent again
+  kJobOver,        // the task is done, or its job is finished or cancelled
+  kPreempted,      // a task of a more urgent queue needs the capacity
+  kTail,           // it lengthens a tail over its target
+  kStalled,        // its reports show no progress
+  kDraining,       // its worker shuts down soon
+  kEvacuated,      // the failure domain of its worker is evacuated
+  kSlowWorker,     // its worker is slow, and its task does better elsewhere
+  kRedundantCopy,  // another run of the task has completed first
+  kUnwanted,       // another run of the task is wanted, or none
+  kUncertain,      // its start can neither be confirmed nor sent again
 };
 
 const char* StopReasonName(StopReason reason);
@@ -68,6 +71,8 @@
   uint64_t listed_in = 0;  // number of the worker's last report that lists the run
   TimePoint next_call;     // earliest time of the next order for the run
   RunProgress progress;
+  SpeedMeter meter;
+  bool is_copy = false;  // started beside another run of its task
   // Time that reports cover without a change of the progress.
   Duration without_progress{};
   int64_t load = 0;       // as last reported; see ActiveRun
@@ -150,6 +155,7 @@
   RefusalBackoff refusals;
   // Until then the worker accepts only perpetual tasks that fit on no other worker.
   TimePoint suspect_until;
+  WorkerSpeed speed;
 
   Resources used;               // reserved by runs
   int64_t best_effort_cpu = 0;  // requested by best-effort runs
--- a/src/entry/pool_log.cc
+++ b/src/entry/pool_log.cc
@@ -72,6 +72,26 @@
        {"free_cpu", it.free_cpu}});
 }
 
+void LogSlowWorkers(const dispatch::PoolSummary& it) {
+  const dispatch::RescueCounts& total = it.rescues;
+  if (it.slow_workers == 0 && total.slow_verdicts == 0) return;
+  Log(LogLevel::kInfo, "owner", "slow_workers",
+      {{"workers", it.slow_workers},
+       {"runs", it.slow_runs},
+       {"rescued", it.rescue_round.rescued},
+       {"without_room", it.rescue_round.without_room},
+       {"behind_waiting", it.rescue_round.behind_waiting},
+       {"at_limit", it.rescue_round.at_limit},
+       {"total_verdicts", total.slow_verdicts},
+       {"total_resumed", total.resumed},
+       {"total_restarted", total.restarted},
+       {"total_moved", total.moved},
+       {"total_copies", total.copies},
+       {"total_copies_first", total.copies_first},
+       {"total_discarded_core_ms", total.discarded_core_ms},
+       {"lines_left_out", total.lines_left_out}});
+}
+
 void LogWait(const dispatch::JobWait& wait) {
   using dispatch::Obstacle;
   const auto workers = [&wait](Obstacle it) { return Count(wait.obstacles, it); };
--- a/src/entry/pool_log.h
+++ b/src/entry/pool_log.h
@@ -13,6 +13,8 @@
 void LogPool(const dispatch::PoolSummary& it, int64_t epoch);
 // Only while a failure domain is evacuated.
 void LogEvacuation(const dispatch::PoolSummary& it);
+// Only while a worker is slow, or runs have been rescued.
+void LogSlowWorkers(const dispatch::PoolSummary& it);
 void LogWait(const dispatch::JobWait& wait);
 void LogTaskAway(const dispatch::TaskAway& task);
 
--- a/src/entry/pool_owner.cc
+++ b/src/entry/pool_owner.cc
@@ -277,8 +277,16 @@
   const dispatch::PoolSummary summary = dispatcher_->Summary(now, wall_ms);
   LogPool(summary, term_.epoch);
   LogEvacuation(summary);
+  LogSlowWorkers(summary);
   metrics_->Set("evacuated_workers", summary.evacuated_workers);
   metrics_->Set("evacuated_runs", summary.evacuated_runs.Total());
+  const dispatch::RescueCounts& rescues = summary.rescues;
+  metrics_->Set("slow_workers", summary.slow_workers);
+  metrics_->Set("slow_worker_verdicts", rescues.slow_verdicts);
+  metrics_->Set("rescued_runs", rescues.resumed + rescues.restarted + rescues.moved);
+  metrics_->Set("copies_started", rescues.copies);
+  metrics_->Set("copies_first", rescues.copies_first);
+  metrics_->Set("discarded_core_ms", rescues.discarded_core_ms);
   metrics_->Set("starts_held", starts_held_ ? 1 : 0);
   for (const dispatch::JobWait& it : dispatcher_->ExplainWaits(now, wall_ms)) LogWait(it);
   for (const dispatch::TaskAway& it : dispatcher_->ExplainTasksAway(now)) LogTaskAway(it);
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -36,6 +36,9 @@
   Duration stop_limit = std::chrono::seconds(5);
   // Time for which callers can query a finished job.
   Duration status_time = std::chrono::seconds(120);
+  // As owner of the pool, avoid slow workers, rescue their runs, and start copies of speculative
+  // tasks.
+  bool rescue_slow_runs = false;
 };
 
 // Adds each error to `errors` with its path in the document. The result is valid only if there are
