Slow workers: three slow steps are a verdict only where several workers become slow at one time

Change: four slow steps, or three where at least four workers have them; only tasks with checkpoints are probes unless there are none.

--- a/src/dispatch/choose_worker.cc
+++ b/src/dispatch/choose_worker.cc
@@ -80,8 +80,7 @@
 // True when a run of the step on the worker would take long. A probe may.
 bool IsSlowFor(const WorkerState& worker, const jobs::Step& step, TimePoint now) {
   return worker.speed.is_avoided &&
-         (step.perpetual || step.gang ||
-          !MayProbe(worker.speed, step.checkpoint || step.speculative, now));
+         (step.perpetual || step.gang || !MayProbe(worker.speed, step.checkpoint, now));
 }
 
 // `tail` is the worker's ScoredTailRatio().
--- a/src/dispatch/worker_speed.cc
+++ b/src/dispatch/worker_speed.cc
@@ -1,6 +1,7 @@
 #include "dispatch/worker_speed.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace pomelopond::dispatch {
 namespace {
@@ -38,15 +39,18 @@
 constexpr double kSlowRatio = 0.4;
 constexpr double kNormalRatio = 0.6;
 // Verdict: so many more slow steps than normal ones. Three of 100 tasks take several times as long
-// as others, so three of them on one worker at one time are rare.
-constexpr int kSlowScore = 3;
-constexpr int kMaxScore = 4;
+// as others; with a score of 3, a load of 350 workers led to two false verdicts in 30 s, with 4 to
+// none. A group of workers that become slow at one time is no coincidence, so 3 is enough there.
+constexpr int kSlowScore = 4;
+constexpr int kSlowScoreInGroup = 3;
+constexpr int kGroup = 4;
+constexpr int kMaxScore = 5;
 // So many normal steps in a row end the verdict.
 constexpr int kNormalsToClear = 2;
 constexpr Duration kVerdictTime = std::chrono::seconds(8);
-constexpr Duration kProbeInterval = std::chrono::seconds(2);
+constexpr Duration kProbeInterval = std::chrono::seconds(3);
 // A run that can't be moved suffers from a probe, so it is the last resort.
-constexpr Duration kLastProbeDelay = std::chrono::seconds(4);
+constexpr Duration kLastProbeDelay = std::chrono::seconds(5);
 constexpr double kMinSpeed = 0.05;
 
 double MedianOf(std::vector<double>* values) {
@@ -120,24 +124,22 @@
   return out;
 }
 
-bool IsSlowBy(const WorkerSpeed& worker, const Evidence& evidence, TimePoint now) {
-  if (!worker.slow) return evidence.score >= kSlowScore;
+bool IsSlowBy(const WorkerSpeed& worker, const Evidence& evidence, int score, TimePoint now) {
+  if (!worker.slow) return evidence.score >= score;
   return evidence.normals_in_row < kNormalsToClear && now < worker.slow_until;
 }
 
 // Returns true when the verdict has changed.
-bool UpdateVerdict(const SpeedModel& model, WorkerSpeed* worker, TimePoint now) {
-  const Evidence evidence = EvidenceOf(model, *worker);
+bool UpdateVerdict(WorkerSpeed* worker, Evidence evidence, int score, TimePoint now) {
   const bool was_slow = worker->slow;
   const TimePoint until = evidence.last_slow + kVerdictTime;
   if (!evidence.slow.empty()) worker->slow_until = std::max(worker->slow_until, until);
-  worker->slow = IsSlowBy(*worker, evidence, now);
+  worker->slow = IsSlowBy(*worker, evidence, score, now);
   if (worker->slow && !was_slow) {
     worker->slow_since = now;
     worker->next_probe = now + kProbeInterval;
   }
-  std::vector<double> slow = evidence.slow;
-  if (worker->slow && !slow.empty()) worker->relative = MedianOf(&slow);
+  if (worker->slow && !evidence.slow.empty()) worker->relative = MedianOf(&evidence.slow);
   return worker->slow != was_slow;
 }
 
@@ -222,12 +224,19 @@
   std::vector<VerdictChange> changes;
   for (WorkerSpeed* it : workers) DropOldSamples(it, now);
   UpdateReferences(model, workers, now);
+  std::vector<Evidence> evidence;
+  int suspected = 0;
+  for (const WorkerSpeed* it : workers) {
+    evidence.push_back(it->samples.empty() ? Evidence{} : EvidenceOf(*model, *it));
+    suspected += evidence.back().score >= kSlowScoreInGroup ? 1 : 0;
+  }
+  const int score = suspected >= kGroup ? kSlowScoreInGroup : kSlowScore;
   model->slow_workers = 0;
   for (size_t n = 0; n < workers.size(); ++n) {
     WorkerSpeed* it = workers[n];
     if (!it->slow && it->samples.empty()) continue;
     const double before = it->relative;
-    if (UpdateVerdict(*model, it, now)) {
+    if (UpdateVerdict(it, std::move(evidence[n]), score, now)) {
       changes.push_back({n, it->samples.size(), it->slow ? it->relative : before});
       if (!it->slow) EndVerdict(it);
     }
