--- a/tests/dispatch/slow_worker_test.cc
+++ b/tests/dispatch/slow_worker_test.cc
@@ -8,6 +8,7 @@
 namespace pomelopond::dispatch {
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 constexpr int kWorkers = 24;
@@ -77,22 +78,44 @@
   }
 }
 
+// A job with a task of 3 s on each worker, whose copies may start.
+std::string SubmitSpeculative(UnevenPool* pool) {
+  jobs::Step step = MakeStep(kWorkers, 3700);
+  step.image = "interactive-0";
+  step.speculative = true;
+  step.max_per_worker = 1;
+  return pool->Submit("interactive", {step}, 0, 3000, 1.5, 300);
+}
+
 // Guards against copies whose failure fails the job: the first run would have completed.
 TEST(SlowWorkerTest, FailedCopyDoesNotUseUpTheAttempts) {
+  for (const int attempts : {2, 3}) {
+    UnevenPool pool(kWorkers, true);
+    pool.long_share = 0;
+    pool.max_attempts = attempts;
+    pool.RunLoad(seconds(5));
+    pool.SetRate(kSlowWorkers, kSlowRate);
+    const std::string id = SubmitSpeculative(&pool);
+    // By now the tasks on the other workers are done, but not the copies.
+    pool.Run(seconds(3) + milliseconds(200));
+    for (int n = kSlowWorkers + 1; n <= kWorkers; ++n) pool.failing.insert("w" + std::to_string(n));
+    pool.Run(seconds(30));
+    EXPECT_TRUE(pool.IsCompleted(id)) << attempts;
+    EXPECT_EQ(pool.Summary().rescues.copies > 0, attempts == 3);
+    EXPECT_EQ(pool.Summary().rescues.copies_first, 0);
+  }
+}
+
+// Guards against copies that never start, or whose end does not count: the first runs take 15 s.
+TEST(SlowWorkerTest, CopiesCompleteBeforeTheFirstRuns) {
   UnevenPool pool(kWorkers, true);
   pool.long_share = 0;
   pool.RunLoad(seconds(5));
   pool.SetRate(kSlowWorkers, kSlowRate);
-  for (int n = kSlowWorkers + 1; n <= kWorkers; ++n) pool.failing.insert("w" + std::to_string(n));
-  jobs::Step step = MakeStep(kWorkers, 3700);
-  step.image = "interactive-0";
-  step.speculative = true;
-  step.max_per_worker = 1;
-  const std::string id = pool.Submit("interactive", {step}, 0, 3000, 1.5, 300);
-  pool.Run(seconds(4));
-  pool.failing.clear();
-  pool.Run(seconds(60));
+  const std::string id = SubmitSpeculative(&pool);
+  pool.Run(seconds(8));
   EXPECT_TRUE(pool.IsCompleted(id));
+  EXPECT_EQ(pool.Summary().rescues.copies_first, kSlowWorkers);
 }
 
 // Guards against perpetual tasks that stay on slow workers, or of which too many move at one time.
--- a/tests/dispatch/uneven_pool.h
+++ b/tests/dispatch/uneven_pool.h
@@ -66,6 +66,7 @@
     jobs::Job job = MakeJob(id, steps);
     job.rules.queue = queue;
     job.rules.priority = priority;
+    job.rules.max_attempts = max_attempts;
     job.rules.stretch = stretch;
     job.rules.target_duration_ms = allowance_ms;
     job.accepted_ms = WallMs();
@@ -132,6 +133,7 @@
   const Dispatcher& dispatcher() const { return it_.dispatcher; }
 
   double long_share = 0.03;
+  int max_attempts = 3;
   // Runs on these workers fail halfway.
   std::set<std::string> failing;
 
