--- a/src/dispatch/restarts.cc
+++ b/src/dispatch/restarts.cc
@@ -62,6 +62,7 @@
   worker->contacted = false;
   worker->clock_ms = 0;
   SetRefusals(worker, {});
+  worker->speed = {};
   worker->next_heartbeat = now;
   // A worker that has not answered this owner yet may get new runs from an earlier owner.
   if (unreconciled_.count(worker->info.id) == 0) {
