--- a/src/dispatch/colocation.cc
+++ b/src/dispatch/colocation.cc
@@ -16,6 +16,11 @@
 // target.
 constexpr double kBaselinePriorRatio = 0.35;
 constexpr int kFullPercent = 100;
+// A tail that is longer than the baseline by this factor is taken for that of a slow worker as long
+// as the image has shown usual ones within the given time. Otherwise the tails of a few slow workers,
+// from which best-effort tasks are kept away, would raise the baseline for all.
+constexpr double kUnusualTailRatio = 2.5;
+constexpr Duration kUsualTailTime = std::chrono::seconds(10);
 
 double BaselineTailMs(const ColocationModel& model, const RunState& run) {
   const auto it = model.baseline_tail_ms.find(run.image);
@@ -31,6 +36,15 @@
   return mean;
 }
 
+void LearnBaseline(ColocationModel* model, const RunState& run, double tail, TimePoint now) {
+  const double baseline = BaselineTailMs(*model, run);
+  const auto usual_at = model->usual_tail_at.try_emplace(run.image, now).first;
+  const bool usual = tail <= kUnusualTailRatio * baseline;
+  if (!usual && now < usual_at->second + kUsualTailTime) return;
+  if (usual) usual_at->second = now;
+  model->baseline_tail_ms[run.image] = baseline + kBaselineLearningRate * (tail - baseline);
+}
+
 // Expected slowdown of tasks of `served` by the best-effort runs of the worker.
 double ExpectedSlowdown(const ColocationModel& model, const WorkerState& worker,
                         const std::string& served) {
@@ -101,16 +115,27 @@
          planning::SlowdownPerCore(model.slowdown, served, run.image, kPairConfidence);
 }
 
+std::vector<SpeedSample> TailSpeeds(const ColocationModel& model, const WorkerState& worker,
+                                    TimePoint now) {
+  std::vector<SpeedSample> out;
+  for (const auto& [id, it] : worker.runs) {
+    if (!IsServing(it) || model.baseline_tail_ms.count(it.image) == 0) continue;
+    const double speed = BaselineTailMs(model, it) / static_cast<double>(it.load);
+    out.push_back({HashOfStep(id.task), id.task.index, kTailImage, speed, now, now});
+  }
+  return out;
+}
+
 void LearnInterference(ColocationModel* model, const WorkerState& worker,
-                       const planning::BatchLoad& before) {
+                       const planning::BatchLoad& before, TimePoint now) {
+  if (worker.speed.slow) return;
   planning::SlowdownSample sample;
   sample.load = MeanOf(before, worker.best_effort_load);
   for (const auto& [id, it] : worker.runs) {
     if (!IsServing(it)) continue;
     const auto tail = static_cast<double>(it.load);
     if (sample.load.empty()) {
-      const double baseline = BaselineTailMs(*model, it);
-      model->baseline_tail_ms[it.image] = baseline + kBaselineLearningRate * (tail - baseline);
+      LearnBaseline(model, it, tail, now);
       continue;
     }
     sample.service_class = it.image;
--- a/src/dispatch/colocation.h
+++ b/src/dispatch/colocation.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "dispatch/worker_table.h"
 #include "planning/interference.h"
@@ -18,6 +19,8 @@
   planning::InterferenceTable slowdown;  // by latency-critical image and best-effort image
   // Tail latency by latency-critical image when no best-effort task runs beside it.
   std::map<std::string, double> baseline_tail_ms;
+  // When such a tail was last seen that was not several times as long as the baseline, by image.
+  std::map<std::string, TimePoint> usual_tail_at;
 };
 
 // A best-effort task is placed on a worker only if the expected tails stay at or below this share
@@ -45,8 +48,14 @@
 
 // Updates the model from the worker's latest report. `before` is the best-effort load at the
 // previous report; the model uses the mean of both, as a tail covers part of the time between them.
+// Slow workers teach nothing: their tails are long whatever runs beside them.
 void LearnInterference(ColocationModel* model, const WorkerState& worker,
-                       const planning::BatchLoad& before);
+                       const planning::BatchLoad& before, TimePoint now);
+
+// The ratios of the baseline to the reported tail of the worker's latency-critical runs, as samples
+// of its speed. Meaningful only if no best-effort task has run beside them.
+std::vector<SpeedSample> TailSpeeds(const ColocationModel& model, const WorkerState& worker,
+                                    TimePoint now);
 
 // Expected slowdown per core of one best-effort image, by latency-critical image. Images that are
 // not in it have not been observed together.
--- a/src/dispatch/preemption.cc
+++ b/src/dispatch/preemption.cc
@@ -1,6 +1,7 @@
 #include "dispatch/preemption.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace pomelopond::dispatch {
 namespace {
@@ -9,16 +10,9 @@
 // apart.
 constexpr Duration kCheckpointInterval = std::chrono::seconds(1);
 
-// Core-seconds of work that are lost when the run is stopped.
-double LostWork(const RunState& run, TimePoint now) {
-  Duration lost = now - run.ordered_at;
-  if (run.checkpoint) lost = std::min(lost, kCheckpointInterval);
-  return static_cast<double>(lost.count()) / 1e6 * static_cast<double>(run.request.cpu_milli) /
-         1000;
-}
-
 struct PreemptionCandidate {
   Preemption preemption;
+  bool slow = false;  // the worker is
   double lost_work = 0;
 };
 
@@ -54,6 +48,13 @@
 
 }  // namespace
 
+double LostWork(const RunState& run, TimePoint now) {
+  Duration lost = now - run.ordered_at;
+  if (run.checkpoint) lost = std::min(lost, kCheckpointInterval);
+  return static_cast<double>(lost.count()) / 1e6 * static_cast<double>(run.request.cpu_milli) /
+         1000;
+}
+
 Resources MostRoom(const std::map<std::string, WorkerState>& workers, const std::string& service,
                    int priority, TimePoint now) {
   Resources most;
@@ -80,9 +81,13 @@
     const Resources taken = found == reserved->end() ? Resources{} : found->second;
     if (!Fits(need, room - taken)) continue;
     if (!IsEligible(it, request, now)) continue;
-    const std::optional<PreemptionCandidate> candidate =
-        FindVictims(it, need, priority, taken, now);
-    if (!candidate || (best && best->lost_work <= candidate->lost_work)) continue;
+    std::optional<PreemptionCandidate> candidate = FindVictims(it, need, priority, taken, now);
+    if (!candidate) continue;
+    candidate->slow = it.speed.is_avoided;
+    if (best &&
+        std::tie(best->slow, best->lost_work) <= std::tie(candidate->slow, candidate->lost_work)) {
+      continue;
+    }
     best = candidate;
   }
   if (!best) return std::nullopt;
--- a/tests/dispatch/simulated_worker.h
+++ b/tests/dispatch/simulated_worker.h
@@ -24,6 +24,7 @@
   jobs::Step step;
   TimePoint began;
   Duration work{};  // time until it ends by itself
+  Duration lost{};  // time in which it has done nothing, on a slow worker
   bool fails = false;
   TimePoint stops_at = TimePoint::max();
 };
@@ -46,6 +47,7 @@
   TimePoint silent_until;     // takes no call and sends no answer before
   TimePoint unhealthy_until;  // refuses starts before
   TimePoint poisoned_until;   // tasks that start before then fail
+  TimePoint slow_until;       // runs do a fifth of their work before
   TimePoint leaves_at = TimePoint::max();
   int64_t epoch = 0;
   int64_t lease_end_ms = 0;
@@ -75,6 +77,12 @@
   last = std::max(last, id.run);
 }
 
+// Passes a tick on the runs of a slow worker.
+inline void SlowDown(SimulatedWorker* worker, Duration tick, TimePoint now) {
+  if (now >= worker->slow_until) return;
+  for (auto& [id, it] : worker->active) it.lost += std::min<Duration>(tick, now - it.began) * 4 / 5;
+}
+
 // Ends the runs that end by themselves or with the lease. Gangs end by decision of the fleet.
 inline void Advance(SimulatedWorker* worker, TimePoint now) {
   const bool lapsed = ClockMs(*worker, now) >= worker->lease_end_ms;
@@ -85,7 +93,7 @@
       ends.emplace_back(id, EndKind::kLeaseExpired);
     } else if (now >= it.stops_at) {
       ends.emplace_back(id, EndKind::kStopped);
-    } else if (!it.step.gang && now - it.began >= it.work) {
+    } else if (!it.step.gang && now - it.began - it.lost >= it.work) {
       ends.emplace_back(id, it.fails ? EndKind::kFailed : EndKind::kDone);
     }
   }
@@ -162,7 +170,7 @@
 inline int PercentOf(const SimulatedRun& run, TimePoint now) {
   if (run.step.perpetual) return now >= run.began + kLoadingTime ? 100 : 0;
   if (run.work <= Duration::zero()) return 0;
-  return static_cast<int>(std::min<int64_t>(99, (now - run.began) * 100 / run.work));
+  return static_cast<int>(std::min<int64_t>(99, (now - run.began - run.lost) * 100 / run.work));
 }
 
 inline Report ReportOf(const SimulatedWorker& worker, OrderStatus status, TimePoint now) {
