Slow workers are known by the tails of their services, and do not raise the baselines

Cause: on slow workers tails are long whatever runs beside them, so best-effort tasks are kept away and nothing there tells the speed: 14 of 87 slow workers were found. Their tails also raised the baselines of the images, which kept best-effort tasks off all workers: their use of the pool fell from 2,570 to 800 cores in 8 s. No copy started where two attempts are allowed, although the first run goes on.

Change: ratios of baseline to reported tail are samples of a worker's speed while no best-effort task runs there. Slow workers teach nothing. A tail of several times the baseline raises it only if no usual one was seen for 10 s. A copy starts if its own failure would leave an attempt.

--- a/src/dispatch/colocation.cc
+++ b/src/dispatch/colocation.cc
@@ -17,8 +17,8 @@
 constexpr double kBaselinePriorRatio = 0.35;
 constexpr int kFullPercent = 100;
 // A tail that is longer than the baseline by this factor is taken for that of a slow worker as long
-// as the image has shown usual ones within the given time. Otherwise the tails of a few slow workers,
-// from which best-effort tasks are kept away, would raise the baseline for all.
+// as the image has shown usual ones within the given time. Otherwise the tails of a few slow
+// workers, from which best-effort tasks are kept away, would raise the baseline for all.
 constexpr double kUnusualTailRatio = 2.5;
 constexpr Duration kUsualTailTime = std::chrono::seconds(10);
 
@@ -38,8 +38,9 @@
 
 void LearnBaseline(ColocationModel* model, const RunState& run, double tail, TimePoint now) {
   const double baseline = BaselineTailMs(*model, run);
+  const bool known = model->baseline_tail_ms.count(run.image) > 0;
   const auto usual_at = model->usual_tail_at.try_emplace(run.image, now).first;
-  const bool usual = tail <= kUnusualTailRatio * baseline;
+  const bool usual = !known || tail <= kUnusualTailRatio * baseline;
   if (!usual && now < usual_at->second + kUsualTailTime) return;
   if (usual) usual_at->second = now;
   model->baseline_tail_ms[run.image] = baseline + kBaselineLearningRate * (tail - baseline);
--- a/src/dispatch/rescue.cc
+++ b/src/dispatch/rescue.cc
@@ -54,11 +54,6 @@
   return here * ExpectedSpeed(speed);
 }
 
-size_t HashOfStep(const jobs::TaskId& id) {
-  const auto place = static_cast<size_t>(id.occurrence) * 1000 + static_cast<size_t>(id.step);
-  return std::hash<std::string>()(id.job) * 31 + place;
-}
-
 // Part of the processor time that the run requests and has got since the last report.
 double ProcessorShare(const RunState& run) {
   if (!run.best_effort) return 1;
@@ -121,7 +116,7 @@
 
 bool MayCopy(const TaskState& task, int max_attempts) {
   return task.runs.size() == 1 &&
-         static_cast<int>(task.progress.failed_runs.size()) + 2 < max_attempts;
+         static_cast<int>(task.progress.failed_runs.size()) + 1 < max_attempts;
 }
 
 bool MayRescue(const TaskState& task, bool perpetual, TimePoint now) {
--- a/src/dispatch/worker_speed.cc
+++ b/src/dispatch/worker_speed.cc
@@ -161,6 +161,11 @@
 
 }  // namespace
 
+size_t HashOfStep(const jobs::TaskId& id) {
+  const auto place = static_cast<size_t>(id.occurrence) * 1000 + static_cast<size_t>(id.step);
+  return std::hash<std::string>()(id.job) * 31 + place;
+}
+
 void BeginMeter(SpeedMeter* meter, int percent, TimePoint now) {
   meter->begun = true;
   meter->percent = percent;
--- a/src/dispatch/worker_speed.h
+++ b/src/dispatch/worker_speed.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "jobs/job.h"
 
 namespace pomelopond::dispatch {
 
@@ -39,6 +40,9 @@
 // Of samples that are relative to what is expected already: the tails of latency-critical runs.
 inline constexpr ImageIndex kTailImage = 0;
 
+// Identifies the step of a task in samples.
+size_t HashOfStep(const jobs::TaskId& id);
+
 // The last measurement of the runs of one step on a worker. Estimates are wrong for all tasks of a
 // step alike, so they count as one.
 struct SpeedSample {
--- a/tests/dispatch/colocation_test.cc
+++ b/tests/dispatch/colocation_test.cc
@@ -192,15 +192,65 @@
   run.phase = RunPhase::kRunning;
   run.progress.percent = 100;
   run.load = 50;
-  for (int n = 0; n < 100; ++n) LearnInterference(&model, worker, {});
+  for (int n = 0; n < 100; ++n) LearnInterference(&model, worker, {}, TimePoint{});
   EXPECT_NEAR(model.baseline_tail_ms["service"], 50, 1);
   run.load = 150;
   worker.best_effort_load = {{"heavy", 2.0}};
-  for (int n = 0; n < 100; ++n) LearnInterference(&model, worker, worker.best_effort_load);
+  for (int n = 0; n < 100; ++n) {
+    LearnInterference(&model, worker, worker.best_effort_load, TimePoint{});
+  }
   // Two cores triple the tail: a slowdown of 1 per core.
   EXPECT_NEAR(planning::SlowdownPerCore(model.slowdown, "service", "heavy"), 1.0, 0.1);
   EXPECT_GT(ExpectedTailRatio(model, worker, "heavy", 2.0), kMaxExpectedTailRatio);
 }
 
+// A worker with one serving run of the image, without best-effort tasks.
+WorkerState ServingWorker(int64_t tail_ms) {
+  WorkerState worker;
+  AddRun(&worker, ServingRun(0), ServingStep(1), 0, TimePoint{});
+  RunState& run = worker.runs[ServingRun(0)];
+  run.phase = RunPhase::kRunning;
+  run.progress.percent = 100;
+  run.load = tail_ms;
+  return worker;
+}
+
+// Guards against slow workers, which best-effort tasks avoid, that raise the baseline for all: then
+// no worker takes best-effort tasks any more.
+TEST(SharingModelTest, TailsOfAFewSlowWorkersDoNotRaiseTheBaseline) {
+  ColocationModel model;
+  TimePoint now{};
+  for (int n = 0; n < 100; ++n) {
+    now += std::chrono::milliseconds(300);
+    LearnInterference(&model, ServingWorker(50), {}, now);
+    for (int k = 0; k < 3; ++k) LearnInterference(&model, ServingWorker(250), {}, now);
+  }
+  EXPECT_NEAR(model.baseline_tail_ms["service"], 50, 5);
+}
+
+// Guards against a baseline that never follows a service whose tails have become longer for good.
+TEST(SharingModelTest, BaselineFollowsTailsThatStayLong) {
+  ColocationModel model;
+  TimePoint now{};
+  for (int n = 0; n < 20; ++n) LearnInterference(&model, ServingWorker(50), {}, now);
+  for (int n = 0; n < 100; ++n) {
+    now += std::chrono::milliseconds(300);
+    LearnInterference(&model, ServingWorker(200), {}, now);
+  }
+  EXPECT_NEAR(model.baseline_tail_ms["service"], 200, 20);
+}
+
+// Guards against a slow worker that is not known to be slow because nothing but services runs
+// there.
+TEST(SharingModelTest, LongTailsOfAllServicesTellASlowWorker) {
+  ColocationModel model;
+  model.baseline_tail_ms["service"] = 50;
+  const std::vector<SpeedSample> slow = TailSpeeds(model, ServingWorker(250), TimePoint{});
+  ASSERT_EQ(slow.size(), 1u);
+  EXPECT_EQ(slow[0].image, kTailImage);
+  EXPECT_DOUBLE_EQ(slow[0].speed, 0.2);
+  EXPECT_DOUBLE_EQ(RelativeSpeed(SpeedModel{}, kTailImage, slow[0].speed), 0.2);
+}
+
 }  // namespace
 }  // namespace pomelopond::dispatch
