--- a/tests/dispatch/evacuation_test.cc
+++ b/tests/dispatch/evacuation_test.cc
@@ -263,6 +263,18 @@
   EXPECT_TRUE(IsUnderused(spare));
 }
 
+// Guards against an evacuated domain whose capacity, or whose runs, count for the rest of the pool.
+TEST_F(EvacuationTest, SumsOfTheRestLeaveOutTheDomain) {
+  StartOnW1(MakeJob("a", {MakeStep(3)}));
+  it_.AddWorkers({WorkerIn("w2", "west")});
+  Evacuate();
+  const SpareProcessor spare = SpareProcessors(it_.dispatcher.workers(), it_.now).at("pool");
+  EXPECT_EQ(spare.capacity, 32000);
+  EXPECT_EQ(spare.reserved, 3000);
+  EXPECT_EQ(spare.open_capacity, 16000);
+  EXPECT_EQ(spare.open_reserved, 0);
+}
+
 // Guards against starts of an owner that does not know of an evacuation.
 TEST_F(EvacuationTest, HeldStartsWaitUntilTheyAreReleased) {
   it_.AddWorkers({WorkerIn("w1", "east")});
