Soak: evacuations as one more trouble

The key `op/evacuate/ZONE` is written and removed at random times; no run may begin later than 5 s after that, as the workers' record shows. An outage of the store ends the check until the store has been back for 5 s. The stand-ins all register in one domain, so nothing starts anywhere meanwhile.

--- a/tests/soak/entry_soak_test.cc
+++ b/tests/soak/entry_soak_test.cc
@@ -13,7 +13,6 @@
 #include <memory>
 #include <mutex>
 #include <optional>
-#include <random>
 #include <set>
 #include <thread>
 
@@ -23,6 +22,7 @@
 #include "entry/keys.h"
 #include "review/cluster.h"
 #include "review/worker.h"
+#include "tests/soak/random.h"
 #include "tests/support/raw_client.h"
 
 namespace pomelopond {
@@ -44,6 +44,10 @@
 constexpr Duration kShortPatience = std::chrono::milliseconds(200);
 // No task of a job starts later than this after its cancellation was acknowledged.
 constexpr int64_t kCancelMs = 3000;
+// No task starts in a failure domain later than this after its evacuation was acknowledged.
+constexpr int64_t kEvacuateMs = 5000;
+// The failure domain of all workers.
+constexpr const char* kEvacuationKey = "op/evacuate/seeb-a";
 // All jobs have to be completed this long after the last trouble.
 constexpr Duration kFinishTime = std::chrono::seconds(30);
 constexpr const char* kQueueHost = "nony24.example";
@@ -59,16 +63,6 @@
   bool cancelled = false;  // the cancellation has been sent
 };
 
-class Random {
- public:
-  explicit Random(uint64_t seed) : random_(seed) {}
-  int Between(int low, int high) { return std::uniform_int_distribution<>(low, high)(random_); }
-  Duration MsBetween(int low, int high) { return std::chrono::milliseconds(Between(low, high)); }
-
- private:
-  std::mt19937_64 random_;
-};
-
 bool IsTaskOf(const review::Run& run, const std::string& job) {
   return run.task.compare(0, job.size(), job) == 0;
 }
@@ -136,6 +130,7 @@
   void AddQueue();
   void StopStore(Duration length);
   void SlowStore(int delay_ms, Duration length);
+  void Evacuate(Duration length);
   void LapseAndLoseOwner(Random* random);
   void EndTroubles(bool all);
   void After(Duration delay, std::function<void()> work) {
@@ -145,6 +140,7 @@
   bool AllCompleted();
   // No task of a job that its caller left and cancelled has begun late.
   void CheckLeftJobs();
+  void CheckEvacuations();
 
   review::Cluster* const cluster_;
   std::vector<review::Worker*> workers_;
@@ -156,6 +152,9 @@
   bool store_troubled_ = false;
   std::atomic<int> commit_delay_ms_{0};  // between the effect of a commit and its answer
   int config_version_ = 1;
+  bool evacuated_ = false;
+  // When the domain was evacuated and the store was up, in ms.
+  std::vector<std::pair<int64_t, int64_t>> evacuations_;
 
   std::mutex mutex_;  // guards the members below
   std::map<std::string, AcceptedJob> jobs_;
@@ -366,8 +365,10 @@
   if (store_troubled_) return;
   store_troubled_ = true;
   cluster_->store.GoDown();
+  if (evacuated_) evacuations_.back().second = cluster_->ledger.NowMs();
   After(length, [this] {
     cluster_->store.Return();
+    if (evacuated_) evacuations_.emplace_back(cluster_->ledger.NowMs(), INT64_MAX);
     store_troubled_ = false;
   });
 }
@@ -377,6 +378,27 @@
   After(length, [this] { commit_delay_ms_.store(0); });
 }
 
+void EntrySoakTest::Evacuate(Duration length) {
+  if (evacuated_ || store_troubled_) return;
+  evacuated_ = true;
+  cluster_->store.Put(kEvacuationKey, "{}");
+  evacuations_.emplace_back(cluster_->ledger.NowMs(), INT64_MAX);
+  After(length, [this] {
+    evacuated_ = false;
+    evacuations_.back().second = std::min(evacuations_.back().second, cluster_->ledger.NowMs());
+    cluster_->store.Remove(kEvacuationKey);
+  });
+}
+
+void EntrySoakTest::CheckEvacuations() {
+  for (const review::Run& it : cluster_->ledger.Runs()) {
+    for (const auto& [from, to] : evacuations_) {
+      if (it.began_ms <= from + kEvacuateMs || it.began_ms >= to) continue;
+      ADD_FAILURE() << it.task << " began at " << it.began_ms << " ms, evacuated at " << from;
+    }
+  }
+}
+
 // An outage in which the owner's lease ends, with a slow store and a lost owner behind it.
 void EntrySoakTest::LapseAndLoseOwner(Random* random) {
   const Duration outage = random->MsBetween(200, 2500);
@@ -393,7 +415,7 @@
 }
 
 void EntrySoakTest::MakeTrouble(Random* random) {
-  switch (random->Between(0, 11)) {
+  switch (random->Between(0, 12)) {
     case 0:
     case 1:
       return StopHost(random, SIGSTOP, random->MsBetween(500, 6000));
@@ -413,6 +435,8 @@
       return SlowStore(random->Between(50, kLongestCommitMs), random->MsBetween(1000, 5000));
     case 9:
       return LapseAndLoseOwner(random);
+    case 10:
+      return Evacuate(random->MsBetween(2000, 9000));
     default:
       return FailWorker(random);
   }
@@ -461,10 +485,12 @@
   for (const std::string& it : faults_) ADD_FAILURE() << it;
   for (const std::string& it : cluster_->ledger.Twice()) ADD_FAILURE() << it;
   CheckLeftJobs();
+  CheckEvacuations();
   EXPECT_GT(jobs_.size(), 0U);
   EXPECT_GT(left_jobs_.size(), 0U);
   EXPECT_GT(recent_counts_.load(), 0);
-  std::cout << jobs_.size() << " jobs, " << recent_counts_.load() << " counts\n";
+  std::cout << jobs_.size() << " jobs, " << recent_counts_.load() << " counts, "
+            << evacuations_.size() << " evacuations\n";
   cluster_->ledger.Write("record-" + std::to_string(FromEnvironment("SOAK_SEED", 1)) + ".txt");
 }
 
