--- a/src/dispatch/pool_summary.h
+++ b/src/dispatch/pool_summary.h
@@ -53,8 +53,8 @@
   int evacuated_workers = 0;
   EvacuationRuns evacuated_runs;
   EvacuationRound evacuation_round;  // the last one
-  int slow_workers = 0;  // whether they are avoided or not
-  int slow_runs = 0;     // runs on them
+  int slow_workers = 0;              // whether they are avoided or not
+  int slow_runs = 0;                 // runs on them
   RescueCounts rescues;
   RescueRound rescue_round;  // the last one
   // Neither reserved nor requested by best-effort tasks, on workers that accept tasks.
--- a/tests/dispatch/uneven_pool.h
+++ b/tests/dispatch/uneven_pool.h
@@ -151,7 +151,7 @@
     int replicas = 0;                                  // of the first step
     int least_runs = std::numeric_limits<int>::max();  // since all have run
   };
-  struct Run_ {
+  struct ActiveTask {
     double done_ms = 0;
     double work_ms = 0;
     jobs::Step step;
@@ -159,13 +159,13 @@
   };
   struct Worker {
     double rate = 1;
-    std::map<RunId, Run_> runs;
+    std::map<RunId, ActiveTask> runs;
     int64_t sequence = 0;
     int starts = 0;
     TimePoint reported_at{};
   };
 
-  int64_t WallMs() const { return kWallStart + it_.ClockMs() - kStartMs; }
+  int64_t WallMs() const { return kWallStart + it_.ClockMs() - start_ms_; }
 
   void Advance() {
     it_.Advance(kTick);
@@ -191,7 +191,7 @@
   void Start(const StartOrder& order) {
     Worker& worker = workers_.at(order.to.worker);
     const jobs::TaskId& task = order.run.task;
-    Run_ run;
+    ActiveTask run;
     run.step = jobs_.at(task.job).job.steps[static_cast<size_t>(task.step)];
     run.work_ms = work_.at(task);
     if (!order.checkpoint.empty()) run.done_ms = std::stod(order.checkpoint);
@@ -240,7 +240,7 @@
   }
 
   Scenario it_;
-  const int64_t kStartMs = it_.ClockMs();
+  const int64_t start_ms_ = it_.ClockMs();
   std::mt19937_64 random_{7};
   std::map<std::string, Worker> workers_;
   std::map<std::string, Submitted> jobs_;
--- a/tests/platform/entry_template_test.cc
+++ b/tests/platform/entry_template_test.cc
@@ -104,6 +104,12 @@
   EXPECT_EQ(ReadRendered(fields).link_mbps, 12.5);
 }
 
+// Guards against an owner that leaves runs on slow workers for want of the setting.
+TEST(EntryTemplateTest, SlowRunsAreRescued) {
+  EXPECT_TRUE(ReadRendered(Fields()).rescue_slow_runs);
+  EXPECT_FALSE(Settings().rescue_slow_runs);
+}
+
 // Guards against processes that do not start on an installation with fractional bounds.
 TEST(EntryTemplateTest, FractionalBoundsAreRead) {
   Json fields = Fields();
