--- a/src/dispatch/failures.cc
+++ b/src/dispatch/failures.cc
@@ -52,9 +52,10 @@
       std::max(worker->suspect_until, now + std::min(backoff, kMaxFailureBackoff));
 }
 
-void RecordTrial(WorkerState* worker, bool perpetual, TimePoint now) {
-  if (perpetual || worker->failures < kFailuresBeforeBackoff) return;
+bool RecordTrial(WorkerState* worker, bool perpetual, TimePoint now) {
+  if (perpetual || worker->failures < kFailuresBeforeBackoff) return false;
   worker->suspect_until = std::max(worker->suspect_until, now + kTrialInterval);
+  return true;
 }
 
 void UpdateProgress(RunState* run, int percent, Duration covered, TimePoint now) {
--- a/src/dispatch/failures.h
+++ b/src/dispatch/failures.h
@@ -20,7 +20,8 @@
 
 // Records a start on the worker. If the last runs there have failed, it is a trial: until the
 // worker completes a run, it gets one from time to time, whether its backoff is over or not.
-void RecordTrial(WorkerState* worker, bool perpetual, TimePoint now);
+// Returns true for a trial.
+bool RecordTrial(WorkerState* worker, bool perpetual, TimePoint now);
 
 // Updates the progress of a run from a report that covers at most `covered`. A silent worker may
 // have gone on with its runs, so the time before a late report doesn't count in full.
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -399,7 +399,15 @@
       std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(
           ExpectedMs(durations_, StepOf(*entry, id.task)) / ExpectedSpeed(worker->speed)));
   RecordStartOnSlowWorker(&worker->speed, now);
-  if (limits_.rescue_slow_runs) RecordTrial(worker, worker->runs.at(id).perpetual, now);
+  const bool trial =
+      limits_.rescue_slow_runs && RecordTrial(worker, worker->runs.at(id).perpetual, now);
+  if (trial && TakeRescueLine(now)) {
+    Log(LogLevel::kInfo, "dispatch", "worker_trial",
+        {{"worker", worker->info.id},
+         {"failures", worker->failures},
+         {"job", id.task.job},
+         {"run", id.run}});
+  }
   const std::optional<StartOrder> order = MakeStartOrder(worker, id, now);
   if (!order) return EndRun(worker, id);
   LimitColdStarts(worker, cold_start_rates_, now);
