Test of starts during an outage of the store lasts until the metric would tell

Cause: the test looked for the metric `starts_held` 4 s after the last confirmation, before the owner updated it.

Change: it waits 2.5 s longer and requires the metric.

--- a/tests/entry/owner_evacuation_test.cc
+++ b/tests/entry/owner_evacuation_test.cc
@@ -16,7 +16,9 @@
 
 // Longer than the time for which an owner goes on without a confirmation.
 constexpr Duration kOutdated = std::chrono::seconds(4);
-// Shorter than that, and long enough for several decisions.
+// Longer than the interval at which the owner updates its metrics.
+constexpr Duration kMetricsInterval = std::chrono::milliseconds(2500);
+// Shorter than kOutdated, and long enough for several decisions.
 constexpr Duration kShort = std::chrono::milliseconds(500);
 
 class OwnerEvacuationTest : public ::testing::Test {
@@ -94,7 +96,8 @@
     store.unavailable = true;
   }
   SetView({}, false);
-  std::this_thread::sleep_for(kOutdated);
+  std::this_thread::sleep_for(kOutdated + kMetricsInterval);
+  EXPECT_NE(metrics.ExpositionText().find("starts_held 0"), std::string::npos);
   EXPECT_EQ(metrics.ExpositionText().find("starts_held 1"), std::string::npos);
 }
 
