Order of jobs by value and work, behind the setting order_by_work

Cause: within a priority, jobs were ordered by age alone, so under overload a job of 500 core-seconds displaced a hundred small ones.

Change: dispatch/job_value.* ranks jobs with the same prospect to be on time by their remaining work per value, in powers of two; within a class pending jobs by laxity, with three quarters of the slack kept for wrong estimates. A quarter of the jobs, by a hash of the id, is ordered without regard to work. The expected end counts the waves of steps that are wider than the room.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -60,6 +60,9 @@
   Duration finished_retention = std::chrono::seconds(150);
   // Largest value that the store holds.
   int64_t max_value_bytes = 1048576;
+  // Jobs of one priority with the same prospect to be on time are ordered by value and work
+  // (dispatch/job_value.h); else by age.
+  bool order_by_work = false;
   // Memory that jobs may take in any owner; 0: unknown, so that none is refused for it.
   int64_t job_memory_bytes = 0;
 };
@@ -288,6 +291,7 @@
   bool IsInUnderusedPool(const JobEntry& entry) const;
   // `working` is the number of runs at work; it is counted only in an underused pool.
   void UpdateIdleTime(JobEntry* entry, bool underused, int working, TimePoint now, int64_t wall_ms);
+  void UpdateEstimates(JobEntry* entry, TimePoint now);
   void CollectTurns(JobEntry* entry, bool underused, const RunCounts& runs, TimePoint now,
                     int64_t wall_ms);
   void PlaceJob(const PlacementTurn& turn, TimePoint now, int64_t wall_ms, Orders* orders);
@@ -356,6 +360,9 @@
   std::map<std::string, WorkerState> workers_;
   ColocationModel colocation_;
   DurationModel durations_;
+  WorkModel work_;
+  RoomByService rooms_;  // measured at each `rooms_valid_until_`
+  TimePoint rooms_valid_until_;
   int starts_in_flight_ = 0;
   int64_t last_start_order_ = 0;
   // First start orders of runs that are in flight and not overdue: when they were sent, by number.
--- a/src/dispatch/job_rank.cc
+++ b/src/dispatch/job_rank.cc
@@ -15,21 +15,35 @@
 // With so many runs at work a job has no successor that is owed, also if they go on for longer than
 // expected.
 constexpr int kMostOwedRuns = 3;
+constexpr double kMilli = 1000;
 
-// Length in ms of the critical path over the steps for which `counts` holds.
+// Length in ms of the critical path, given the time that each step takes.
 template <class F>
-double CriticalPathMs(const DurationModel& model, const jobs::Job& job, F counts) {
+double CriticalPathMs(const jobs::Job& job, F step_ms) {
   std::vector<double> ends;
   double longest = 0;
   for (size_t n = 0; n < job.steps.size(); ++n) {
     double start = 0;
     for (const int it : job.steps[n].after) start = std::max(start, ends[static_cast<size_t>(it)]);
-    ends.push_back(start + (counts(n) ? ExpectedMs(model, job.steps[n]) : 0));
+    ends.push_back(start + step_ms(n));
     longest = std::max(longest, ends.back());
   }
   return longest;
 }
 
+double WholeCriticalPathMs(const DurationModel& model, const JobEntry& entry) {
+  return CriticalPathMs(entry.job, [&](size_t n) { return ExpectedMs(model, entry.job.steps[n]); });
+}
+
+int64_t OpenTasks(const StepState& step) {
+  return static_cast<int64_t>(step.tasks.size()) - step.done;
+}
+
+double TasksWorkMs(const DurationModel& model, const jobs::Step& step, int64_t tasks) {
+  return static_cast<double>(tasks) * ExpectedMs(model, step) *
+         static_cast<double>(step.request.cpu_milli) / kMilli;
+}
+
 TurnKind TurnKindOf(Lateness lateness) {
   switch (lateness) {
     case Lateness::kOnTime:
@@ -42,6 +56,19 @@
   return TurnKind::kTooLate;
 }
 
+// Order of a job that is not too late by its cost.
+int64_t CostOrder(const Estimates& estimates, const JobEntry& entry, TurnKind kind, bool pending,
+                  int64_t wall_ms) {
+  const int64_t accepted_ms = entry.job.accepted_ms;
+  if (!pending) return StartedOrder(*estimates.cost, accepted_ms);
+  if (kind != TurnKind::kOnTime || !estimates.has_deadline) {
+    return StartedOrder(*estimates.cost, -accepted_ms);
+  }
+  const double laxity =
+      estimates.objective_ms - estimates.remaining_ms - static_cast<double>(wall_ms - accepted_ms);
+  return PendingOrder(*estimates.cost, laxity);
+}
+
 }  // namespace
 
 void LearnDuration(DurationModel* model, const jobs::Step& step, int64_t took_ms) {
@@ -57,19 +84,40 @@
   return static_cast<double>(step.estimate_ms) * (it == model.end() ? 1.0 : it->second);
 }
 
-double RemainingCriticalPathMs(const DurationModel& model, const JobEntry& entry) {
+double RemainingCriticalPathMs(const DurationModel& model, const JobEntry& entry,
+                               int64_t room_cpu_milli) {
   double longest = 0;
   for (const auto& it : entry.open) {
     const std::vector<StepState>& steps = it.second;
-    longest = std::max(longest, CriticalPathMs(model, entry.job, [&steps](size_t n) {
-                         return steps[n].done < static_cast<int>(steps[n].tasks.size());
+    longest = std::max(longest, CriticalPathMs(entry.job, [&](size_t n) {
+                         const int64_t left = OpenTasks(steps[n]);
+                         if (left == 0) return 0.0;
+                         const jobs::Step& step = entry.job.steps[n];
+                         const int64_t waves = WavesOf(step, left, room_cpu_milli);
+                         return static_cast<double>(waves) * ExpectedMs(model, step);
                        }));
   }
   return longest;
 }
 
+double RemainingWorkMs(const DurationModel& model, const JobEntry& entry) {
+  double work = 0;
+  for (const auto& it : entry.open) {
+    for (size_t n = 0; n < it.second.size(); ++n) {
+      work += TasksWorkMs(model, entry.job.steps[n], OpenTasks(it.second[n]));
+    }
+  }
+  return work;
+}
+
+double WorkMs(const DurationModel& model, const jobs::Job& job) {
+  double work = 0;
+  for (const jobs::Step& it : job.steps) work += TasksWorkMs(model, it, it.replicas);
+  return work;
+}
+
 double ObjectiveMs(const DurationModel& model, const JobEntry& entry) {
-  return entry.job.rules.stretch * CriticalPathMs(model, entry.job, [](size_t) { return true; }) +
+  return entry.job.rules.stretch * WholeCriticalPathMs(model, entry) +
          static_cast<double>(entry.job.rules.target_duration_ms);
 }
 
@@ -83,6 +131,21 @@
   return out;
 }
 
+Estimates EstimatesOf(const DurationModel& model, const JobEntry& entry, double mean_work_ms,
+                      int64_t room_cpu_milli) {
+  Estimates out = EstimatesOf(model, entry);
+  out.remaining_ms = RemainingCriticalPathMs(model, entry, room_cpu_milli);
+  JobCost cost;
+  cost.cost_class = kFirstCostClass;
+  cost.slack_ms = std::max(0.0, out.objective_ms - WholeCriticalPathMs(model, entry));
+  if (out.has_deadline && !IsOrderedByAge(entry.job.id)) {
+    const double value = ValueOf(WorkMs(model, entry.job), mean_work_ms);
+    cost.cost_class = CostClassOf(RemainingWorkMs(model, entry), value);
+  }
+  out.cost = cost;
+  return out;
+}
+
 Lateness LatenessOf(const Estimates& estimates, const JobEntry& entry, int64_t wall_ms) {
   if (!estimates.has_deadline) return Lateness::kOnTime;
   const double end = static_cast<double>(wall_ms - entry.job.accepted_ms) + estimates.remaining_ms;
@@ -95,7 +158,10 @@
   const TurnKind kind = TurnKindOf(LatenessOf(estimates, entry, wall_ms));
   const bool newest_first = pending && kind != TurnKind::kTooLate;
   const int64_t age_order = newest_first ? -entry.job.accepted_ms : entry.job.accepted_ms;
-  return {entry.job.rules.priority, kind, pending, age_order};
+  const int64_t order = kind == TurnKind::kTooLate || !estimates.cost
+                            ? age_order
+                            : CostOrder(estimates, entry, kind, pending, wall_ms);
+  return {entry.job.rules.priority, kind, pending, order};
 }
 
 bool IsIdleForLong(const JobEntry& entry, TimePoint now) {
--- a/src/dispatch/job_rank.h
+++ b/src/dispatch/job_rank.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "dispatch/job_table.h"
+#include "dispatch/job_value.h"
 
 namespace pomelopond::dispatch {
 
@@ -22,8 +23,15 @@
 double ExpectedMs(const DurationModel& model, const jobs::Step& step);
 
 // Length in ms of the critical path through the steps that are not done, in the occurrence with the
-// longest one.
-double RemainingCriticalPathMs(const DurationModel& model, const JobEntry& entry);
+// longest one. A step that is wider than the room runs in several waves.
+double RemainingCriticalPathMs(const DurationModel& model, const JobEntry& entry,
+                               int64_t room_cpu_milli = kUnlimitedRoom);
+
+// Expected work of the tasks that are not done, in ms of one core.
+double RemainingWorkMs(const DurationModel& model, const JobEntry& entry);
+
+// Expected work of all tasks of one occurrence.
+double WorkMs(const DurationModel& model, const jobs::Job& job);
 
 // Target duration of an occurrence in ms: the queue's stretch factor times the critical path, plus
 // the queue's constant allowance.
@@ -31,6 +39,10 @@
 
 Estimates EstimatesOf(const DurationModel& model, const JobEntry& entry);
 
+// The same for an order by value and work, in this room and a queue with this mean work.
+Estimates EstimatesOf(const DurationModel& model, const JobEntry& entry, double mean_work_ms,
+                      int64_t room_cpu_milli);
+
 // How late a job is expected to complete if it gets capacity now.
 enum class Lateness {
   kOnTime,
@@ -59,7 +71,9 @@
 // - among pending jobs the newest first. Under overload, oldest first would start each job just
 //   when any further delay makes it late, so that all jobs would be late in turn. Jobs that are too
 //   late have nothing to lose by a delay, so they come oldest first.
-// Turns of equal rank follow the order of the job ids.
+// With an order by value and work, jobs that are not too late are ordered by their cost class
+// before their age, and pending jobs on time by their laxity (dispatch/job_value.h). Turns of equal
+// rank follow the order of the job ids.
 using TurnRank = std::tuple<int, TurnKind, bool, int64_t>;
 TurnRank RankOf(const Estimates& estimates, const JobEntry& entry, int64_t wall_ms);
 
--- a/src/dispatch/job_table.h
+++ b/src/dispatch/job_table.h
@@ -46,11 +46,22 @@
   StepPermits permits;  // used only if the queue requires permits
 };
 
+// What orders a job among others of its priority that have the same prospect to be on time.
+struct JobCost {
+  // Remaining work per value in powers of two: estimates are wrong by up to 90%, so finer
+  // differences mean nothing.
+  int cost_class = 0;
+  // Time by which the job could start later and still be on time, when it was accepted.
+  double slack_ms = 0;
+};
+
 // Estimates that rank a job (dispatch/job_rank.h).
 struct Estimates {
   double remaining_ms = 0;   // critical path of the tasks that are not done
   double objective_ms = 0;   // target time from acceptance to completion
   bool has_deadline = true;  // false for perpetual and recurring jobs
+  // Set if jobs are ordered by value and work (dispatch/job_value.h), else they are ordered by age.
+  std::optional<JobCost> cost;
 };
 
 // An active run of a job and its worker, in the table of workers.
@@ -70,6 +81,7 @@
   int64_t revision = 0;     // store revision of the job's record; 0: precedes this owner
   Estimates estimates;
   TimePoint estimates_valid_until;  // the estimates are computed again after this time
+  bool work_known = false;          // the job is in the mean work of its queue
   // Active runs of all its tasks.
   std::vector<JobRun> runs;
   int tasks_away = 0;  // perpetual tasks that are not at work (dispatch/tasks_away.h)
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -101,6 +101,10 @@
   placement_.began = now;
   placements_ += 1;
   placement_.spare_processors = SpareProcessors(workers_, now);
+  if (limits_.order_by_work && now >= rooms_valid_until_) {
+    rooms_ = MeasureRoom(workers_, now);
+    rooms_valid_until_ = now + kEstimateInterval;
+  }
   const Duration passed = now - service_checked_at_;
   const bool check_service = passed >= kServiceCheckInterval;
   if (check_service) service_checked_at_ = now;
@@ -170,14 +174,26 @@
   if (!underused || IsServed(*entry)) entry->idle_since.reset();
 }
 
+void Dispatcher::UpdateEstimates(JobEntry* entry, TimePoint now) {
+  entry->estimates_valid_until = now + kEstimateInterval;
+  if (!limits_.order_by_work) {
+    entry->estimates = EstimatesOf(durations_, *entry);
+    return;
+  }
+  const jobs::QueueRules& rules = entry->job.rules;
+  if (!entry->work_known && !jobs::IsPerpetual(entry->job)) {
+    entry->work_known = true;
+    LearnWork(&work_, rules.queue, WorkMs(durations_, entry->job));
+  }
+  entry->estimates = EstimatesOf(durations_, *entry, MeanWork(work_, rules.queue),
+                                 RoomOf(rooms_, rules.service, rules.priority));
+}
+
 void Dispatcher::CollectTurns(JobEntry* entry, bool underused, const RunCounts& runs, TimePoint now,
                               int64_t wall_ms) {
   if (entry->revision > proven_revision_) return;
   std::vector<PlacementTurn>& turns = placement_.turns;
-  if (now >= entry->estimates_valid_until) {
-    entry->estimates = EstimatesOf(durations_, *entry);
-    entry->estimates_valid_until = now + kEstimateInterval;
-  }
+  if (now >= entry->estimates_valid_until) UpdateEstimates(entry, now);
   turns.push_back(MakeTurn(RankOf(entry->estimates, *entry, wall_ms), entry, turns.size()));
   if (!underused || !IsReconciled(*entry)) return;
   for (const TurnKind it : OwedTurns(*entry, runs, now, wall_ms)) {
--- a/src/entry/settings.cc
+++ b/src/entry/settings.cc
@@ -64,6 +64,8 @@
   settings.max_lease = MillisecondsOr(&reader, "max_lease_ms", settings.max_lease);
   settings.stop_limit = SecondsOr(&reader, "stop_limit_s", settings.stop_limit);
   settings.status_time = SecondsOr(&reader, "status_time_s", settings.status_time);
+  settings.order_by_work = reader.BoolOr("order_by_work", settings.order_by_work);
+  settings.admission_control = reader.BoolOr("admission_control", settings.admission_control);
   LogLevel level = LogLevel::kInfo;
   if (!ParseLogLevel(settings.log_level, &level)) {
     reader.Fail("log_level", ResultCode::kBadField, "is not debug, info, warn or error");
@@ -89,7 +91,9 @@
               {"max_body_bytes", settings.max_body_bytes},
               {"max_lease_ms", ToMs(settings.max_lease)},
               {"stop_limit_s", ToSeconds(settings.stop_limit)},
-              {"status_time_s", ToSeconds(settings.status_time)}};
+              {"status_time_s", ToSeconds(settings.status_time)},
+              {"order_by_work", settings.order_by_work},
+              {"admission_control", settings.admission_control}};
   if (settings.policy) out["policy"] = ToString(*settings.policy);
   return out;
 }
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -36,6 +36,10 @@
   Duration stop_limit = std::chrono::seconds(5);
   // Time for which callers can query a finished job.
   Duration status_time = std::chrono::seconds(120);
+  // The owner orders jobs of one priority by value and work, and not by age alone.
+  bool order_by_work = false;
+  // Jobs that would complete too late to be of use are refused.
+  bool admission_control = false;
 };
 
 // Adds each error to `errors` with its path in the document. The result is valid only if there are
