Forecast of the wait by queue, and refusal of jobs that would be of no use

Cause: every job was accepted, and no caller was told at once that its job would be late by more than it is worth.

Change: with admission_control the owner publishes the expected wait by queue in the record of the waiting counts (a fourth entry, which earlier programs skip). Hosts read it with a stale read, once a second at most while jobs arrive, and refuse with 429 (code 212, overloaded) what would complete after three times its objective, unless it is accepted already. They accept without a forecast that is at most 3 s old. Retry-After of all refusals is spread by the job id. Lines queue_order, queue_wait, refused_as_useless; metrics queue_wait_ms, queue_late_jobs, jobs_refused_as_useless_total, forecast_reads_failed_total.

Two tests name the new member in their initial values of WaitingCounts; they check what they did.

--- a/src/base/result_code.cc
+++ b/src/base/result_code.cc
@@ -35,6 +35,7 @@
     {ResultCode::kTargetUnreachable, "target_unreachable", 503},
     {ResultCode::kOutdated, "outdated", 503},
     {ResultCode::kPoolFull, "pool_full", 503},
+    {ResultCode::kOverloaded, "overloaded", 429},
     {ResultCode::kConflict, "conflict", 409},
     {ResultCode::kStaleBase, "stale_base", 409},
     {ResultCode::kTieWithoutVote, "tie_without_vote", 409},
--- a/src/base/result_code.h
+++ b/src/base/result_code.h
@@ -34,6 +34,7 @@
   kTargetUnreachable = 209,
   kOutdated = 210,
   kPoolFull = 211,
+  kOverloaded = 212,
   // 3xx: the request conflicts with stored data.
   kConflict = 300,
   kStaleBase = 301,
--- a/src/dispatch/commits.cc
+++ b/src/dispatch/commits.cc
@@ -109,6 +109,7 @@
   if (now - counts_checked_at_ >= kCountsInterval) {
     counts_checked_at_ = now;
     WaitingCounts counts = CurrentWaitingCounts(wall_ms);
+    counts.forecasts = UpdateForecasts(now, wall_ms);
     const bool full = IsPoolFull(counts.job_bytes);
     if (full != written_full_) commit->pool_full = full;
     written_full_ = full;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -28,6 +28,7 @@
 #include "dispatch/preemption.h"
 #include "dispatch/tasks_away.h"
 #include "dispatch/unplaceable_requests.h"
+#include "dispatch/wait_forecast.h"
 #include "dispatch/waiting_counts.h"
 #include "dispatch/worker_calls.h"
 #include "dispatch/worker_index.h"
@@ -63,6 +64,8 @@
   // Jobs of one priority with the same prospect to be on time are ordered by value and work
   // (dispatch/job_value.h); else by age.
   bool order_by_work = false;
+  // The expected waits by queue are published with the waiting counts.
+  bool forecast_waits = false;
   // Memory that jobs may take in any owner; 0: unknown, so that none is refused for it.
   int64_t job_memory_bytes = 0;
 };
@@ -265,6 +268,7 @@
   bool IsUnused(const WorkerState& worker, uint64_t generation, TimePoint now) const;
   std::string EncodeWorkersInUse(uint64_t generation, TimePoint now);
   bool IsPoolFull(int64_t job_bytes) const;
+  std::map<std::string, QueueForecast> UpdateForecasts(TimePoint now, int64_t wall_ms);
   void TakeDirtyJobs(Commit* commit);
   void TakePoolState(Commit* commit, TimePoint now, int64_t wall_ms);
   void RestorePoolState(const Commit& commit, TimePoint now, int64_t wall_ms);
@@ -361,6 +365,7 @@
   ColocationModel colocation_;
   DurationModel durations_;
   WorkModel work_;
+  ForecastState forecast_;
   RoomByService rooms_;  // measured at each `rooms_valid_until_`
   TimePoint rooms_valid_until_;
   int starts_in_flight_ = 0;
--- a/src/dispatch/job_rank.cc
+++ b/src/dispatch/job_rank.cc
@@ -39,11 +39,6 @@
   return static_cast<int64_t>(step.tasks.size()) - step.done;
 }
 
-double TasksWorkMs(const DurationModel& model, const jobs::Step& step, int64_t tasks) {
-  return static_cast<double>(tasks) * ExpectedMs(model, step) *
-         static_cast<double>(step.request.cpu_milli) / kMilli;
-}
-
 TurnKind TurnKindOf(Lateness lateness) {
   switch (lateness) {
     case Lateness::kOnTime:
@@ -64,9 +59,7 @@
   if (kind != TurnKind::kOnTime || !estimates.has_deadline) {
     return StartedOrder(*estimates.cost, -accepted_ms);
   }
-  const double laxity =
-      estimates.objective_ms - estimates.remaining_ms - static_cast<double>(wall_ms - accepted_ms);
-  return PendingOrder(*estimates.cost, laxity);
+  return PendingOrder(*estimates.cost, LaxityMs(estimates, entry, wall_ms));
 }
 
 }  // namespace
@@ -100,6 +93,11 @@
   return longest;
 }
 
+double TasksWorkMs(const DurationModel& model, const jobs::Step& step, int64_t tasks) {
+  return static_cast<double>(tasks) * ExpectedMs(model, step) *
+         static_cast<double>(step.request.cpu_milli) / kMilli;
+}
+
 double RemainingWorkMs(const DurationModel& model, const JobEntry& entry) {
   double work = 0;
   for (const auto& it : entry.open) {
@@ -146,6 +144,11 @@
   return out;
 }
 
+double LaxityMs(const Estimates& estimates, const JobEntry& entry, int64_t wall_ms) {
+  return estimates.objective_ms - estimates.remaining_ms -
+         static_cast<double>(wall_ms - entry.job.accepted_ms);
+}
+
 Lateness LatenessOf(const Estimates& estimates, const JobEntry& entry, int64_t wall_ms) {
   if (!estimates.has_deadline) return Lateness::kOnTime;
   const double end = static_cast<double>(wall_ms - entry.job.accepted_ms) + estimates.remaining_ms;
--- a/src/dispatch/job_rank.h
+++ b/src/dispatch/job_rank.h
@@ -27,7 +27,10 @@
 double RemainingCriticalPathMs(const DurationModel& model, const JobEntry& entry,
                                int64_t room_cpu_milli = kUnlimitedRoom);
 
-// Expected work of the tasks that are not done, in ms of one core.
+// Expected work of `tasks` tasks of the step, in ms of one core.
+double TasksWorkMs(const DurationModel& model, const jobs::Step& step, int64_t tasks);
+
+// Expected work of the tasks that are not done.
 double RemainingWorkMs(const DurationModel& model, const JobEntry& entry);
 
 // Expected work of all tasks of one occurrence.
@@ -43,6 +46,9 @@
 Estimates EstimatesOf(const DurationModel& model, const JobEntry& entry, double mean_work_ms,
                       int64_t room_cpu_milli);
 
+// Time in ms by which the job could start later and still be on time.
+double LaxityMs(const Estimates& estimates, const JobEntry& entry, int64_t wall_ms);
+
 // How late a job is expected to complete if it gets capacity now.
 enum class Lateness {
   kOnTime,
--- a/src/dispatch/job_table.h
+++ b/src/dispatch/job_table.h
@@ -81,7 +81,7 @@
   int64_t revision = 0;     // store revision of the job's record; 0: precedes this owner
   Estimates estimates;
   TimePoint estimates_valid_until;  // the estimates are computed again after this time
-  bool work_known = false;          // the job is in the mean work of its queue
+  bool estimates_learned = false;   // the job is in the means of its queue
   // Active runs of all its tasks.
   std::vector<JobRun> runs;
   int tasks_away = 0;  // perpetual tasks that are not at work (dispatch/tasks_away.h)
--- a/src/dispatch/job_value.cc
+++ b/src/dispatch/job_value.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "base/hash.h"
 #include "dispatch/choose_worker.h"
 
 namespace pomelopond::dispatch {
@@ -15,12 +16,13 @@
 constexpr double kValuePerJob = 0.3;
 constexpr double kValuePerWork = 0.7;
 constexpr double kMaxValue = 4;
-// Share of the jobs that are ordered by age. With a tenth and a fifth, the largest tenth of the jobs
-// was on time less than half as often as all of them at 2.5 times the load that the pool can serve.
+// Share of the jobs that are ordered by age. With a tenth and a fifth, the largest tenth of the
+// jobs was on time less than half as often as all of them at 2.5 times the load that the pool can
+// serve.
 constexpr uint64_t kAgeOrderedJobs = 1;
 constexpr uint64_t kJobsPerAgeShare = 4;
-// Part of a job's slack that is kept for wrong estimates. With half of it, 1 to 2% less of the value
-// of all jobs was on time at 1.2 to 2.5 times the load that the pool can serve.
+// Part of a job's slack that is kept for wrong estimates. With half of it, 1 to 2% less of the
+// value of all jobs was on time at 1.2 to 2.5 times the load that the pool can serve.
 constexpr double kSafetyShare = 0.75;
 
 // Layout of an order: class, whether the safety share is touched, and a number of 43 bits, which
@@ -33,13 +35,6 @@
   return group * (int64_t{1} << kOrderBits) + std::clamp(order, -kMaxOrder, kMaxOrder);
 }
 
-// FNV-1a. Ids that callers choose may be consecutive.
-uint64_t HashOf(const std::string& text) {
-  uint64_t hash = 14695981039346656037U;
-  for (const char it : text) hash = (hash ^ static_cast<unsigned char>(it)) * 1099511628211U;
-  return hash ^ (hash >> 32U);
-}
-
 }  // namespace
 
 void LearnWork(WorkModel* model, const std::string& queue, double core_ms) {
@@ -65,7 +60,7 @@
 }
 
 bool IsOrderedByAge(const std::string& job) {
-  return HashOf(job) % kJobsPerAgeShare < kAgeOrderedJobs;
+  return StableHash(job) % kJobsPerAgeShare < kAgeOrderedJobs;
 }
 
 int64_t PendingOrder(const JobCost& cost, double laxity_ms) {
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -175,18 +175,18 @@
 }
 
 void Dispatcher::UpdateEstimates(JobEntry* entry, TimePoint now) {
-  entry->estimates_valid_until = now + kEstimateInterval;
-  if (!limits_.order_by_work) {
-    entry->estimates = EstimatesOf(durations_, *entry);
-    return;
-  }
   const jobs::QueueRules& rules = entry->job.rules;
-  if (!entry->work_known && !jobs::IsPerpetual(entry->job)) {
-    entry->work_known = true;
+  const bool is_new = !entry->estimates_learned;
+  entry->estimates_valid_until = now + kEstimateInterval;
+  if (is_new && !jobs::IsPerpetual(entry->job)) {
     LearnWork(&work_, rules.queue, WorkMs(durations_, entry->job));
   }
-  entry->estimates = EstimatesOf(durations_, *entry, MeanWork(work_, rules.queue),
-                                 RoomOf(rooms_, rules.service, rules.priority));
+  entry->estimates = limits_.order_by_work
+                         ? EstimatesOf(durations_, *entry, MeanWork(work_, rules.queue),
+                                       RoomOf(rooms_, rules.service, rules.priority))
+                         : EstimatesOf(durations_, *entry);
+  if (is_new) RecordQueueJob(&forecast_, *entry);
+  entry->estimates_learned = true;
 }
 
 void Dispatcher::CollectTurns(JobEntry* entry, bool underused, const RunCounts& runs, TimePoint now,
@@ -390,10 +390,12 @@
   if (task->first_run == 0) task->first_run = id.run;
   task->last_run = id.run;
   UpdatePlaceable(entry);
+  const jobs::Step& step = StepOf(*entry, id.task);
+  RecordStartedWork(&forecast_, entry->job.rules, TasksWorkMs(durations_, step, 1));
   RunProgress& progress = worker->runs.at(id).progress;
   progress.resumes = !task->progress.checkpoint.empty();
   progress.expected_time = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double, std::milli>(ExpectedMs(durations_, StepOf(*entry, id.task))));
+      std::chrono::duration<double, std::milli>(ExpectedMs(durations_, step)));
   const std::optional<StartOrder> order = MakeStartOrder(worker, id, now);
   if (!order) return EndRun(worker, id);
   LimitColdStarts(worker, cold_start_rates_, now);
--- a/src/dispatch/pool_summary.cc
+++ b/src/dispatch/pool_summary.cc
@@ -1,6 +1,7 @@
 #include "dispatch/pool_summary.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "dispatch/dispatcher.h"
 
@@ -9,6 +10,19 @@
 
 constexpr double kMilli = 1000;
 
+void CountJob(const JobEntry& entry, Lateness lateness, int64_t wall_ms, QueueSummary* queue) {
+  const bool started = entry.state != jobs::JobState::kPending || HasActiveTask(entry);
+  queue->started += started ? 1 : 0;
+  queue->late += lateness == Lateness::kLate ? 1 : 0;
+  queue->too_late += lateness == Lateness::kTooLate ? 1 : 0;
+  if (lateness != Lateness::kOnTime) return;
+  queue->on_time += 1;
+  if (started || !entry.estimates.has_deadline) return;
+  const auto laxity = std::max<int64_t>(1, std::llround(LaxityMs(entry.estimates, entry, wall_ms)));
+  const int64_t least = queue->least_laxity_ms;
+  queue->least_laxity_ms = least == 0 ? laxity : std::min(least, laxity);
+}
+
 }  // namespace
 
 PoolSummary Dispatcher::Summary(TimePoint now, int64_t wall_ms) const {
@@ -33,7 +47,9 @@
     out.unserved_share += it->unserved_share / static_cast<double>(placeable_.size());
     out.held_up_jobs += IsHeldUp(*it) ? 1 : 0;
     out.worst_unserved_share = std::max(out.worst_unserved_share, it->unserved_share);
-    const bool late = LatenessOf(it->estimates, *it, wall_ms) != Lateness::kOnTime;
+    const Lateness lateness = LatenessOf(it->estimates, *it, wall_ms);
+    if (it->estimates.cost) CountJob(*it, lateness, wall_ms, &out.queues[it->job.rules.queue]);
+    const bool late = lateness != Lateness::kOnTime;
     if (!late || !HasReadyTask(*it, wall_ms)) continue;
     out.late_jobs += 1;
     out.single_run_jobs += CountRuns(*it, now).working < 2 ? 1 : 0;
@@ -45,6 +61,8 @@
     }
   }
   out.evacuation_round = evacuation_round_;
+  for (auto& [queue, it] : out.queues) it.mean_core_ms = MeanWork(work_, queue);
+  out.forecasts = written_counts_.forecasts;
   out.run_lines_left_out = run_lines_left_out_;
   out.starts = starts_;
   out.ends = ends_;
--- a/src/dispatch/pool_summary.h
+++ b/src/dispatch/pool_summary.h
@@ -3,13 +3,25 @@
 #define POMELOPOND_DISPATCH_POOL_SUMMARY_H_
 
 #include <cstdint>
+#include <map>
 #include <string>
 
 #include "base/time.h"
 #include "dispatch/evacuation.h"
+#include "dispatch/waiting_counts.h"
 
 namespace pomelopond::dispatch {
 
+// Jobs of a queue with waiting tasks, by their prospect, and what orders them.
+struct QueueSummary {
+  int on_time = 0;
+  int late = 0;
+  int too_late = 0;
+  int started = 0;              // of all these
+  double mean_core_ms = 0;      // mean work of the queue's jobs
+  int64_t least_laxity_ms = 0;  // of the jobs on time that have not started; 0: there is none
+};
+
 // Snapshot of the pool for logs and metrics. Processor time is in thousandths of a core.
 struct PoolSummary {
   int jobs = 0;               // jobs that are not finished
@@ -54,6 +66,10 @@
   EvacuationRound evacuation_round;  // the last one
   // Neither reserved nor requested by best-effort tasks, on workers that accept tasks.
   int64_t free_cpu = 0;
+  // By queue, if jobs are ordered by value and work.
+  std::map<std::string, QueueSummary> queues;
+  // Queues whose jobs wait for room, as last published.
+  std::map<std::string, QueueForecast> forecasts;
 };
 
 }  // namespace pomelopond::dispatch
--- a/src/entry/job_service.cc
+++ b/src/entry/job_service.cc
@@ -38,7 +38,8 @@
       metrics_(metrics),
       health_(health),
       revisions_(revisions),
-      cancellation_lease_(store, options.cancellation_time) {}
+      cancellation_lease_(store, options.cancellation_time),
+      forecasts_(store, revisions, metrics) {}
 
 bool JobService::Admit(const char* request, const std::string& id) {
   if (health_->AllowRequest(Now())) return true;
--- a/src/entry/job_service.h
+++ b/src/entry/job_service.h
@@ -12,6 +12,7 @@
 #include "base/result_code.h"
 #include "base/time.h"
 #include "dispatch/waiting_counts.h"
+#include "entry/forecast_reader.h"
 #include "entry/prefix_watcher.h"
 #include "entry/revision_history.h"
 #include "entry/shared_lease.h"
@@ -30,6 +31,8 @@
   int64_t max_value_bytes = 1048576;
   // Returns the memory that all jobs together may take in an owner, in bytes; 0 if it is unknown.
   std::function<int64_t()> job_memory_bytes = [] { return int64_t{0}; };
+  // Jobs that would complete too late to be of use are refused (entry/admission.h).
+  bool admission_control = false;
 };
 
 class JobService {
@@ -41,10 +44,13 @@
   // - no error: the job is durable, written by this call or an earlier one;
   // - kTooLarge: the store cannot hold the job and its progress, or no owner can;
   // - kPoolFull: the accepted jobs leave no room for it now;
+  // - kOverloaded: it would complete too late to be of use; `retry_after` tells when to try again;
   // - kCancelled: the job was cancelled before; it is not durable and will not be;
   // - kStoreUnavailable: the job is not durable, and this call will not make it durable;
   // - kOutcomeUnknown: the job may be durable now or become durable later.
-  void Submit(const jobs::Job& job, TimePoint deadline, std::function<void(std::error_code)> done);
+  void Submit(
+      const jobs::Job& job, TimePoint deadline, std::function<void(std::error_code)> done,
+      const std::function<void(Duration)>& retry_after = [](Duration) {});
 
   // Calls `done` with the state of the job, with kNotFound if the job does not exist, or with
   // kStoreUnavailable if the store cannot be read now.
@@ -68,6 +74,12 @@
   bool Admit(const char* request, const std::string& id);
   // Updates the store's health with the outcome of a call.
   void RecordOutcome(std::error_code ec);
+  // Accepts a job that is not refused.
+  void Create(const jobs::Job& job, TimePoint deadline, std::function<void(std::error_code)> done);
+  // Refuses a job that would be of no use, unless it is accepted already.
+  void RefuseAsUseless(const jobs::Job& job, const Admission& admission, TimePoint deadline,
+                       const std::function<void(std::error_code)>& done,
+                       const std::function<void(Duration)>& retry_after);
   static PendingWrite CreationOf(const jobs::Job& job);
   // Commits the transaction, with retries until its outcome is known or the deadline is near.
   void StartWrite(PendingWrite write, TimePoint deadline,
@@ -109,6 +121,7 @@
   StoreHealth* const health_;
   const RevisionHistory* const revisions_;
   SharedLease cancellation_lease_;
+  ForecastReader forecasts_;
 };
 
 }  // namespace pomelopond::entry
--- a/src/entry/job_service_writes.cc
+++ b/src/entry/job_service_writes.cc
@@ -43,7 +43,8 @@
 };
 
 void JobService::Submit(const jobs::Job& job, TimePoint deadline,
-                        std::function<void(std::error_code)> done) {
+                        std::function<void(std::error_code)> done,
+                        const std::function<void(Duration)>& retry_after) {
   const std::string fault = jobs::StorageError(job, options_.max_value_bytes);
   if (!fault.empty()) {
     Log(LogLevel::kInfo, "jobs", "too_large", {{"job", job.id}, {"error", fault}});
@@ -56,12 +57,41 @@
   if (most > 0 && bytes > most) {
     return RefuseUnlessAccepted(job.id, ResultCode::kTooLarge, done, done);
   }
+  if (options_.admission_control) {
+    const Admission admission = forecasts_.Admit(job, Now());
+    if (!admission.accepted) return RefuseAsUseless(job, admission, deadline, done, retry_after);
+  }
+  Create(job, deadline, std::move(done));
+}
+
+void JobService::Create(const jobs::Job& job, TimePoint deadline,
+                        std::function<void(std::error_code)> done) {
+  const int64_t most = options_.job_memory_bytes();
+  const int64_t bytes = dispatch::MaxMemoryBytes(job, options_.max_value_bytes);
   if (bytes > most / dispatch::kSmallJobsInMemory && most > 0) {
     return SubmitLarge(job, RetryDeadline(Now(), kMaxUnknownTime, deadline), deadline, done);
   }
   StartWrite(CreationOf(job), deadline, std::move(done));
 }
 
+void JobService::RefuseAsUseless(const jobs::Job& job, const Admission& admission,
+                                 TimePoint deadline,
+                                 const std::function<void(std::error_code)>& done,
+                                 const std::function<void(Duration)>& retry_after) {
+  // A job that is accepted already must not be refused. If that cannot be read, the creation finds
+  // out.
+  RefuseUnlessAccepted(
+      job.id, ResultCode::kOverloaded,
+      [this, job, deadline, done](std::error_code) { Create(job, deadline, done); },
+      [this, job, admission, done, retry_after](std::error_code ec) {
+        if (ec == ResultCode::kOverloaded) {
+          forecasts_.RecordRefusal(job, admission, Now());
+          retry_after(admission.retry_after);
+        }
+        done(ec);
+      });
+}
+
 JobService::PendingWrite JobService::CreationOf(const jobs::Job& job) {
   PendingWrite create;
   create.name = "submit";
--- a/src/entry/pool_log.cc
+++ b/src/entry/pool_log.cc
@@ -58,6 +58,27 @@
        {"free_cpu", it.free_cpu}});
 }
 
+void LogQueues(const dispatch::PoolSummary& it) {
+  for (const auto& [queue, jobs] : it.queues) {
+    Log(LogLevel::kInfo, "owner", "queue_order",
+        {{"queue", queue},
+         {"on_time", jobs.on_time},
+         {"late", jobs.late},
+         {"too_late", jobs.too_late},
+         {"started", jobs.started},
+         {"mean_core_ms", static_cast<int64_t>(jobs.mean_core_ms)},
+         {"least_laxity_ms", jobs.least_laxity_ms}});
+  }
+  for (const auto& [queue, forecast] : it.forecasts) {
+    Log(LogLevel::kInfo, "owner", "queue_wait",
+        {{"queue", queue},
+         {"wait_ms", forecast.wait_ms},
+         {"useless_after_ms", forecast.useless_after_ms},
+         {"drain_ms", forecast.drain_ms},
+         {"jobs_revision", it.jobs_revision}});
+  }
+}
+
 void LogEvacuation(const dispatch::PoolSummary& it) {
   if (it.evacuated_workers == 0 && it.evacuated_runs.Total() == 0) return;
   Log(LogLevel::kInfo, "owner", "evacuation_progress",
--- a/src/entry/pool_log.h
+++ b/src/entry/pool_log.h
@@ -11,6 +11,9 @@
 namespace pomelopond::entry {
 
 void LogPool(const dispatch::PoolSummary& it, int64_t epoch);
+// Two lines at most for each queue whose jobs wait: what orders them, and how long they wait for
+// room.
+void LogQueues(const dispatch::PoolSummary& it);
 // Only while a failure domain is evacuated.
 void LogEvacuation(const dispatch::PoolSummary& it);
 void LogWait(const dispatch::JobWait& wait);
--- a/src/entry/pool_owner.cc
+++ b/src/entry/pool_owner.cc
@@ -271,12 +271,27 @@
   dispatcher_->SetColdStartRates(ColdStartRates(*view.catalog));
 }
 
+void PoolOwner::SetQueueWaits(const dispatch::PoolSummary& summary) {
+  for (const auto& [queue, it] : summary.forecasts) waiting_queues_.insert(queue);
+  for (const auto& [queue, it] : summary.queues) waiting_queues_.insert(queue);
+  for (const std::string& queue : waiting_queues_) {
+    const auto jobs = summary.queues.find(queue);
+    metrics_->Set(metrics::Labelled("queue_late_jobs", "queue", queue),
+                  jobs == summary.queues.end() ? 0 : jobs->second.late + jobs->second.too_late);
+    const auto it = summary.forecasts.find(queue);
+    metrics_->Set(metrics::Labelled("queue_wait_ms", "queue", queue),
+                  it == summary.forecasts.end() ? 0 : it->second.wait_ms);
+  }
+}
+
 void PoolOwner::LogSummary(TimePoint now) {
   next_summary_ = now + kSummaryInterval;
   const int64_t wall_ms = WallClockMs();
   const dispatch::PoolSummary summary = dispatcher_->Summary(now, wall_ms);
   LogPool(summary, term_.epoch);
   LogEvacuation(summary);
+  LogQueues(summary);
+  SetQueueWaits(summary);
   metrics_->Set("evacuated_workers", summary.evacuated_workers);
   metrics_->Set("evacuated_runs", summary.evacuated_runs.Total());
   metrics_->Set("starts_held", starts_held_ ? 1 : 0);
--- a/src/entry/pool_owner.h
+++ b/src/entry/pool_owner.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -109,6 +110,7 @@
   void WriteOwnerKey(int64_t revision);
   void OnOwnerKeyWritten(const Result<store::CommitResult>& result);
   void Tick();
+  void SetQueueWaits(const dispatch::PoolSummary& summary);
   void LogSummary(TimePoint now);
   // Passes the operators' catalog and evacuations on to the dispatcher.
   void ApplyCatalog(TimePoint now);
@@ -178,8 +180,9 @@
   // Last time at which this process was certain to be the owner.
   TimePoint last_ownership_proof_;
   TimePoint next_summary_;
-  jobs::CatalogPtr applied_catalog_;  // by the dispatcher
-  bool starts_held_ = false;          // by the dispatcher
+  jobs::CatalogPtr applied_catalog_;      // by the dispatcher
+  bool starts_held_ = false;              // by the dispatcher
+  std::set<std::string> waiting_queues_;  // those with metrics
   std::unique_ptr<EventLoop> loop_;
 };
 
--- a/src/store/key_store.h
+++ b/src/store/key_store.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include "base/result.h"
@@ -95,6 +96,11 @@
   // Reads one key. The item has revision 0 if the key does not exist.
   virtual void Get(const std::string& key, StoreCallback<Item> done) = 0;
 
+  // As Get(), but the item may be some seconds old, for a tenth of the cost.
+  virtual void GetStale(const std::string& key, StoreCallback<Item> done) {
+    Get(key, std::move(done));
+  }
+
   // Reads one page of the keys that start with `prefix` and sort after the key `after`.
   virtual void List(const std::string& prefix, const std::string& after,
                     StoreCallback<Page> done) = 0;
--- a/tests/dispatch/pending_job_test.cc
+++ b/tests/dispatch/pending_job_test.cc
@@ -86,10 +86,10 @@
 // Guards against a record whose age cannot be told, since it is written only when a count changes.
 TEST_F(StoredCountsTest, UnchangedCountsAreRenewed) {
   it.dispatcher.OnJobsSeen(20);
-  EXPECT_EQ(Written(), (WaitingCounts{20, {}}));
+  EXPECT_EQ(Written(), (WaitingCounts{20, {}, 0, {}}));
   it.Advance(std::chrono::seconds(1));
   it.dispatcher.OnJobsSeen(25);
-  EXPECT_EQ(Written(), (WaitingCounts{25, {}}));
+  EXPECT_EQ(Written(), (WaitingCounts{25, {}, 0, {}}));
 }
 
 // Guards against an owner that claims to know jobs which its watch has not told it of.
@@ -100,7 +100,7 @@
   const jobs::Job job = MakeJob(kJob, {MakeStep(1)});
   it.dispatcher.AddJob(job, {}, false, 30);
   const int64_t bytes = MaxMemoryBytes(job, DispatchLimits().max_value_bytes);
-  EXPECT_EQ(Written(), (WaitingCounts{20, {{"queue", 1}}, bytes}));
+  EXPECT_EQ(Written(), (WaitingCounts{20, {{"queue", 1}}, bytes, {}}));
 }
 
 }  // namespace
--- a/tests/dispatch/simulated_load.h
+++ b/tests/dispatch/simulated_load.h
@@ -4,6 +4,7 @@
 #define POMELOPOND_TESTS_DISPATCH_SIMULATED_LOAD_H_
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <random>
 #include <string>
@@ -21,6 +22,8 @@
   double estimate_error = 0.9;  // tasks take up to this part more or less than estimated
   int64_t duration_ms = 30000;  // time during which jobs arrive
   bool order_by_work = false;
+  // Returns true if a host refuses the job, by what it has read in the last second.
+  std::function<bool(const jobs::Job&, const WaitingCounts&)> refuses;
   unsigned seed = 1;
 };
 
@@ -31,6 +34,7 @@
   int64_t objective_ms = 0;
   double value = 0;      // if it completes within its objective
   int64_t took_ms = -1;  // -1: not completed
+  bool refused = false;
   bool IsOnTime() const { return took_ms >= 0 && took_ms <= objective_ms; }
   bool IsUseful() const { return took_ms >= 0 && took_ms <= 3 * objective_ms; }
 };
@@ -73,9 +77,11 @@
     const int64_t end = kWallStart + shape_.duration_ms + 15000;
     for (; wall_ms_ < end; wall_ms_ += kStepMs) {
       for (; next < jobs_.size() && jobs_[next].job.accepted_ms <= wall_ms_; ++next) {
-        it_.dispatcher.AddJob(jobs_[next].job, {}, false);
+        Submit(&jobs_[next]);
       }
       Advance();
+      if ((wall_ms_ - kWallStart) % kReadMs != 0) continue;
+      known_.forecasts = it_.dispatcher.Summary(it_.now, wall_ms_).forecasts;
     }
     for (LoadedJob& it : jobs_) {
       const JobEntry* entry = it_.dispatcher.FindJob(it.job.id);
@@ -87,19 +93,23 @@
     return jobs_;
   }
 
-  const Dispatcher& dispatcher() const { return it_.dispatcher; }
-  int64_t wall_ms() const { return wall_ms_; }
-
  private:
   static constexpr int64_t kStepMs = 50;
+  static constexpr int64_t kReadMs = 1000;
   static constexpr int64_t kCoreMilli = 2000;
 
   static DispatchLimits Limits(const LoadShape& shape) {
     DispatchLimits limits;
     limits.order_by_work = shape.order_by_work;
+    limits.forecast_waits = true;
     return limits;
   }
 
+  void Submit(LoadedJob* job) {
+    job->refused = shape_.refuses && shape_.refuses(job->job, known_);
+    if (!job->refused) it_.dispatcher.AddJob(job->job, {}, false);
+  }
+
   LoadedJob MakeLoadedJob(size_t n, int64_t accepted_ms) {
     std::lognormal_distribution<double> width(1.1, 0.9);
     std::lognormal_distribution<double> time(6.4, 0.6);
@@ -176,6 +186,7 @@
   std::mt19937 random_;
   Scenario it_;
   int64_t wall_ms_ = kWallStart;
+  WaitingCounts known_;  // to the hosts
   std::vector<LoadedJob> jobs_;
   std::map<std::string, std::map<RunId, int64_t>> runs_;  // when each ends
   std::map<std::string, int64_t> sequence_;
--- a/tests/entry/job_service_test.cc
+++ b/tests/entry/job_service_test.cc
@@ -173,14 +173,14 @@
 
 TEST_F(JobServiceTest, WaitingCountsAreTheOwners) {
   revisions.Record(Now(), store.revision);
-  WriteCounts({store.revision, {{"queue", 3}}});
+  WriteCounts({store.revision, {{"queue", 3}}, 0, {}});
   EXPECT_EQ(Count("queue").value, 3);
   EXPECT_EQ(Count("other").value, 0);
 }
 
 // Guards against a count that is given although the jobs accepted since are not in it.
 TEST_F(JobServiceTest, CountsOlderThanTheirLimitAreRefused) {
-  WriteCounts({store.revision, {{"queue", 3}}});
+  WriteCounts({store.revision, {{"queue", 3}}, 0, {}});
   revisions.Record(Now() - std::chrono::seconds(3), store.revision);
   Submit();
   revisions.Record(Now() - std::chrono::seconds(1), store.revision);
@@ -195,14 +195,14 @@
 
 // Guards against a refusal because the count was read just before the owner renewed it.
 TEST_F(JobServiceTest, OutdatedCountsAreReadAgain) {
-  WriteCounts({store.revision, {{"queue", 3}}});
+  WriteCounts({store.revision, {{"queue", 3}}, 0, {}});
   Submit();
   revisions.Record(Now(), store.revision);
   Result<int> result{ResultCode::kInternal, {}};
   service.CountWaiting("queue", Now() + std::chrono::seconds(3),
                        [&result](const Result<int>& it) { result = it; });
   EXPECT_EQ(timers.size(), 1U);
-  WriteCounts({store.revision, {{"queue", 4}}});
+  WriteCounts({store.revision, {{"queue", 4}}, 0, {}});
   RunTimers();
   EXPECT_EQ(result.value, 4);
 }
--- a/tests/platform/caller_api_test.cc
+++ b/tests/platform/caller_api_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 #include "tests/entry/memory_store.h"
 
 namespace pomelopond::platform {
@@ -61,6 +63,17 @@
   EXPECT_EQ(response.headers.count("Retry-After"), 1U);
 }
 
+// Guards against callers that a store outage sends away and that all come back at the same time.
+TEST_F(CallerApiTest, RetriesOfRefusedJobsAreSpread) {
+  store.unavailable = true;
+  std::set<std::string> retry_after;
+  for (int n = 10; n < 40; ++n) {
+    const http::HttpResponse refused = Get("/known/00000000000000" + std::to_string(n));
+    if (refused.status == 503) retry_after.insert(refused.headers.at("Retry-After"));
+  }
+  EXPECT_EQ(retry_after, (std::set<std::string>{"1", "2"}));
+}
+
 // Guards against requests for known queues that are refused while only the catalog cannot be read.
 TEST_F(CallerApiTest, OutdatedCatalogServesItsQueues) {
   view.confirmed_at = Now() - kLongAgo;
--- a/tests/platform/kv_store_test.cc
+++ b/tests/platform/kv_store_test.cc
@@ -44,6 +44,7 @@
     const std::string path = http::PathOf(request);
     if (path == "/api/kv-key") {
       const std::string key = http::QueryParameterOf(request, "key");
+      stale_ok = http::QueryParameterOf(request, "stale_ok");
       if (keys.count(key) == 0) return http::JsonResponse(404, Json::object());
       return http::JsonResponse(200, {{"key", key}, {"rev", 1}, {"value", ""}});
     }
@@ -102,8 +103,9 @@
       "servers/b+c", "servers/b?c=d",      "servers/b\nc", "servers/b\"<", "servers/b\xc3\xa9"};
 
   const Endpoint endpoint = EndpointOfThisTest();
-  std::mutex mutex;  // guards keys, lease_answer and commit_status
+  std::mutex mutex;  // guards keys, stale_ok, lease_answer and commit_status
   std::set<std::string> keys;
+  std::string stale_ok;  // of the last read of a key
   std::string lease_answer;
   int commit_status = 200;
   metrics::Registry metrics;
@@ -125,6 +127,18 @@
   }
 }
 
+// Guards against a stale read that costs the store as much as another one, and against an ordinary
+// read that may be old.
+TEST_F(KvStoreTest, OnlyStaleReadsMayBeOld) {
+  keys = {"servers/b"};
+  const auto stale =
+      Wait<store::Item>([&](auto done) { store.GetStale("servers/b", std::move(done)); });
+  EXPECT_EQ(stale.value.revision, 1);
+  EXPECT_EQ(stale_ok, "1");
+  Wait<store::Item>([&](auto done) { store.Get("servers/b", std::move(done)); });
+  EXPECT_EQ(stale_ok, "");
+}
+
 // Guards against an odd key or prefix that reads something else or nothing.
 TEST_F(KvStoreTest, OddKeysAndPrefixesAreReadAsTheyAre) {
   for (const std::string& odd : odd_keys) {
