--- a/tests/entry/admission_test.cc
+++ b/tests/entry/admission_test.cc
@@ -200,6 +200,7 @@
   Refusals out;
   for (size_t n = 0; n < decided.size(); ++n) {
     out.jobs += 1;
+    out.refused += decided[n].refused ? 1 : 0;
     out.useful += decided[n].refused && accepted[n].IsUseful() ? 1 : 0;
   }
   std::printf(
