--- a/tests/dispatch/backlog_test.cc
+++ b/tests/dispatch/backlog_test.cc
@@ -112,6 +112,17 @@
   EXPECT_LE(it.LongestIdle(), kLongestIdle) << it.IdleJob();
 }
 
+// Guards against an order by work that passes over large late jobs for good.
+TEST(BacklogTest, EachLateJobKeepsARunWithAnOrderByWork) {
+  Backlog it(4);
+  DispatchLimits limits;
+  limits.order_by_work = true;
+  it.scenario()->dispatcher.SetLimits(limits);
+  for (int n = 0; n < 24; ++n) it.AddJob(IdOf(n), BestEffortStep(1 + n * 4, 2000), n);
+  it.Run(seconds(20));
+  EXPECT_LE(it.LongestIdle(), kLongestIdle) << it.IdleJob();
+}
+
 // Guards against a job that waits because others have requested all processor time, though most of
 // it is unreserved: 32 tasks of 2 cores request all of it.
 TEST(BacklogTest, EachLateJobKeepsARunBesideMoreJobsThanTheirRequestsLeaveRoomFor) {
