--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -119,6 +119,10 @@
   placement_.began = now;
   placements_ += 1;
   placement_.spare_processors = SpareProcessors(workers_, now);
+  if (limits_.order_by_work && now >= rooms_valid_until_) {
+    rooms_ = MeasureRoom(workers_, now);
+    rooms_valid_until_ = now + kEstimateInterval;
+  }
   const Duration passed = now - service_checked_at_;
   const bool check_service = passed >= kServiceCheckInterval;
   if (check_service) service_checked_at_ = now;
@@ -188,15 +192,27 @@
   if (!underused || IsServed(*entry)) entry->idle_since.reset();
 }
 
+void Dispatcher::UpdateEstimates(JobEntry* entry, TimePoint now) {
+  const jobs::QueueRules& rules = entry->job.rules;
+  const bool is_new = !entry->estimates_learned;
+  entry->estimates_valid_until = now + kEstimateInterval;
+  if (is_new && !jobs::IsPerpetual(entry->job)) {
+    LearnWork(&work_, rules.queue, WorkMs(durations_, entry->job));
+  }
+  entry->estimates = limits_.order_by_work
+                         ? EstimatesOf(durations_, *entry, MeanWork(work_, rules.queue),
+                                       RoomOf(rooms_, rules.service, rules.priority))
+                         : EstimatesOf(durations_, *entry);
+  entry->estimates.remaining_ms += DelayOnSlowWorkers(*entry, now);
+  if (is_new) RecordQueueJob(&forecast_, *entry);
+  entry->estimates_learned = true;
+}
+
 void Dispatcher::CollectTurns(JobEntry* entry, bool underused, const RunCounts& runs, TimePoint now,
                               int64_t wall_ms) {
   if (entry->revision > proven_revision_) return;
   std::vector<PlacementTurn>& turns = placement_.turns;
-  if (now >= entry->estimates_valid_until) {
-    entry->estimates = EstimatesOf(durations_, *entry);
-    entry->estimates.remaining_ms += DelayOnSlowWorkers(*entry, now);
-    entry->estimates_valid_until = now + kEstimateInterval;
-  }
+  if (now >= entry->estimates_valid_until) UpdateEstimates(entry, now);
   turns.push_back(MakeTurn(RankOf(entry->estimates, *entry, wall_ms), entry, turns.size()));
   if (!underused || !IsReconciled(*entry)) return;
   for (const TurnKind it : OwedTurns(*entry, runs, now, wall_ms)) {
@@ -393,11 +409,13 @@
   if (task->first_run == 0) task->first_run = id.run;
   task->last_run = id.run;
   UpdatePlaceable(entry);
+  const jobs::Step& step = StepOf(*entry, id.task);
+  RecordStartedWork(&forecast_, entry->job.rules, TasksWorkMs(durations_, step, 1));
   RunProgress& progress = worker->runs.at(id).progress;
   progress.resumes = !task->progress.checkpoint.empty();
   progress.expected_time =
       std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(
-          ExpectedMs(durations_, StepOf(*entry, id.task)) / ExpectedSpeed(worker->speed)));
+          ExpectedMs(durations_, step) / ExpectedSpeed(worker->speed)));
   RecordStartOnSlowWorker(&worker->speed, now);
   const bool trial =
       limits_.rescue_slow_runs && RecordTrial(worker, worker->runs.at(id).perpetual, now);
--- a/src/entry/settings.cc
+++ b/src/entry/settings.cc
@@ -65,6 +65,8 @@
   settings.stop_limit = SecondsOr(&reader, "stop_limit_s", settings.stop_limit);
   settings.status_time = SecondsOr(&reader, "status_time_s", settings.status_time);
   settings.rescue_slow_runs = reader.BoolOr("rescue_slow_runs", settings.rescue_slow_runs);
+  settings.order_by_work = reader.BoolOr("order_by_work", settings.order_by_work);
+  settings.admission_control = reader.BoolOr("admission_control", settings.admission_control);
   LogLevel level = LogLevel::kInfo;
   if (!ParseLogLevel(settings.log_level, &level)) {
     reader.Fail("log_level", ResultCode::kBadField, "is not debug, info, warn or error");
@@ -91,7 +93,9 @@
               {"max_lease_ms", ToMs(settings.max_lease)},
               {"stop_limit_s", ToSeconds(settings.stop_limit)},
               {"status_time_s", ToSeconds(settings.status_time)},
-              {"rescue_slow_runs", settings.rescue_slow_runs}};
+              {"rescue_slow_runs", settings.rescue_slow_runs},
+              {"order_by_work", settings.order_by_work},
+              {"admission_control", settings.admission_control}};
   if (settings.policy) out["policy"] = ToString(*settings.policy);
   return out;
 }
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -39,6 +39,10 @@
   // As owner of the pool, avoid slow workers, rescue their runs, and start copies of speculative
   // tasks.
   bool rescue_slow_runs = false;
+  // The owner orders jobs of one priority by value and work, and not by age alone.
+  bool order_by_work = false;
+  // Jobs that would complete too late to be of use are refused.
+  bool admission_control = false;
 };
 
 // Adds each error to `errors` with its path in the document. The result is valid only if there are
