--- a/src/entry/settings.cc
+++ b/src/entry/settings.cc
@@ -18,6 +18,7 @@
 constexpr double kMaxCores = 4096;
 constexpr double kMaxLinkMbps = 1e9;
 constexpr int64_t kMaxMemoryMb = 1 << 30;
+constexpr int64_t kMaxDescriptors = 1 << 30;
 constexpr int64_t kMinValueBytes = 1024;
 constexpr int64_t kMaxValueBytes = 1 << 30;
 
@@ -56,6 +57,7 @@
   settings.processor_cores = reader.NumberOr("processor_cores", 0, kMaxCores, 1);
   settings.link_mbps = reader.NumberOr("link_mbps", 0, kMaxLinkMbps, 0);
   settings.memory_mb = reader.IntOr("memory_mb", 0, kMaxMemoryMb, 0);
+  settings.max_fds = reader.IntOr("max_fds", 0, kMaxDescriptors, 0);
   settings.store_value_bytes =
       reader.IntOr("store_value_bytes", kMinValueBytes, kMaxValueBytes, settings.store_value_bytes);
   settings.http_threads =
@@ -84,6 +86,7 @@
               {"processor_cores", settings.processor_cores},
               {"link_mbps", settings.link_mbps},
               {"memory_mb", settings.memory_mb},
+              {"max_fds", settings.max_fds},
               {"store_value_bytes", settings.store_value_bytes},
               {"http_threads", settings.http_threads},
               {"max_body_bytes", settings.max_body_bytes},
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -27,6 +27,7 @@
   double processor_cores = 1;
   double link_mbps = 0;                 // rate of this host's network link, in Mbit/s; 0: unknown
   int64_t memory_mb = 0;                // memory that this process may take, in MiB; 0: unknown
+  int64_t max_fds = 0;                  // descriptors that this process may open; 0: unknown
   int64_t store_value_bytes = 1048576;  // largest value that the store holds
   int http_threads = 2;
   int64_t max_body_bytes = 262144;
