HTTP server on Boost.Beast and Asio with limits for each connection and for all together

Cause: cpprestsdk's listener bounds the announced body only. 300 unfinished bodies took 95 MB, 40 large headers 157 MB, and connections were not bounded.

Change: the inside of HttpServer is a listener of its own on the pool threads. It bounds header bytes and fields, bodies, times and connections, reads nothing while a response is pending, and charges one budget for what requests hold until they are answered. Requests over the budget get 503 with Retry-After before their body is read; connections without progress for longest are closed first.

--- a/src/base/result_code.h
+++ b/src/base/result_code.h
@@ -21,6 +21,8 @@
   kBadSettings = 107,
   kTokenRequired = 108,
   kBadEndpoint = 109,
+  kHeaderTooLarge = 110,
+  kRequestTimeout = 111,
   // 2xx: the request was refused; nothing was run or will be run for it.
   kDeadlineTooShort = 200,
   kQueueFull = 201,
@@ -34,6 +36,7 @@
   kTargetUnreachable = 209,
   kOutdated = 210,
   kPoolFull = 211,
+  kServerBusy = 212,
   // 3xx: the request conflicts with stored data.
   kConflict = 300,
   kStaleBase = 301,
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -10,14 +10,16 @@
 #include "base/endpoint.h"
 #include "base/time.h"
 #include "http/http_message.h"
+#include "http/server_limits.h"
 
 namespace pomelopond::http {
 
 // Sends the response to a request. The first call counts; later calls are ignored. May be called
-// from any thread.
+// from any thread, also after the server is destroyed, which sends nothing then.
 using Reply = std::function<void(HttpResponse)>;
 
-// Handles a request. Runs on a pool thread and must not block. It responds through the Reply,
+// Handles a request. Runs on a pool thread, for one request of a server at a time, and must not
+// block. It responds through the Reply,
 // before or after it returns.
 using Handler = std::function<void(HttpRequest, Reply)>;
 
@@ -26,6 +28,7 @@
   // Requests with a body larger than `max_body_bytes` get kTooLarge. Bodies without a
   // Content-Length get kLengthRequired, because their size cannot be bounded before they are read.
   HttpServer(const Endpoint& endpoint, int64_t max_body_bytes, Handler handler);
+  HttpServer(const Endpoint& endpoint, const ServerLimits& limits, Handler handler);
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
@@ -33,6 +36,11 @@
   // Starts to listen. Fails with kBadEndpoint if the address cannot be bound.
   std::error_code Start();
 
+  // Sets the limits of requests that have not begun.
+  void SetLimits(const ServerLimits& limits);
+
+  ServerUsage Usage() const;
+
   // Returns the number of requests whose response has not been written to the last byte.
   int64_t InFlight() const;
 
