--- a/src/base/json.cc
+++ b/src/base/json.cc
@@ -35,30 +35,47 @@
   int depth_ = 0;
 };
 
-// Also rejects duplicate keys.
+// Also rejects duplicate keys, and more values and keys than the limit.
 class StructureValidator final : public DepthValidator {
  public:
-  StructureValidator() : DepthValidator(kMaxJsonDepth) {}
+  explicit StructureValidator(int64_t max_values)
+      : DepthValidator(kMaxJsonDepth), left_(max_values) {}
 
+  bool null() override { return Take(); }
+  bool boolean(bool) override { return Take(); }
+  bool number_integer(number_integer_t) override { return Take(); }
+  bool number_unsigned(number_unsigned_t) override { return Take(); }
+  bool number_float(number_float_t, const string_t&) override { return Take(); }
+  bool string(string_t&) override { return Take(); }
   bool start_object(std::size_t size) override {
     keys_.emplace_back();
-    return DepthValidator::start_object(size);
+    return Take() && DepthValidator::start_object(size);
   }
-  bool key(string_t& value) override { return keys_.back().insert(value).second; }
+  bool start_array(std::size_t size) override {
+    return Take() && DepthValidator::start_array(size);
+  }
+  bool key(string_t& value) override { return Take() && keys_.back().insert(value).second; }
   bool end_object() override {
     keys_.pop_back();
     return DepthValidator::end_object();
   }
 
+  bool has_too_many() const { return left_ < 0; }
+
  private:
+  bool Take() { return --left_ >= 0; }
+
+  int64_t left_;
   std::vector<std::set<std::string>> keys_;  // of each object that is open
 };
 
 }  // namespace
 
-Result<Json> ParseJson(std::string_view text) {
-  StructureValidator validator;
-  if (!Json::sax_parse(text.begin(), text.end(), &validator)) return {ResultCode::kBadJson, {}};
+Result<Json> ParseJson(std::string_view text, int64_t max_values) {
+  StructureValidator validator(max_values);
+  if (!Json::sax_parse(text.begin(), text.end(), &validator)) {
+    return {validator.has_too_many() ? ResultCode::kTooLarge : ResultCode::kBadJson, {}};
+  }
   Json parsed = Json::parse(text.begin(), text.end(), nullptr, false);
   if (parsed.is_discarded()) return {ResultCode::kBadJson, {}};
   return {{}, std::move(parsed)};
--- a/src/base/json.h
+++ b/src/base/json.h
@@ -2,6 +2,7 @@
 #ifndef POMELOPOND_BASE_JSON_H_
 #define POMELOPOND_BASE_JSON_H_
 
+#include <cstdint>
 #include <nlohmann/json.hpp>
 #include <string_view>
 
@@ -16,8 +17,9 @@
 inline constexpr int kMaxJsonDepth = 64;
 
 // Parses a complete document. Fails with kBadJson on syntax errors, invalid UTF-8, duplicate keys
-// and nesting deeper than kMaxJsonDepth.
-Result<Json> ParseJson(std::string_view text);
+// and nesting deeper than kMaxJsonDepth, and with kTooLarge on more than `max_values` values, keys
+// included. These checks precede the construction of the document.
+Result<Json> ParseJson(std::string_view text, int64_t max_values = INT64_MAX);
 
 // Largest nesting depth of MessagePack. Stored records and messages may contain documents of up to
 // kMaxJsonDepth.
--- a/src/entry/settings.cc
+++ b/src/entry/settings.cc
@@ -36,6 +36,19 @@
   return std::chrono::duration_cast<Duration>(Milliseconds(s * kMsPerSecond));
 }
 
+void ReadRequestLimits(JsonReader* reader, Settings* settings) {
+  settings->max_header_bytes =
+      reader->IntOr("max_header_bytes", 1024, 1 << 20, settings->max_header_bytes);
+  settings->max_header_fields =
+      reader->IntOr("max_header_fields", 16, 1 << 16, settings->max_header_fields);
+  settings->max_body_bytes =
+      reader->IntOr("max_body_bytes", 1024, 1 << 30, settings->max_body_bytes);
+  settings->header_timeout = MillisecondsOr(reader, "header_timeout_ms", settings->header_timeout);
+  settings->body_timeout = MillisecondsOr(reader, "body_timeout_ms", settings->body_timeout);
+  settings->write_timeout = MillisecondsOr(reader, "write_timeout_ms", settings->write_timeout);
+  settings->idle_timeout = MillisecondsOr(reader, "idle_timeout_ms", settings->idle_timeout);
+}
+
 double ToMs(Duration value) { return Milliseconds(value).count(); }
 
 double ToSeconds(Duration value) { return ToMs(value) / kMsPerSecond; }
@@ -62,7 +75,7 @@
       reader.IntOr("store_value_bytes", kMinValueBytes, kMaxValueBytes, settings.store_value_bytes);
   settings.http_threads =
       static_cast<int>(reader.IntOr("http_threads", 1, 64, settings.http_threads));
-  settings.max_body_bytes = reader.IntOr("max_body_bytes", 1024, 1 << 30, settings.max_body_bytes);
+  ReadRequestLimits(&reader, &settings);
   settings.max_lease = MillisecondsOr(&reader, "max_lease_ms", settings.max_lease);
   settings.stop_limit = SecondsOr(&reader, "stop_limit_s", settings.stop_limit);
   settings.status_time = SecondsOr(&reader, "status_time_s", settings.status_time);
@@ -89,7 +102,13 @@
               {"max_fds", settings.max_fds},
               {"store_value_bytes", settings.store_value_bytes},
               {"http_threads", settings.http_threads},
+              {"max_header_bytes", settings.max_header_bytes},
+              {"max_header_fields", settings.max_header_fields},
               {"max_body_bytes", settings.max_body_bytes},
+              {"header_timeout_ms", ToMs(settings.header_timeout)},
+              {"body_timeout_ms", ToMs(settings.body_timeout)},
+              {"write_timeout_ms", ToMs(settings.write_timeout)},
+              {"idle_timeout_ms", ToMs(settings.idle_timeout)},
               {"max_lease_ms", ToMs(settings.max_lease)},
               {"stop_limit_s", ToSeconds(settings.stop_limit)},
               {"status_time_s", ToSeconds(settings.status_time)}};
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -30,7 +30,14 @@
   int64_t max_fds = 0;                  // descriptors that this process may open; 0: unknown
   int64_t store_value_bytes = 1048576;  // largest value that the store holds
   int http_threads = 2;
+  // Limits of requests. The configuration in force may set others.
+  int64_t max_header_bytes = 16384;
+  int64_t max_header_fields = 200;
   int64_t max_body_bytes = 262144;
+  Duration header_timeout = std::chrono::seconds(10);  // to send a header
+  Duration body_timeout = std::chrono::seconds(60);    // to send a body
+  Duration write_timeout = std::chrono::seconds(30);   // to read a response
+  Duration idle_timeout = std::chrono::seconds(120);   // between requests
   // Longest lease that workers grant.
   Duration max_lease = std::chrono::seconds(5);
   // Maximum time from SIGTERM to the exit of the process.
--- a/src/jobs/catalog.h
+++ b/src/jobs/catalog.h
@@ -26,10 +26,19 @@
   double cold_starts_per_s = 0;
 };
 
+// Limits of callers' requests; 0: the setting of each process.
+struct RequestLimits {
+  int64_t max_header_bytes = 0;
+  int64_t max_body_bytes = 0;
+  int64_t header_timeout_ms = 0;
+  int64_t idle_timeout_ms = 0;
+};
+
 struct Catalog {
   int64_t version = 0;
   std::vector<Queue> queues;
   std::vector<Service> services;
+  RequestLimits limits;
 };
 
 using CatalogPtr = std::shared_ptr<const Catalog>;
--- a/src/jobs/job.cc
+++ b/src/jobs/job.cc
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr int kMaxReplicas = 10000;
-constexpr int kMaxSteps = 1000;
 constexpr size_t kMaxSpecBytes = 4000;
 
 int64_t NumberAt(const Json& in, const char* key, int64_t min, int64_t max) {
