--- a/src/jobs/limits.h
+++ b/src/jobs/limits.h
@@ -11,8 +11,8 @@
 inline constexpr int64_t kMaxInt = std::numeric_limits<int>::max();
 inline constexpr int64_t kMinInt = std::numeric_limits<int>::min();
 inline constexpr int kMaxSteps = 1000;
-// Values in the text of a job: twice what kMaxSteps steps with all their members have. Each takes
-// up to 150 bytes once decoded.
+// Values and keys in the text of a job: a little more than kMaxSteps steps with all their members
+// have. Each takes up to 150 bytes once decoded.
 inline constexpr int64_t kMaxJobValues = 40000;
 // Tasks of one occurrence, over all steps. Each takes some hundred bytes of the owner's memory.
 inline constexpr int64_t kMaxTasks = 50000;
--- a/tests/platform/decode_test.cc
+++ b/tests/platform/decode_test.cc
@@ -4,6 +4,7 @@
 
 #include "base/result_code.h"
 #include "platform/base64.h"
+#include "platform/listening.h"
 #include "platform/worker_api.h"
 
 namespace pomelopond::platform {
@@ -132,6 +133,32 @@
   EXPECT_FALSE(ReadConfig(ItemOf(kConfigKey, "{}")).ok());
 }
 
+// Guards against limits that are ignored, and against an odd limit that keeps all queues from
+// coming into force.
+TEST(DecodeTest, ReadsTheLimitsOfAConfig) {
+  const auto limits = [](const std::string& text) {
+    const Result<jobs::Catalog> catalog =
+        ReadConfig(ItemOf(kConfigKey, R"({"version":7,"routes":[],"limits":)" + text + "}"));
+    EXPECT_TRUE(catalog.ok()) << text;
+    return catalog.value.limits;
+  };
+  const jobs::RequestLimits all = limits(
+      R"({"max_header_bytes":1,"max_body_bytes":2,"header_timeout_ms":3,"idle_timeout_ms":4})");
+  EXPECT_EQ(all.max_header_bytes, 1);
+  EXPECT_EQ(all.max_body_bytes, 2);
+  EXPECT_EQ(all.header_timeout_ms, 3);
+  EXPECT_EQ(all.idle_timeout_ms, 4);
+  for (const char* it : {"null", "[]", "7", R"({"max_body_bytes":-1})", R"({"max_body_bytes":"x"})",
+                         R"({"max_body_bytes":null})"}) {
+    EXPECT_EQ(limits(it).max_body_bytes, 0) << it;
+  }
+  EXPECT_EQ(limits(R"({"max_body_bytes":1e300})").max_body_bytes, jobs::kMaxLimitBytes);
+  const http::ServerLimits settings;
+  EXPECT_EQ(WithConfiguredLimits(settings, {}).max_body_bytes, settings.max_body_bytes);
+  EXPECT_EQ(WithConfiguredLimits(settings, all).max_body_bytes, 2);
+  EXPECT_EQ(WithConfiguredLimits(settings, all).idle_timeout, std::chrono::milliseconds(4));
+}
+
 // Guards against starting runs without a permit for a queue that has a policy.
 TEST(DecodeTest, QueuesWithAPolicyNeedPermits) {
   const Result<jobs::Catalog> catalog = ReadConfig(ItemOf(
@@ -168,6 +195,26 @@
   }
 }
 
+// Guards against a body of legal size that takes many times its size once decoded, and against a
+// bound that a job of the largest size meets.
+TEST(DecodeTest, ValuesOfASubmissionAreBounded) {
+  const auto steps = [](int n, const std::string& step) {
+    std::string text = R"({"steps":[)" + step;
+    for (int it = 1; it < n; ++it) text += "," + step;
+    return text + "]}";
+  };
+  const std::string full =
+      R"({"replicas":1,"cpu":1,"mem_mb":1,"gpu":0,"estimate_ms":1,"after":[],"checkpoint":true,)"
+      R"("gang":false,"same_rack":false,"requires":"","affinity":"","max_per_server":0,)"
+      R"("speculative":false,"perpetual":false,"image":"","target_ms":1,"fills":false,)"
+      R"("max_missing":0})";
+  std::string fault;
+  EXPECT_TRUE(ReadSubmission(steps(jobs::kMaxSteps, full), &fault).ok()) << fault;
+  EXPECT_EQ(ReadSubmission(steps(jobs::kMaxSteps + 1, "{}"), &fault).ec, ResultCode::kBadField);
+  EXPECT_EQ(ReadSubmission(steps(80000, "{}"), &fault).ec, ResultCode::kTooLarge);
+  EXPECT_EQ(ReadSubmission(steps(50000, "7"), &fault).ec, ResultCode::kTooLarge);
+}
+
 std::string SubmissionWith(const std::string& member, const std::string& value) {
   return R"({"steps":[{"replicas":1}],")" + member + R"(":)" + value + "}";
 }
