Large requests leave a part of the budget to small ones

Cause: bodies of legal size that arrive slowly, but with progress, could hold the whole budget for their 60 s, and ordinary requests got 503 meanwhile.

Change: requests that cost more than 64 KiB may use three quarters of it.

--- a/src/http/internal/connection.cc
+++ b/src/http/internal/connection.cc
@@ -186,7 +186,7 @@
   }
   NoteProgress(now);
   const auto held = static_cast<int64_t>(bytes.size());
-  if (!listener_->MakeRoom(held - state_.charged, this, now)) {
+  if (!listener_->MakeRoom(held, this, now)) {
     const ResultCode code = ResultCode::kServerBusy;
     return Refuse(code, TextOf(code, listener_->limits()), CauseOf(code), now);
   }
@@ -225,7 +225,7 @@
   }
   const int64_t cost = RequestCost(static_cast<int64_t>(head_bytes), head_.fields,
                                    static_cast<int64_t>(head_.body_bytes));
-  if (!listener_->MakeRoom(cost - state_.charged, this, now)) return ResultCode::kServerBusy;
+  if (!listener_->MakeRoom(cost, this, now)) return ResultCode::kServerBusy;
   SetCharge(cost);
   return ResultCode::kOk;
 }
--- a/src/http/internal/connection_budget.cc
+++ b/src/http/internal/connection_budget.cc
@@ -9,6 +9,8 @@
 constexpr int64_t kFieldBytes = 160;
 // A body is held while it is read, and its decoded form until the request is answered.
 constexpr int64_t kCopiesOfBody = 2;
+// Ordinary requests cost less than a tenth of this.
+constexpr int64_t kSmallCost = int64_t{64} * 1024;
 constexpr Duration kStallTime = std::chrono::seconds(1);
 // Closing a connection while its peer still sends resets it, and the peer may lose the response.
 constexpr Duration kLingerTime = std::chrono::milliseconds(250);
@@ -38,9 +40,13 @@
   return header_bytes + fields * kFieldBytes + body_bytes * kCopiesOfBody;
 }
 
+int64_t RoomFor(int64_t cost, const ServerLimits& limits) {
+  return cost <= kSmallCost ? limits.budget_bytes : limits.budget_bytes / 4 * 3;
+}
+
 int64_t MaxBodyBytes(const ServerLimits& limits) {
   const int64_t header = RequestCost(limits.max_header_bytes, limits.max_header_fields, 0);
-  const int64_t room = std::max<int64_t>(limits.budget_bytes - header, 0) / kCopiesOfBody;
+  const int64_t room = std::max<int64_t>(limits.budget_bytes / 4 * 3 - header, 0) / kCopiesOfBody;
   return std::min(limits.max_body_bytes, room);
 }
 
--- a/src/http/internal/connection_budget.h
+++ b/src/http/internal/connection_budget.h
@@ -32,6 +32,10 @@
 // written.
 int64_t RequestCost(int64_t header_bytes, int64_t fields, int64_t body_bytes);
 
+// Returns the part of the budget that a request of this cost may use. Large ones leave a part to
+// small ones, so that bodies that arrive slowly do not keep out ordinary requests.
+int64_t RoomFor(int64_t cost, const ServerLimits& limits);
+
 // Largest body that the budget can ever take.
 int64_t MaxBodyBytes(const ServerLimits& limits);
 
--- a/src/http/internal/listener.cc
+++ b/src/http/internal/listener.cc
@@ -118,8 +118,9 @@
   return states;
 }
 
-bool Listener::MakeRoom(int64_t bytes, const Connection* asking, TimePoint now) {
-  while (budget_used_ + bytes > limits_.budget_bytes) {
+bool Listener::MakeRoom(int64_t cost, const Connection* asking, TimePoint now) {
+  const int64_t room = RoomFor(cost, limits_) + asking->state().charged - cost;
+  while (budget_used_ > room) {
     std::vector<Connection*> connections;
     const auto chosen = ChooseToFreeBytes(Oldest(&connections, asking), now);
     if (!chosen) return false;
--- a/src/http/internal/listener.h
+++ b/src/http/internal/listener.h
@@ -61,9 +61,9 @@
 
   // Adds to the bytes that connections hold, without a check.
   void Charge(int64_t bytes) { budget_used_ += bytes; }
-  // Returns whether the budget has room for `bytes` more, after closing stalled connections other
-  // than `asking` if need be.
-  bool MakeRoom(int64_t bytes, const Connection* asking, TimePoint now);
+  // Returns whether the budget has room for a charge of `cost` in place of the one that `asking`
+  // has, after closing other stalled connections if need be.
+  bool MakeRoom(int64_t cost, const Connection* asking, TimePoint now);
   void Count(CloseCause cause) { closed_[static_cast<size_t>(cause)] += 1; }
 
   static constexpr size_t kReadBytes = size_t{64} * 1024;
--- a/tests/http/connection_budget_test.cc
+++ b/tests/http/connection_budget_test.cc
@@ -62,6 +62,9 @@
   EXPECT_GT(most, 0);
   EXPECT_LE(RequestCost(limits.max_header_bytes, limits.max_header_fields, most),
             limits.budget_bytes);
+  EXPECT_LE(RequestCost(limits.max_header_bytes, limits.max_header_fields, most),
+            RoomFor(limits.budget_bytes, limits));
+  EXPECT_EQ(RoomFor(5000, limits), limits.budget_bytes);
   limits.budget_bytes = 1;
   EXPECT_EQ(MaxBodyBytes(limits), 0);
 }
