--- a/tests/platform/decode_test.cc
+++ b/tests/platform/decode_test.cc
@@ -4,7 +4,6 @@
 
 #include "base/result_code.h"
 #include "jobs/limits.h"
-#include "jobs/limits.h"
 #include "platform/base64.h"
 #include "platform/listening.h"
 #include "platform/worker_api.h"
