--- a/src/base/result_code.h
+++ b/src/base/result_code.h
@@ -21,6 +21,8 @@
   kBadSettings = 107,
   kTokenRequired = 108,
   kBadEndpoint = 109,
+  kHeaderTooLarge = 110,
+  kRequestTimeout = 111,
   // 2xx: the request was refused; nothing was run or will be run for it.
   kDeadlineTooShort = 200,
   kQueueFull = 201,
@@ -35,6 +37,7 @@
   kOutdated = 210,
   kPoolFull = 211,
   kOverloaded = 212,
+  kServerBusy = 213,
   // 3xx: the request conflicts with stored data.
   kConflict = 300,
   kStaleBase = 301,
--- a/src/entry/settings.cc
+++ b/src/entry/settings.cc
@@ -18,6 +18,7 @@
 constexpr double kMaxCores = 4096;
 constexpr double kMaxLinkMbps = 1e9;
 constexpr int64_t kMaxMemoryMb = 1 << 30;
+constexpr int64_t kMaxDescriptors = 1 << 30;
 constexpr int64_t kMinValueBytes = 1024;
 constexpr int64_t kMaxValueBytes = 1 << 30;
 
@@ -35,6 +36,19 @@
   return std::chrono::duration_cast<Duration>(Milliseconds(s * kMsPerSecond));
 }
 
+void ReadRequestLimits(JsonReader* reader, Settings* settings) {
+  settings->max_header_bytes =
+      reader->IntOr("max_header_bytes", 1024, 1 << 20, settings->max_header_bytes);
+  settings->max_header_fields =
+      reader->IntOr("max_header_fields", 16, 1 << 16, settings->max_header_fields);
+  settings->max_body_bytes =
+      reader->IntOr("max_body_bytes", 1024, 1 << 30, settings->max_body_bytes);
+  settings->header_timeout = MillisecondsOr(reader, "header_timeout_ms", settings->header_timeout);
+  settings->body_timeout = MillisecondsOr(reader, "body_timeout_ms", settings->body_timeout);
+  settings->write_timeout = MillisecondsOr(reader, "write_timeout_ms", settings->write_timeout);
+  settings->idle_timeout = MillisecondsOr(reader, "idle_timeout_ms", settings->idle_timeout);
+}
+
 double ToMs(Duration value) { return Milliseconds(value).count(); }
 
 double ToSeconds(Duration value) { return ToMs(value) / kMsPerSecond; }
@@ -56,11 +70,12 @@
   settings.processor_cores = reader.NumberOr("processor_cores", 0, kMaxCores, 1);
   settings.link_mbps = reader.NumberOr("link_mbps", 0, kMaxLinkMbps, 0);
   settings.memory_mb = reader.IntOr("memory_mb", 0, kMaxMemoryMb, 0);
+  settings.max_fds = reader.IntOr("max_fds", 0, kMaxDescriptors, 0);
   settings.store_value_bytes =
       reader.IntOr("store_value_bytes", kMinValueBytes, kMaxValueBytes, settings.store_value_bytes);
   settings.http_threads =
       static_cast<int>(reader.IntOr("http_threads", 1, 64, settings.http_threads));
-  settings.max_body_bytes = reader.IntOr("max_body_bytes", 1024, 1 << 30, settings.max_body_bytes);
+  ReadRequestLimits(&reader, &settings);
   settings.max_lease = MillisecondsOr(&reader, "max_lease_ms", settings.max_lease);
   settings.stop_limit = SecondsOr(&reader, "stop_limit_s", settings.stop_limit);
   settings.status_time = SecondsOr(&reader, "status_time_s", settings.status_time);
@@ -87,9 +102,16 @@
               {"processor_cores", settings.processor_cores},
               {"link_mbps", settings.link_mbps},
               {"memory_mb", settings.memory_mb},
+              {"max_fds", settings.max_fds},
               {"store_value_bytes", settings.store_value_bytes},
               {"http_threads", settings.http_threads},
+              {"max_header_bytes", settings.max_header_bytes},
+              {"max_header_fields", settings.max_header_fields},
               {"max_body_bytes", settings.max_body_bytes},
+              {"header_timeout_ms", ToMs(settings.header_timeout)},
+              {"body_timeout_ms", ToMs(settings.body_timeout)},
+              {"write_timeout_ms", ToMs(settings.write_timeout)},
+              {"idle_timeout_ms", ToMs(settings.idle_timeout)},
               {"max_lease_ms", ToMs(settings.max_lease)},
               {"stop_limit_s", ToSeconds(settings.stop_limit)},
               {"status_time_s", ToSeconds(settings.status_time)},
