--- a/src/http/internal/connection.cc
+++ b/src/http/internal/connection.cc
@@ -71,9 +71,9 @@
   return [exchange](HttpResponse response) {
     const std::shared_ptr<Listener> all = exchange->listener.lock();
     if (exchange->answered.exchange(true) || all == nullptr) return;
-    boost::asio::dispatch(all->strand(), [exchange, response = std::move(response)]() mutable {
+    boost::asio::dispatch(all->strand(), [exchange, response = std::move(response)] {
       if (const auto it = exchange->connection.lock()) {
-        return it->Respond(std::move(response), Now());
+        return it->Respond(response, Now());
       }
       if (const auto it = exchange->listener.lock()) it->in_flight.fetch_sub(1);
     });
@@ -272,10 +272,10 @@
   HttpResponse response = ErrorResponse(code, text);
   if (code == ResultCode::kServerBusy) response.headers["Retry-After"] = kRetryAfterSeconds;
   SetCharge(0);
-  Respond(std::move(response), now);
+  Respond(response, now);
 }
 
-void Connection::Respond(HttpResponse response, TimePoint now) {
+void Connection::Respond(const HttpResponse& response, TimePoint now) {
   if (!self_) {
     // The connection ended while the handler had the request.
     listener_->in_flight.fetch_sub(1);
--- a/src/http/internal/connection.h
+++ b/src/http/internal/connection.h
@@ -27,7 +27,7 @@
   void Expire(const std::optional<CloseCause>& cause, TimePoint now);
 
   // Writes the response to the request that waits for one.
-  void Respond(HttpResponse response, TimePoint now);
+  void Respond(const HttpResponse& response, TimePoint now);
 
   const ConnectionState& state() const { return state_; }
 
--- a/src/http/internal/request_head.cc
+++ b/src/http/internal/request_head.cc
@@ -43,7 +43,7 @@
       ec = beast::http::error::header_limit;
       return;
     }
-    std::string& known = head_->request.headers[std::string(name)];
+    std::string& known = head_->request.headers[name.to_string()];
     if (!known.empty()) known += ", ";
     known.append(value.data(), value.size());
   }
--- a/tests/failure/hostile_clients_test.cc
+++ b/tests/failure/hostile_clients_test.cc
@@ -64,7 +64,8 @@
     address.sin_port = htons(endpoint.port);
     inet_pton(AF_INET, endpoint.address.c_str(), &address.sin_addr);
     fcntl(fd, F_SETFL, O_NONBLOCK);
-    connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    // The connection is made while the first bytes are sent.
+    static_cast<void>(connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)));
     clients_.push_back({fd, std::move(bytes), 0, piece});
   }
 
