--- a/tests/dispatch/simulated_load.h
+++ b/tests/dispatch/simulated_load.h
@@ -130,7 +130,7 @@
     out.job.rules.stretch = 2;
     out.job.rules.target_duration_ms = 1000;
     out.objective_ms = 4 * out.task_ms + 1000;
-    out.work = static_cast<double>(2 * step.replicas * out.task_ms * kCoreMilli);
+    out.work = static_cast<double>(2 * out.task_ms * step.replicas * kCoreMilli);
     return out;
   }
 
