--- a/src/dispatch/job_value.cc
+++ b/src/dispatch/job_value.cc
@@ -12,10 +12,11 @@
 // Smallest weight of one job in the moving average of its queue: the mean follows a change of the
 // load within some hundred jobs, a few minutes of a queue.
 constexpr double kMinWorkWeight = 0.005;
-// The value of a job that completes on time: a constant part, and one in proportion to its work.
-constexpr double kValuePerJob = 0.3;
-constexpr double kValuePerWork = 0.7;
-constexpr double kMaxValue = 4;
+// The value of a job that completes on time: one part for its caller, who waits whatever its size,
+// and an equal one in proportion to its work. By the caller alone the largest jobs would always be
+// last.
+constexpr double kValuePerJob = 0.5;
+constexpr double kValuePerWork = 0.5;
 // Share of the jobs that are ordered by age. With a tenth and a fifth, the largest tenth of the
 // jobs was on time less than half as often as all of them at 2.5 times the load that the pool can
 // serve.
@@ -51,7 +52,7 @@
 
 double ValueOf(double core_ms, double mean_core_ms) {
   if (mean_core_ms <= 0) return 1;
-  return std::min(kMaxValue, kValuePerJob + kValuePerWork * core_ms / mean_core_ms);
+  return kValuePerJob + kValuePerWork * core_ms / mean_core_ms;
 }
 
 int CostClassOf(double remaining_core_ms, double value) {
