Order by work: newest first within a class, three of ten jobs by age

Change: within a class of work for value the order is that by age. The value has equal parts for the caller and for the work. Three of ten jobs go by age, so that the largest tenth of a queue keeps at least half of its share on time.

--- a/src/dispatch/job_rank.cc
+++ b/src/dispatch/job_rank.cc
@@ -51,17 +51,6 @@
   return TurnKind::kTooLate;
 }
 
-// Order of a job that is not too late by its cost.
-int64_t CostOrder(const Estimates& estimates, const JobEntry& entry, TurnKind kind, bool pending,
-                  int64_t wall_ms) {
-  const int64_t accepted_ms = entry.job.accepted_ms;
-  if (!pending) return StartedOrder(*estimates.cost, accepted_ms);
-  if (kind != TurnKind::kOnTime || !estimates.has_deadline) {
-    return StartedOrder(*estimates.cost, -accepted_ms);
-  }
-  return PendingOrder(*estimates.cost, LaxityMs(estimates, entry, wall_ms));
-}
-
 }  // namespace
 
 void LearnDuration(DurationModel* model, const jobs::Step& step, int64_t took_ms) {
@@ -133,14 +122,10 @@
                       int64_t room_cpu_milli) {
   Estimates out = EstimatesOf(model, entry);
   out.remaining_ms = RemainingCriticalPathMs(model, entry, room_cpu_milli);
-  JobCost cost;
-  cost.cost_class = kFirstCostClass;
-  cost.slack_ms = std::max(0.0, out.objective_ms - WholeCriticalPathMs(model, entry));
-  if (out.has_deadline && !IsOrderedByAge(entry.job.id)) {
-    const double value = ValueOf(WorkMs(model, entry.job), mean_work_ms);
-    cost.cost_class = CostClassOf(RemainingWorkMs(model, entry), value);
-  }
-  out.cost = cost;
+  out.cost_class = kFirstCostClass;
+  if (!out.has_deadline || IsOrderedByAge(entry.job.id)) return out;
+  const double value = ValueOf(WorkMs(model, entry.job), mean_work_ms);
+  out.cost_class = CostClassOf(RemainingWorkMs(model, entry), value);
   return out;
 }
 
@@ -161,9 +146,8 @@
   const TurnKind kind = TurnKindOf(LatenessOf(estimates, entry, wall_ms));
   const bool newest_first = pending && kind != TurnKind::kTooLate;
   const int64_t age_order = newest_first ? -entry.job.accepted_ms : entry.job.accepted_ms;
-  const int64_t order = kind == TurnKind::kTooLate || !estimates.cost
-                            ? age_order
-                            : CostOrder(estimates, entry, kind, pending, wall_ms);
+  const bool by_cost = kind != TurnKind::kTooLate && estimates.cost_class;
+  const int64_t order = by_cost ? CostOrder(*estimates.cost_class, age_order) : age_order;
   return {entry.job.rules.priority, kind, pending, order};
 }
 
--- a/src/dispatch/job_rank.h
+++ b/src/dispatch/job_rank.h
@@ -78,7 +78,7 @@
 //   when any further delay makes it late, so that all jobs would be late in turn. Jobs that are too
 //   late have nothing to lose by a delay, so they come oldest first.
 // With an order by value and work, jobs that are not too late are ordered by their cost class
-// before their age, and pending jobs on time by their laxity (dispatch/job_value.h). Turns of equal
+// before their age, and within a class as above (dispatch/job_value.h). Turns of equal
 // rank follow the order of the job ids.
 using TurnRank = std::tuple<int, TurnKind, bool, int64_t>;
 TurnRank RankOf(const Estimates& estimates, const JobEntry& entry, int64_t wall_ms);
--- a/src/dispatch/job_table.h
+++ b/src/dispatch/job_table.h
@@ -48,22 +48,14 @@
   StepPermits permits;  // used only if the queue requires permits
 };
 
-// What orders a job among others of its priority that have the same prospect to be on time.
-struct JobCost {
-  // Remaining work per value in powers of two: estimates are wrong by up to 90%, so finer
-  // differences mean nothing.
-  int cost_class = 0;
-  // Time by which the job could start later and still be on time, when it was accepted.
-  double slack_ms = 0;
-};
-
 // Estimates that rank a job (dispatch/job_rank.h).
 struct Estimates {
   double remaining_ms = 0;   // critical path of the tasks that are not done
   double objective_ms = 0;   // target time from acceptance to completion
   bool has_deadline = true;  // false for perpetual and recurring jobs
-  // Set if jobs are ordered by value and work (dispatch/job_value.h), else they are ordered by age.
-  std::optional<JobCost> cost;
+  // Remaining work for the job's value, in powers of two: estimates are wrong by up to 90%, so
+  // finer differences mean nothing. Unset: jobs are ordered by age (dispatch/job_value.h).
+  std::optional<int> cost_class;
 };
 
 // An active run of a job and its worker, in the table of workers.
--- a/src/dispatch/job_value.cc
+++ b/src/dispatch/job_value.cc
@@ -17,25 +17,15 @@
 // last.
 constexpr double kValuePerJob = 0.5;
 constexpr double kValuePerWork = 0.5;
-// Share of the jobs that are ordered by age. With a tenth and a fifth, the largest tenth of the
-// jobs was on time less than half as often as all of them at 2.5 times the load that the pool can
-// serve.
-constexpr uint64_t kAgeOrderedJobs = 1;
-constexpr uint64_t kJobsPerAgeShare = 4;
-// Part of a job's slack that is kept for wrong estimates. With half of it, 1 to 2% less of the
-// value of all jobs was on time at 1.2 to 2.5 times the load that the pool can serve.
-constexpr double kSafetyShare = 0.75;
-
-// Layout of an order: class, whether the safety share is touched, and a number of 43 bits, which
-// holds a time in ms since the Unix epoch.
+// Share of the jobs that are ordered by age. With a tenth, a fifth and a quarter, the largest tenth
+// of the jobs was on time less than half as often as all of them at 2.5 times the load that the
+// pool can serve.
+constexpr uint64_t kAgeOrderedJobs = 3;
+constexpr uint64_t kJobsPerAgeShare = 10;
+// Bits of an order below the class. They hold a time in ms since the Unix epoch.
 constexpr int kOrderBits = 43;
 constexpr int64_t kMaxOrder = (int64_t{1} << (kOrderBits - 1)) - 1;
 
-int64_t PackOrder(int cost_class, bool after, int64_t order) {
-  const int64_t group = int64_t{cost_class} * 2 + (after ? 1 : 0);
-  return group * (int64_t{1} << kOrderBits) + std::clamp(order, -kMaxOrder, kMaxOrder);
-}
-
 }  // namespace
 
 void LearnWork(WorkModel* model, const std::string& queue, double core_ms) {
@@ -64,15 +54,9 @@
   return StableHash(job) % kJobsPerAgeShare < kAgeOrderedJobs;
 }
 
-int64_t PendingOrder(const JobCost& cost, double laxity_ms) {
-  const bool safe = laxity_ms >= kSafetyShare * cost.slack_ms;
-  const auto most = static_cast<double>(kMaxOrder);
-  const int64_t laxity = std::llround(std::clamp(laxity_ms, -most, most));
-  return PackOrder(cost.cost_class, !safe, safe ? laxity : -laxity);
-}
-
-int64_t StartedOrder(const JobCost& cost, int64_t age_order) {
-  return PackOrder(cost.cost_class, false, age_order);
+int64_t CostOrder(int cost_class, int64_t age_order) {
+  return int64_t{cost_class} * (int64_t{1} << kOrderBits) +
+         std::clamp(age_order, -kMaxOrder, kMaxOrder);
 }
 
 RoomByService MeasureRoom(const std::map<std::string, WorkerState>& workers, TimePoint now) {
--- a/src/dispatch/job_value.h
+++ b/src/dispatch/job_value.h
@@ -44,16 +44,9 @@
 // their work, so that large jobs are served too while smaller ones take all of the room.
 bool IsOrderedByAge(const std::string& job);
 
-// Order of a pending job on time with this cost and laxity (the time by which it could start later
-// and still be on time). The smaller number comes first: the class; in it, jobs with at least three
-// quarters of their slack left, the least laxity first; after them those with less, the most laxity
-// first. The rest of the slack is kept for wrong estimates: a job that starts when its laxity is
-// used up completes late whenever it takes longer than expected, and under overload each job would
-// start just then.
-int64_t PendingOrder(const JobCost& cost, double laxity_ms);
-
-// Order of other jobs: the class, and in it `age_order`.
-int64_t StartedOrder(const JobCost& cost, int64_t age_order);
+// Order of jobs that are not too late: the class first, and in it `age_order`. The smaller number
+// comes first.
+int64_t CostOrder(int cost_class, int64_t age_order);
 
 // Processor time of a service's workers that tasks which are not perpetual can take at most, in
 // thousandths of a core: all of it, and the part in use by runs of each priority.
--- a/src/dispatch/pool_summary.cc
+++ b/src/dispatch/pool_summary.cc
@@ -48,7 +48,8 @@
     out.held_up_jobs += IsHeldUp(*it) ? 1 : 0;
     out.worst_unserved_share = std::max(out.worst_unserved_share, it->unserved_share);
     const Lateness lateness = LatenessOf(it->estimates, *it, wall_ms);
-    if (it->estimates.cost) CountJob(*it, lateness, wall_ms, &out.queues[it->job.rules.queue]);
+    if (it->estimates.cost_class)
+      CountJob(*it, lateness, wall_ms, &out.queues[it->job.rules.queue]);
     const bool late = lateness != Lateness::kOnTime;
     if (!late || !HasReadyTask(*it, wall_ms)) continue;
     out.late_jobs += 1;
--- a/src/dispatch/wait_forecast.cc
+++ b/src/dispatch/wait_forecast.cc
@@ -39,8 +39,8 @@
 // which a mean job has no chance, delays them little.
 bool IsAhead(const JobEntry& entry, double mean_work_ms) {
   const double small = kSmallWork * mean_work_ms;
-  return !entry.estimates.cost ||
-         entry.estimates.cost->cost_class <= CostClassOf(small, ValueOf(small, mean_work_ms));
+  return !entry.estimates.cost_class ||
+         *entry.estimates.cost_class <= CostClassOf(small, ValueOf(small, mean_work_ms));
 }
 
 // Adds the cores that runs of the job hold.
