Read-through: the configuration check agrees with the server's limits, clearer comments

Cause: a newcomer's reading of the whole diff. The check said that a limit of 0 refuses all requests, while hosts keep their own setting, and accepted values that the decoder cuts. The last round of rescues was logged after the last slow worker had recovered.

--- a/src/dispatch/choose_worker.cc
+++ b/src/dispatch/choose_worker.cc
@@ -68,7 +68,7 @@
   return request.shares_processor ? ExpectedTailRatio(worker, request) : 0;
 }
 
-// Smaller scores are better. The first part tells how little the worker itself is to be preferred.
+// Smaller scores are better. The first part is the sum of the penalties of the worker itself.
 using Score = std::tuple<int, bool, bool, bool, int64_t>;
 
 // A suspect worker may fail the task, a slow one takes several times as long, and a cold one is
@@ -77,7 +77,7 @@
 constexpr int kSlowPenalty = 2;
 constexpr int kColdPenalty = 1;
 
-// True when a run of the step on the worker would take long. A probe may.
+// True when the worker is slow and a run of the step may not start there as a probe.
 bool IsSlowFor(const WorkerState& worker, const jobs::Step& step, TimePoint now) {
   return worker.speed.is_avoided &&
          (step.perpetual || step.gang || !MayProbe(worker.speed, step.checkpoint, now));
--- a/src/dispatch/decide.cc
+++ b/src/dispatch/decide.cc
@@ -240,8 +240,8 @@
       orders->stops.push_back({AddressOf(*worker), epoch_, id});
     }
     if (run.phase != RunPhase::kStarting) continue;
-    // Until starts are released, the worker's failure domain may be evacuated and the order, which
-    // got no answer, take effect.
+    // The domain may have been evacuated without this owner's knowledge, and the start, which got
+    // no answer, could still take effect there.
     if (starts_held_) {
       RequestStop(worker, id, StopReason::kUncertain);
       continue;
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -182,8 +182,8 @@
   if (older) return;
   state.registered = true;
   const bool moved = state.info.endpoint != info.endpoint;
-  // A list that is read again repeats what was registered before. An answer may have shown the
-  // restart already.
+  // A registration that is only read again must not prolong the cold time. `info_outdated` is set
+  // if an answer has shown a restart before the registration did.
   const bool repeated =
       !added && !restarted && !state.info_outdated && state.info.cold_ms == info.cold_ms;
   if (!repeated) state.cold_until = now + std::chrono::milliseconds(info.cold_ms);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -398,7 +398,7 @@
   DurationModel durations_;
   WorkModel work_;
   ForecastState forecast_;
-  RoomByService rooms_;  // measured at each `rooms_valid_until_`
+  RoomByService rooms_;  // measured again after `rooms_valid_until_`
   TimePoint rooms_valid_until_;
   int starts_in_flight_ = 0;
   int64_t last_start_order_ = 0;
--- a/src/dispatch/job_value.cc
+++ b/src/dispatch/job_value.cc
@@ -17,9 +17,9 @@
 // last.
 constexpr double kValuePerJob = 0.5;
 constexpr double kValuePerWork = 0.5;
-// Share of the jobs that are ordered by age. With a tenth, a fifth and a quarter, the largest tenth
-// of the jobs was on time less than half as often as all of them at 2.5 times the load that the
-// pool can serve.
+// Share of the jobs that are ordered by age. With a smaller one, the largest tenth of the jobs is
+// on time less than half as often as all of them at 2.5 times the load that the pool can serve
+// (docs/design/overload.md).
 constexpr uint64_t kAgeOrderedJobs = 3;
 constexpr uint64_t kJobsPerAgeShare = 10;
 // Bits of an order below the class. They hold a time in ms since the Unix epoch.
--- a/src/dispatch/rescue.cc
+++ b/src/dispatch/rescue.cc
@@ -12,7 +12,8 @@
 namespace {
 
 constexpr double kFullPercent = 100;
-// Time until a stopped run is reported and its task has started elsewhere.
+// Time until a stopped run is reported and its task has started elsewhere: an upper bound for
+// workers that answer, since a stop takes some hundred ms and a start about 100 ms.
 constexpr double kMoveCostMs = 600;
 // The same for a copy, which needs no stop.
 constexpr double kCopyCostMs = 300;
@@ -296,7 +297,10 @@
 void Dispatcher::RescueSlowRuns(TimePoint now, int64_t wall_ms, Orders* orders) {
   UpdateWorkerSpeeds(now);
   if (!limits_.rescue_slow_runs || now < rescue_.next_round) return;
-  if (speeds_.slow_workers == 0 && rescue_.pending.empty()) return;
+  if (speeds_.slow_workers == 0 && rescue_.pending.empty()) {
+    rescue_.round = {};
+    return;
+  }
   if (starts_held_ || now >= last_proof_ + limits_.lease_horizon) return;
   rescue_.next_round = now + kRoundInterval;
   rescue_.round = {};
--- a/src/dispatch/wait_forecast.cc
+++ b/src/dispatch/wait_forecast.cc
@@ -35,8 +35,7 @@
 }
 
 // True when the job's turn comes before that of a new small job of its queue. The forecast is that
-// of small jobs, as they would be useful where larger ones are not: a backlog of 10 s of work, in
-// which a mean job has no chance, delays them little.
+// of small jobs, because they are still useful after waits that make larger ones useless.
 bool IsAhead(const JobEntry& entry, double mean_work_ms) {
   const double small = kSmallWork * mean_work_ms;
   return !entry.estimates.cost_class ||
--- a/src/dispatch/worker_speed.cc
+++ b/src/dispatch/worker_speed.cc
@@ -49,7 +49,7 @@
 constexpr int kNormalsToClear = 2;
 constexpr Duration kVerdictTime = std::chrono::seconds(8);
 constexpr Duration kProbeInterval = std::chrono::seconds(3);
-// A run that can't be moved suffers from a probe, so it is the last resort.
+// A run that can't be moved suffers from a probe, so it becomes one only after this further delay.
 constexpr Duration kLastProbeDelay = std::chrono::seconds(5);
 constexpr double kMinSpeed = 0.05;
 
--- a/src/entry/pool_log.h
+++ b/src/entry/pool_log.h
@@ -16,7 +16,7 @@
 void LogQueues(const dispatch::PoolSummary& it);
 // Only while a failure domain is evacuated.
 void LogEvacuation(const dispatch::PoolSummary& it);
-// Only while a worker is slow, or runs have been rescued.
+// Only once this owner has found a slow worker.
 void LogSlowWorkers(const dispatch::PoolSummary& it);
 void LogWait(const dispatch::JobWait& wait);
 void LogTaskAway(const dispatch::TaskAway& task);
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -15,12 +15,11 @@
 namespace pomelopond::http {
 
 // Sends the response to a request. The first call counts; later calls are ignored. May be called
-// from any thread, also after the server is destroyed, which sends nothing then.
+// from any thread. Does nothing after the server is destroyed.
 using Reply = std::function<void(HttpResponse)>;
 
-// Handles a request. Runs on a pool thread, for one request of a server at a time, and must not
-// block. It responds through the Reply,
-// before or after it returns.
+// Handles a request. Runs on a pool thread; a server calls it for one request at a time. It must
+// not block. It responds through the Reply, before or after it returns.
 using Handler = std::function<void(HttpRequest, Reply)>;
 
 class HttpServer {
@@ -36,7 +35,7 @@
   // Starts to listen. Fails with kBadEndpoint if the address cannot be bound.
   std::error_code Start();
 
-  // Sets the limits of requests that have not begun.
+  // Replaces the limits. The timeouts also apply to requests in progress.
   void SetLimits(const ServerLimits& limits);
 
   ServerUsage Usage() const;
--- a/src/http/internal/listener.h
+++ b/src/http/internal/listener.h
@@ -77,7 +77,8 @@
   void OnAccept(const boost::system::error_code& ec, Socket socket);
   void ScheduleSweep();
   void Sweep(TimePoint now);
-  // Returns the states at the front of the lists. `chosen` gets their connections.
+  // Returns the first state of each list but that of `except`, and their `connections` in that
+  // order.
   std::vector<ConnectionState> Oldest(std::vector<Connection*>* connections,
                                       const Connection* except);
   bool MakeRoomForConnection(TimePoint now);
--- a/src/jobs/catalog_check.cc
+++ b/src/jobs/catalog_check.cc
@@ -160,27 +160,30 @@
 
 void CheckLimits(const LimitsDraft& limits, std::vector<Finding>* out) {
   for (const auto& [field, limit] : {std::pair(Field::kMaxHeaderBytes, limits.max_header_bytes),
+                                     std::pair(Field::kMaxBodyBytes, limits.max_body_bytes),
                                      std::pair(Field::kHeaderTimeout, limits.header_timeout_ms),
                                      std::pair(Field::kIdleTimeout, limits.idle_timeout_ms)}) {
     if (limit != 0) continue;
     out->push_back({{Section::kLimits, 0, field},
                     FindingKind::kZeroLimit,
-                    "a limit of 0 lets no request through"});
+                    "a limit of 0 has no effect; hosts keep their own setting"});
   }
-  if (limits.max_body_bytes && *limits.max_body_bytes < kMinBodyLimitBytes) {
+  const int64_t max_body_bytes = limits.max_body_bytes.value_or(0);
+  if (max_body_bytes > 0 && max_body_bytes < kMinBodyLimitBytes) {
     out->push_back({{Section::kLimits, 0, Field::kMaxBodyBytes},
                     FindingKind::kSmallBodyLimit,
                     "a legal job may take " + std::to_string(kMinBodyLimitBytes) + " bytes (" +
                         std::to_string(kMaxSpecBytes) +
                         " of them its spec), and this limit refuses it with 413"});
   }
-  if (limits.header_timeout_ms && limits.idle_timeout_ms &&
-      *limits.header_timeout_ms > *limits.idle_timeout_ms) {
+  const int64_t idle_timeout_ms = limits.idle_timeout_ms.value_or(0);
+  if (idle_timeout_ms > 0 && limits.header_timeout_ms.value_or(0) > idle_timeout_ms) {
     out->push_back({{Section::kLimits, 0, Field::kHeaderTimeout},
                     FindingKind::kHeaderTimeoutAboveIdle,
                     "the time for the header, " + Ms(*limits.header_timeout_ms) +
-                        ", exceeds the idle time of " + Ms(*limits.idle_timeout_ms) +
-                        ", after which a connection is closed, so that it has no effect"});
+                        ", exceeds the idle time of " + Ms(idle_timeout_ms) +
+                        ", so that a client that sends slowly holds a connection longer than an "
+                        "idle one"});
   }
 }
 
--- a/tests/failure/hostile_clients_test.cc
+++ b/tests/failure/hostile_clients_test.cc
@@ -313,10 +313,12 @@
 // Guards against connections that take up all descriptors of the process.
 TEST_F(HostileClientsTest, SilentClients) { Attack(800, callers(), "", kWhole); }
 
+// Guards against headers that are never complete and hold their connections for good.
 TEST_F(HostileClientsTest, ClientsThatStopInTheHeader) {
   Attack(800, callers(), "POST " + std::string(kLastJob) + " HTTP/1.1\r\nHost: a", 1);
 }
 
+// Guards against silent clients that keep out the readiness probe.
 TEST_F(HostileClientsTest, SilentClientsAtTheReadinessAddress) {
   Attack(800, readiness(), "", kWhole);
 }
@@ -326,6 +328,7 @@
   Attack(40, callers(), Repeated("{\"steps\":[", "{}", "]}"), kWhole);
 }
 
+// Guards against JSON members that take many times their size once decoded.
 TEST_F(HostileClientsTest, BodiesOfManyShortFields) {
   Attack(40, callers(), Repeated("{\"steps\":[", "{\"a\":[1]}", "]}"), kWhole);
 }
--- a/tests/http/server_limits_test.cc
+++ b/tests/http/server_limits_test.cc
@@ -188,6 +188,7 @@
   EXPECT_FALSE(client.Read(kTimeout));
 }
 
+// Guards against limits of a new configuration that have no effect before a restart.
 TEST_F(ServerLimitsTest, NewLimitsApplyToNewRequests) {
   Start(7609, {});
   EXPECT_EQ(StatusOf(Post(1000, 1000)), 200);
