Listener: 4 MiB of a refused body are discarded before the connection is closed

Cause: after a refusal the server discarded 256 KiB and then reset the connection. Clients that read nothing before they have sent their body lost the numbered error: ReleaseTest.HostileRequestsGetNumberedErrorsAndChangeNothing failed in each of four runs (body of 2 MiB).

Change: 4 MiB are discarded; the bytes are not kept. That test, http_test (49) and the body tests of HostileClientsTest (peak 16 to 17 MB) pass.

--- a/src/http/internal/connection.cc
+++ b/src/http/internal/connection.cc
@@ -15,8 +15,9 @@
 
 // Most requests fit in one read. What follows a request waits in memory until it is answered.
 constexpr size_t kHeadReadBytes = 4096;
-// Bytes of a refused body that are read so that the peer gets the response.
-constexpr size_t kMaxDiscardedBytes = size_t{256} * 1024;
+// Bytes of a refused body that are read and discarded. A peer that reads nothing before it has sent
+// its body, as most HTTP clients do, would lose the response if the connection were reset earlier.
+constexpr size_t kMaxDiscardedBytes = size_t{4} * 1024 * 1024;
 constexpr const char* kRetryAfterSeconds = "1";
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
