--- a/review/lab/executor.cc
+++ b/review/lab/executor.cc
@@ -99,7 +99,11 @@
   for (const auto& [task, it] : running_) {
     if (lapsed || it.ends <= now) over.push_back(task);
   }
-  for (const std::string& it : over) Finish(it, running_[it].ends <= now ? "done" : "lapsed");
+  for (const std::string& it : over) {
+    const Run& run = running_[it];
+    const char* how = run.fails ? "failed" : "done";
+    Finish(it, run.ends <= now ? how : "lapsed");
+  }
 }
 
 void Executor::Finish(const std::string& task, const std::string& how) {
@@ -159,7 +163,9 @@
   int64_t in_use = added.cpu;
   for (const auto& [name, it] : running_) in_use += it.cpu;
   if (in_use > cpu_) return Answer(409, {{"reason", "room"}});
-  const int64_t ms = SpecNumber(spec, "ms=", -1);
+  const int64_t fail_ms = SpecNumber(spec, "fail=", -1);
+  const int64_t ms = SpecNumber(spec, "ms=", fail_ms);
+  added.fails = fail_ms >= 0;
   added.begun = Clock::now();
   added.length = std::chrono::milliseconds(std::max<int64_t>(ms, 1));
   added.ends = ms < 0 ? Clock::time_point::max() : added.begun + added.length;
@@ -188,7 +194,7 @@
   Update();
   Json running = Json::array();
   for (const auto& [task, it] : running_) {
-    const bool lasts = it.ends == Clock::time_point::max();
+    const bool lasts = it.fails || it.ends == Clock::time_point::max();
     const int64_t percent = lasts ? 100 : (Clock::now() - it.begun) * 100 / it.length;
     running.push_back(
         {task, records_[it.record].run, "", std::min<int64_t>(percent, 99 + lasts), it.cpu});
--- a/review/lab/executor.h
+++ b/review/lab/executor.h
@@ -48,6 +48,7 @@
   struct Run {
     size_t record = 0;
     int64_t cpu = 0;
+    bool fails = false;
     Clock::time_point ends;  // max: it lasts
     Clock::time_point begun;
     Clock::duration length{};
