Owner: the longest pieces of work of its event loop, in the log and the metrics

Cause: the ownership is renewed on the event loop that decides, decodes and sends.

Change: each piece is timed by kind of work. A line `longest_work` each 2 s and the metric owner_longest_work_ms{work} name the longest one of each kind; one that takes a quarter of the lease leaves a line `slow_work` at once.

--- a/src/entry/pool_owner.cc
+++ b/src/entry/pool_owner.cc
@@ -50,6 +50,7 @@
       worker_calls_(workers),
       timer_(std::move(timer)),
       metrics_(metrics) {
+  turn_times_.slow = options_.lease / kRenewalsPerLease;
   ApplyLimits();
 }
 
@@ -247,11 +248,16 @@
     return StepDown("loading the state timed out");
   }
   ApplyCatalog(now);
-  Send(dispatcher_->Decide(now, WallClockMs()));
+  dispatch::Orders orders;
+  Measure(&turn_times_, OwnerWork::kDecide,
+          [&] { orders = dispatcher_->Decide(now, WallClockMs()); });
+  Measure(&turn_times_, OwnerWork::kSend, [&] { Send(orders); });
   if (dispatcher_->superseded()) return StepDown("a worker reported a later epoch");
-  WriteCommit();
+  Measure(&turn_times_, OwnerWork::kCommit, [&] { WriteCommit(); });
   VerifyTermForNewJobs();
-  if (now >= next_summary_) LogSummary(now);
+  if (now < next_summary_) return;
+  Measure(&turn_times_, OwnerWork::kSummary, [&] { LogSummary(now); });
+  ReportPieces(&turn_times_, metrics_);
 }
 
 void PoolOwner::ApplyCatalog(TimePoint now) {
--- a/src/entry/pool_owner.h
+++ b/src/entry/pool_owner.h
@@ -22,6 +22,7 @@
 #include "entry/catalog_watcher.h"
 #include "entry/prefix_watcher.h"
 #include "entry/term.h"
+#include "entry/turn_times.h"
 #include "metrics/registry.h"
 #include "store/key_store.h"
 
@@ -135,7 +136,8 @@
             work = std::make_shared<F>(std::move(work))](auto&&... args) {
       loop_->Post([this, generation, work,
                    values = std::make_tuple(std::forward<decltype(args)>(args)...)] {
-        if (generation == generation_) std::apply(*work, values);
+        if (generation != generation_) return;
+        Measure(&turn_times_, OwnerWork::kAnswers, [&] { std::apply(*work, values); });
       });
     };
   }
@@ -183,6 +185,7 @@
   jobs::CatalogPtr applied_catalog_;      // by the dispatcher
   bool starts_held_ = false;              // by the dispatcher
   std::set<std::string> waiting_queues_;  // those with metrics
+  TurnTimes turn_times_;
   std::unique_ptr<EventLoop> loop_;
 };
 
