A gang that fits nowhere costs a decision one look at each worker

Cause: each decision placed the members of each waiting gang one by one, and each look at a worker counted the runs of all members: members x workers x members. It took 7.6 s of a core, the lease of the owner is 2 s and is renewed on the same event loop, so the ownership moved on for ever.

Change: the members that a worker can take are computed from its free capacity, its limit and a count of the step's runs there; a gang is placed only if the sum reaches it, with a heap of the workers in place of a search for each member. PlaceJob counts the runs of a job once for each start in place of once for each step. The score of a worker moves to worker_score.h, what a task asks of a worker to placement_request.h.

--- a/src/dispatch/choose_worker.cc
+++ b/src/dispatch/choose_worker.cc
@@ -18,111 +18,11 @@
 // other down. Services leave less of it at times than on average.
 constexpr double kUsableFraction = 0.85;
 
-// True when the worker runs a latency-critical task of another image. Images differ in the
-// best-effort tasks that interfere with them, so a worker with a single image can take more
-// best-effort tasks.
-bool ServesOthers(const WorkerState& worker, const std::string& image) {
-  return std::any_of(worker.runs.begin(), worker.runs.end(), [&image](const auto& it) {
-    return it.second.target_tail_ms > 0 && it.second.image != image;
-  });
-}
-
-int RunsOnWorker(const StepState& state, const std::string& worker) {
-  int n = 0;
-  for (const TaskState& task : state.tasks) {
-    for (const RunLocation& it : task.runs) n += it.worker == worker ? 1 : 0;
-  }
-  return n;
-}
-
-double ExpectedTailRatio(const WorkerState& worker, const PlacementRequest& request) {
-  if (!request.step->best_effort || worker.serving == 0) return 0;
-  const double cores = static_cast<double>(request.step->request.cpu_milli) / 1000;
-  const ColocationModel& model = *request.colocation;
-  return request.slowdowns == nullptr
-             ? dispatch::ExpectedTailRatio(model, worker, request.step->image, cores)
-             : dispatch::ExpectedTailRatio(model, worker, *request.slowdowns, cores);
-}
-
-// Best-effort tasks that share too little processor time all complete late, so later ones wait.
-bool HasCapacityFor(const WorkerState& worker, const PlacementRequest& request) {
-  if (!Fits(StepReservation(*request.step), FreeCapacity(worker))) return false;
-  if (!request.step->best_effort) return true;
-  return request.shares_processor || SpareCpu(worker) >= request.step->request.cpu_milli;
-}
-
-bool HasShortTails(const WorkerState& worker, const PlacementRequest& request) {
-  if (!request.step->best_effort || worker.serving == 0) return true;
-  // One run at a time starts beside a tail that is long already.
-  if (worker.slow_starts > 0 && HasLongTail(*request.colocation, worker)) return false;
-  return ReportedTailRatio(*request.colocation, worker) <= request.max_tail;
-}
-
 bool KeepsTailsShort(const WorkerState& worker, const PlacementRequest& request) {
   return HasShortTails(worker, request) &&
          ExpectedTailRatio(worker, request) <= request.max_expected_tail;
 }
 
-// The expected tail ratio if it is part of the worker's score, else 0.
-double ScoredTailRatio(const WorkerState& worker, const PlacementRequest& request) {
-  return request.shares_processor ? ExpectedTailRatio(worker, request) : 0;
-}
-
-// Smaller scores are better. The first part is the sum of the penalties of the worker itself.
-using Score = std::tuple<int, bool, bool, bool, int64_t>;
-
-// A suspect worker may fail the task, a slow one takes several times as long, and a cold one is
-// slow for a moment.
-constexpr int kSuspectPenalty = 4;
-constexpr int kSlowPenalty = 2;
-constexpr int kColdPenalty = 1;
-
-// True when the worker is slow and a run of the step may not start there as a probe.
-bool IsSlowFor(const WorkerState& worker, const jobs::Step& step, TimePoint now) {
-  return worker.speed.is_avoided &&
-         (step.perpetual || step.gang || !MayProbe(worker.speed, step.checkpoint, now));
-}
-
-// `tail` is the worker's ScoredTailRatio().
-Score ScoreOf(const WorkerState& worker, const PlacementRequest& request, double tail,
-              TimePoint now) {
-  const jobs::Step& step = *request.step;
-  const bool suspect =
-      now < worker.suspect_until ||
-      (request.task != nullptr && request.task->failed_on.count(worker.info.id) > 0);
-  const int penalty = (suspect ? kSuspectPenalty : 0) +
-                      (IsSlowFor(worker, step, now) ? kSlowPenalty : 0) +
-                      (IsCold(worker, now) ? kColdPenalty : 0);
-  const bool outside_preferred_rack =
-      !step.preferred_rack.empty() && worker.info.rack != step.preferred_rack;
-  const int64_t spare_cpu = SpareCpu(worker);
-  if (step.best_effort) {
-    // A run beside a tail that is long already has to be slowed down.
-    const bool long_tail = request.shares_processor && (tail > kMaxExpectedTailRatio ||
-                                                        HasLongTail(*request.colocation, worker));
-    const auto tail_permille = static_cast<int64_t>(std::min(tail, 1e6) * 1000);
-    return {penalty, outside_preferred_rack, long_tail, false,
-            long_tail ? tail_permille : -spare_cpu};
-  }
-  if (step.target_tail_ms > 0) {
-    return {penalty, outside_preferred_rack, ServesOthers(worker, step.image), worker.serving == 0,
-            spare_cpu};
-  }
-  // Tasks with a reservation and no tail target don't interfere with latency-critical tasks. Placed
-  // beside them, they leave the other workers to best-effort tasks.
-  return {penalty, outside_preferred_rack, worker.serving == 0, worker.best_effort_cpu > 0,
-          -spare_cpu};
-}
-
-// True when no worker later in the order of its index can have a better score.
-bool IsBestInOrder(const Score& score, const jobs::Step& step) {
-  // The index does not know which images a worker serves.
-  if (!step.best_effort && step.target_tail_ms > 0) return false;
-  const bool outside_preferred_rack = std::get<1>(score);
-  const bool long_tail = step.best_effort && std::get<2>(score);
-  return std::get<0>(score) == 0 && !outside_preferred_rack && !long_tail;
-}
-
 // Returns the worker with the best score, and of those the one with the lowest id. `order` lists
 // workers of otherwise equal score by their spare processor time.
 template <class Order>
@@ -130,7 +30,9 @@
   const bool needs_spare = request.step->best_effort && !request.shares_processor;
   WorkerState* best = nullptr;
   Score best_score;
+  int64_t looks = 0;
   for (WorkerState* it : order) {
+    looks += 1;
     // From here on no worker has enough spare processor time.
     if (needs_spare && it->index_key.spare_cpu < request.step->request.cpu_milli) break;
     // The cheap conditions come first, as most workers are full when many tasks wait.
@@ -147,6 +49,7 @@
     best_score = score;
     if (IsBestInOrder(score, *request.step)) break;
   }
+  if (request.looks != nullptr) *request.looks += looks;
   return best;
 }
 
@@ -211,37 +114,6 @@
   return out;
 }
 
-std::vector<std::string> RacksByFreeCapacity(const std::map<std::string, WorkerState>& workers,
-                                             const PlacementRequest& request, TimePoint now) {
-  std::map<std::string, int64_t> available;
-  for (const auto& [id, it] : workers) {
-    if (!IsEligible(it, request, now)) continue;
-    available[it.info.rack] += std::max<int64_t>(0, FreeCapacity(it).cpu_milli);
-  }
-  std::vector<std::pair<int64_t, std::string>> ranked;
-  for (const auto& [rack, cpu_milli] : available) ranked.emplace_back(-cpu_milli, rack);
-  std::sort(ranked.begin(), ranked.end());
-  std::vector<std::string> racks;
-  for (const auto& [negated_cpu, rack] : ranked) racks.push_back(rack);
-  return racks;
-}
-
-bool FitsOneRack(const std::map<std::string, WorkerState>& workers,
-                 const PlacementRequest& request) {
-  const Resources need = StepReservation(*request.step);
-  std::map<std::string, int> tasks;
-  for (const auto& [id, it] : workers) {
-    if (it.info.service != request.service || it.evacuated) continue;
-    Resources available = it.info.capacity;
-    for (int n = 0; n < request.step->replicas && Fits(need, available); ++n) {
-      tasks[it.info.rack] += 1;
-      available = available - need;
-    }
-  }
-  return std::any_of(tasks.begin(), tasks.end(),
-                     [&request](const auto& it) { return it.second >= request.step->replicas; });
-}
-
 std::vector<std::pair<std::string, int64_t>> PermitCandidates(
     const std::map<std::string, WorkerState>& workers, const PlacementRequest& request, size_t most,
     TimePoint now) {
@@ -263,12 +135,6 @@
   return out;
 }
 
-Resources StepReservation(const jobs::Step& step) {
-  Resources need = step.request;
-  if (step.best_effort) need.cpu_milli = 0;
-  return need;
-}
-
 bool IsUnderused(const SpareProcessor& spare) {
   const auto underused = [](int64_t reserved, int64_t capacity) {
     return static_cast<double>(reserved) < kUnderusedFraction * static_cast<double>(capacity);
--- a/src/dispatch/choose_worker.h
+++ b/src/dispatch/choose_worker.h
@@ -8,33 +8,13 @@
 #include <vector>
 
 #include "base/time.h"
-#include "dispatch/colocation.h"
-#include "dispatch/job_table.h"
+#include "dispatch/placement_request.h"
 #include "dispatch/worker_index.h"
+#include "dispatch/worker_score.h"
 #include "dispatch/worker_table.h"
 
 namespace pomelopond::dispatch {
 
-// Input of a placement besides the workers.
-struct PlacementRequest {
-  std::string service;
-  const jobs::Step* step = nullptr;
-  const StepState* state = nullptr;  // for the limit of tasks of the step per worker
-  const TaskState* task = nullptr;   // workers on which it failed are a last resort; may be null
-  const ColocationModel* colocation = nullptr;
-  // Of the step's image, if it is a best-effort one. Null: looked up in the model for each worker.
-  const ImageSlowdowns* slowdowns = nullptr;
-  const StepPermits* permits = nullptr;  // if set, only workers with a valid permit are eligible
-  std::string rack;                      // if set, only workers of this rack are eligible
-  bool avoids_slow = false;              // slow workers are not eligible
-  // A best-effort task may start where others have requested all processor time.
-  bool shares_processor = false;
-  // Highest ratios of tail latency to target, as reported and as expected with the task, beside
-  // which a best-effort task starts.
-  double max_tail = kHighTailRatio;
-  double max_expected_tail = kMaxExpectedTailRatio;
-};
-
 // True when the worker is registered and stays, so that it may get new tasks, now or later.
 bool IsMember(const WorkerState& worker, TimePoint now);
 
@@ -64,10 +44,6 @@
 std::map<Obstacle, int> CountObstacles(const std::map<std::string, WorkerState>& workers,
                                        const PlacementRequest& request, TimePoint now);
 
-// Amount that one task of the step reserves of a worker's capacity. Best-effort tasks reserve no
-// processor time.
-Resources StepReservation(const jobs::Step& step);
-
 // Processor time of a service's workers, in thousandths of a core, that best-effort tasks may use.
 struct SpareProcessor {
   int64_t most = 0;      // on one worker, at the begin of the placement
@@ -106,14 +82,6 @@
 // which no latency-critical task is expected to miss its tail target.
 WorkerState* ChooseWorker(const WorkerIndex& index, const PlacementRequest& request, TimePoint now);
 
-// Racks with eligible workers, in the order of decreasing free capacity.
-std::vector<std::string> RacksByFreeCapacity(const std::map<std::string, WorkerState>& workers,
-                                             const PlacementRequest& request, TimePoint now);
-
-// True when the workers of one rack could run all tasks of the step if they were empty.
-bool FitsOneRack(const std::map<std::string, WorkerState>& workers,
-                 const PlacementRequest& request);
-
 // Returns ids and incarnations of the workers to name in a permit order: eligible workers without a
 // decision of the policy service, best ones with free capacity first, at most `most`.
 std::vector<std::pair<std::string, int64_t>> PermitCandidates(
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -19,6 +19,7 @@
 #include "dispatch/choose_worker.h"
 #include "dispatch/colocation.h"
 #include "dispatch/evacuation.h"
+#include "dispatch/gang_sweep.h"
 #include "dispatch/job_rank.h"
 #include "dispatch/job_table.h"
 #include "dispatch/job_wait.h"
@@ -314,7 +315,9 @@
   bool PreemptFor(const JobEntry& entry, const jobs::TaskId& id, const PlacementRequest& request,
                   TimePoint now);
   bool PlaceGangMembers(JobEntry* entry, int occurrence, int step, const std::string& rack,
-                        TimePoint now, Orders* orders);
+                        int64_t* looks, TimePoint now, Orders* orders);
+  bool StartGang(const PlacementRequest& request, JobEntry* entry, int occurrence, int step,
+                 TimePoint now, int64_t wall_ms, Orders* orders);
   void PlaceGang(JobEntry* entry, int occurrence, int step, TimePoint now, int64_t wall_ms,
                  Orders* orders);
   void StartRun(WorkerState* worker, JobEntry* entry, const RunId& id, TimePoint now,
@@ -410,6 +413,7 @@
   bool capacity_changed_ = true;  // since the last placement began
   WorkerIndex index_;             // of workers_
   Placement placement_;           // the last one
+  GangSweep gang_sweep_;
   // Ids of all workers with runs whose start or stop is not confirmed, and of some others.
   std::set<std::string> unsettled_workers_;
   // Runs that are to be slowed down as soon as their start is confirmed, with their workers.
--- a/src/dispatch/job_table.cc
+++ b/src/dispatch/job_table.cc
@@ -37,6 +37,26 @@
 
 }  // namespace
 
+void AddLocation(StepState* step, TaskState* task, const RunLocation& run) {
+  task->runs.push_back(run);
+  step->runs_by_worker[run.worker] += 1;
+}
+
+bool RemoveLocation(StepState* step, TaskState* task, const RunLocation& run) {
+  const auto place = std::find(task->runs.begin(), task->runs.end(), run);
+  if (place == task->runs.end()) return false;
+  task->runs.erase(place);
+  const auto count = step->runs_by_worker.find(run.worker);
+  count->second -= 1;
+  if (count->second == 0) step->runs_by_worker.erase(count);
+  return true;
+}
+
+int RunsOnWorker(const StepState& step, const std::string& worker) {
+  const auto it = step.runs_by_worker.find(worker);
+  return it == step.runs_by_worker.end() ? 0 : it->second;
+}
+
 JobEntry MakeEntry(jobs::Job job, const jobs::JobProgress& progress, bool inherited) {
   JobEntry entry;
   entry.state = progress.state;
--- a/src/dispatch/job_table.h
+++ b/src/dispatch/job_table.h
@@ -21,6 +21,10 @@
 struct RunLocation {
   int64_t run = 0;
   std::string worker;
+
+  friend bool operator==(const RunLocation& a, const RunLocation& b) {
+    return std::tie(a.run, a.worker) == std::tie(b.run, b.worker);
+  }
 };
 
 struct TaskState {
@@ -43,9 +47,11 @@
   std::vector<TaskState> tasks;
   int done = 0;     // number of tasks that are done
   int waiting = 0;  // number of tasks that are not done and have no active run
+  std::map<std::string, int> runs_by_worker;  // number of active runs of the tasks
   // Workers on which runs failed since a run of the step was last seen to work.
   std::set<std::string> failed_on;
   StepPermits permits;  // used only if the queue requires permits
+  int64_t sweep = 0;    // number of the last sweep in which the gang had its turn (GangSweep)
 };
 
 // Estimates that rank a job (dispatch/job_rank.h).
@@ -97,6 +103,13 @@
   int64_t max_tasks_under_way = std::numeric_limits<int64_t>::max();
 };
 
+// A run of the task becomes active, or ends. Returns false if the task has no such run.
+void AddLocation(StepState* step, TaskState* task, const RunLocation& run);
+bool RemoveLocation(StepState* step, TaskState* task, const RunLocation& run);
+
+// Number of active runs of the step's tasks on the worker.
+int RunsOnWorker(const StepState& step, const std::string& worker);
+
 // True when the progress of the task counts among the recorded ones of its job.
 bool HasRecord(const jobs::Job& job, const jobs::TaskId& id, const jobs::TaskProgress& progress);
 
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -102,6 +102,7 @@
   // Without a recent proof of ownership no start order would be sent.
   if (now >= last_proof_ + limits_.lease_horizon || starts_held_) return;
   if (IsAtStartLimit()) return;
+  BeginDecision(&gang_sweep_);
   // Most decisions follow an answer that frees no capacity.
   const Duration interval =
       capacity_changed_ ? PlacementPause(placeable_.size()) : kPlacementInterval;
@@ -118,6 +119,7 @@
   placement_.turns = std::move(turns);
   placement_.began = now;
   placements_ += 1;
+  dispatch::BeginPlacement(&gang_sweep_);
   placement_.spare_processors = SpareProcessors(workers_, now);
   if (limits_.order_by_work && now >= rooms_valid_until_) {
     rooms_ = MeasureRoom(workers_, now);
@@ -223,12 +225,17 @@
 void Dispatcher::PlaceJob(const PlacementTurn& turn, TimePoint now, int64_t wall_ms,
                           Orders* orders) {
   const JobEntry& entry = *turn.entry;
+  const auto has_owed_runs = [&] {
+    return IsOwed(turn.kind) && HasOwedRuns(turn.kind, CountRuns(entry, now));
+  };
+  if (has_owed_runs()) return;
   for (const auto& [k, steps] : entry.open) {
     if (wall_ms < DueMs(entry.job, k)) continue;
     for (int s = 0; s < static_cast<int>(steps.size()); ++s) {
-      if (IsOwed(turn.kind) && HasOwedRuns(turn.kind, CountRuns(entry, now))) return;
-      if (steps[static_cast<size_t>(s)].waiting == 0) continue;
-      if (IsReady(entry, k, s)) PlaceStep(turn, k, s, now, wall_ms, orders);
+      if (steps[static_cast<size_t>(s)].waiting == 0 || !IsReady(entry, k, s)) continue;
+      const size_t runs = entry.runs.size();
+      PlaceStep(turn, k, s, now, wall_ms, orders);
+      if (entry.runs.size() != runs && has_owed_runs()) return;
     }
   }
 }
@@ -402,8 +409,9 @@
   AddRun(worker, id, StepOf(*entry, id.task), entry->job.rules.priority, now);
   Reindex(&index_, worker);
   unsettled_workers_.insert(worker->info.id);
-  if (task->runs.empty()) StepStateOf(entry, id.task)->waiting -= 1;
-  task->runs.push_back({id.run, worker->info.id});
+  StepState* state = StepStateOf(entry, id.task);
+  if (task->runs.empty()) state->waiting -= 1;
+  AddLocation(state, task, {id.run, worker->info.id});
   const auto added = worker->runs.find(id);
   entry->runs.push_back({&added->first, &added->second, worker});
   if (task->first_run == 0) task->first_run = id.run;
--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -70,13 +70,10 @@
   if (placement_.reserved.count(worker->info.id) > 0) EndPlacement();
   TaskState* task = entry == nullptr ? nullptr : FindTask(entry, id.task);
   if (task == nullptr) return;
-  const auto place = std::find_if(task->runs.begin(), task->runs.end(), [&](const RunLocation& it) {
-    return it.run == id.run && it.worker == worker->info.id;
-  });
-  if (place == task->runs.end()) return;
-  task->runs.erase(place);
+  StepState* step = StepStateOf(entry, id.task);
+  if (!RemoveLocation(step, task, {id.run, worker->info.id})) return;
   if (!task->runs.empty() || task->progress.done) return;
-  StepStateOf(entry, id.task)->waiting += 1;
+  step->waiting += 1;
   UpdatePlaceable(entry);
 }
 
@@ -250,9 +247,9 @@
        {"run", active.id.run},
        {"worker", worker->info.id}});
   if (task != nullptr) {
-    if (task->runs.empty() && !task->progress.done)
-      StepStateOf(entry, active.id.task)->waiting -= 1;
-    task->runs.push_back({active.id.run, worker->info.id});
+    StepState* state = StepStateOf(entry, active.id.task);
+    if (task->runs.empty() && !task->progress.done) state->waiting -= 1;
+    AddLocation(state, task, {active.id.run, worker->info.id});
     entry->runs.push_back({&added->first, &run, worker});
     task->last_run = std::max(task->last_run, active.id.run);
     UpdatePlaceable(entry);
