A creation with an unanswered copy is not refused for a condition that ends

Cause: the store did not answer the first write and carried it out 4 s later. The host sent it again, was told that the pool is full, and took that for the outcome of both copies. The pool has room again as soon as a job is over, and then the first copy takes effect.

Change: a failed condition gives a verdict (entry/write_verdict.h) that tells whether the condition stays failed. Only then it holds for a copy without an answer; otherwise the write goes on until the outcome is known, or the caller is told that it is unknown (504).

--- a/src/entry/job_service.h
+++ b/src/entry/job_service.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/result.h"
@@ -80,11 +81,16 @@
   void RefuseAsUseless(const jobs::Job& job, const Admission& admission, TimePoint deadline,
                        const std::function<void(std::error_code)>& done,
                        const std::function<void(Duration)>& retry_after);
-  static PendingWrite CreationOf(const jobs::Job& job);
+  // `large_jobs_revision` is set for a large job.
+  PendingWrite CreationOf(const jobs::Job& job, std::optional<int64_t> large_jobs_revision);
+  bool IsRecentCancellation(int64_t revision) const;
   // Commits the transaction, with retries until its outcome is known or the deadline is near.
   void StartWrite(PendingWrite write, TimePoint deadline,
                   std::function<void(std::error_code)> done);
   void TryCommit(const std::shared_ptr<PendingWrite>& write);
+  void OnCommit(const std::shared_ptr<PendingWrite>& write,
+                const Result<store::CommitResult>& result);
+  void RetryCommit(const std::shared_ptr<PendingWrite>& write);
   void FinishWrite(const std::shared_ptr<PendingWrite>& write, std::error_code ec);
   template <class T>
   void RetryRead(TimePoint retry_deadline, std::error_code ec, std::function<void()> again,
--- a/src/entry/job_service_writes.cc
+++ b/src/entry/job_service_writes.cc
@@ -9,6 +9,7 @@
 #include "entry/internal/job_service_retries.h"
 #include "entry/job_service.h"
 #include "entry/keys.h"
+#include "entry/write_verdict.h"
 #include "jobs/job_size.h"
 
 namespace pomelopond::entry {
@@ -18,13 +19,8 @@
 // accept one before the caller's deadline.
 constexpr Duration kMaxRefusedTime = std::chrono::milliseconds(300);
 constexpr Duration kMaxCommitTimeout = std::chrono::milliseconds(800);
-
-using Items = std::vector<store::Item>;
-
-bool Exists(const Items& items, const std::string& key) {
-  return std::any_of(items.begin(), items.end(),
-                     [&key](const store::Item& it) { return it.key == key && it.revision != 0; });
-}
+// The store carries out a write that it does not answer within this time, or never.
+constexpr Duration kLongestLateWrite = std::chrono::seconds(60);
 
 }  // namespace
 
@@ -33,8 +29,8 @@
   const char* name = "";
   std::string job;
   store::Transaction transaction;
-  // Returns the result if a condition has failed, given the items of the conditions' keys.
-  std::function<std::error_code(const Items&)> resolve;
+  // What a failed condition means, given the items of the conditions' keys.
+  std::function<WriteVerdict(const ExistingItems&)> resolve;
   TimePoint began;
   TimePoint refused_deadline;    // end of the retries while the store refuses the commit
   TimePoint unknown_deadline;    // end of the retries once a response was lost
@@ -71,7 +67,7 @@
   if (bytes > most / dispatch::kSmallJobsInMemory && most > 0) {
     return SubmitLarge(job, RetryDeadline(Now(), kMaxUnknownTime, deadline), deadline, done);
   }
-  StartWrite(CreationOf(job), deadline, std::move(done));
+  StartWrite(CreationOf(job, std::nullopt), deadline, std::move(done));
 }
 
 void JobService::RefuseAsUseless(const jobs::Job& job, const Admission& admission,
@@ -92,19 +88,27 @@
       });
 }
 
-JobService::PendingWrite JobService::CreationOf(const jobs::Job& job) {
+// The key of a cancellation lasts for the time that the options tell at least.
+bool JobService::IsRecentCancellation(int64_t revision) const {
+  const std::optional<Duration> age = revisions_->MaxAge(revision, Now());
+  return age && *age + kLongestLateWrite <= options_.cancellation_time;
+}
+
+JobService::PendingWrite JobService::CreationOf(const jobs::Job& job,
+                                                std::optional<int64_t> large_jobs_revision) {
   PendingWrite create;
   create.name = "submit";
   create.job = job.id;
   create.transaction.conditions = {
       {JobKey(job.id), 0}, {CancelledKey(job.id), 0}, {kPoolFullKey, 0}};
   create.transaction.writes = {{JobKey(job.id), jobs::Encode(job), 0}};
-  create.resolve = [id = job.id](const Items& existing) -> std::error_code {
-    if (Exists(existing, JobKey(id))) return {};
-    if (Exists(existing, CancelledKey(id))) return ResultCode::kCancelled;
-    if (Exists(existing, kPoolFullKey)) return ResultCode::kPoolFull;
-    return ResultCode::kStoreCompareFailed;
+  create.resolve = [this, id = job.id, large_jobs_revision](const ExistingItems& existing) {
+    return CreationVerdict(id, existing, large_jobs_revision,
+                           [this](int64_t revision) { return IsRecentCancellation(revision); });
   };
+  if (large_jobs_revision) {
+    create.transaction.conditions.push_back({kLargeJobsKey, *large_jobs_revision});
+  }
   return create;
 }
 
@@ -144,8 +148,7 @@
         if (sum.job_bytes + bytes > options_.job_memory_bytes()) {
           return RefuseUnlessAccepted(job.id, ResultCode::kPoolFull, again, done);
         }
-        PendingWrite create = CreationOf(job);
-        create.transaction.conditions.push_back({kLargeJobsKey, large_jobs.revision});
+        PendingWrite create = CreationOf(job, large_jobs.revision);
         create.transaction.writes.push_back({kLargeJobsKey, std::to_string(bytes), 0});
         StartWrite(std::move(create), deadline, [again, done](std::error_code ec) {
           // Another large job came first.
@@ -190,34 +193,41 @@
 }
 
 void JobService::TryCommit(const std::shared_ptr<PendingWrite>& write) {
-  const TimePoint limit =
-      write->outcome_unknown ? write->unknown_deadline : write->refused_deadline;
   const Duration timeout =
       std::clamp<Duration>(write->unknown_deadline - Now(), kRetryDelay, kMaxCommitTimeout);
-  store_->Commit(write->transaction, timeout,
-                 [this, write, limit](const Result<store::CommitResult>& result) {
-                   RecordOutcome(result.ec);
-                   if (result.ok()) {
-                     if (result.value.committed) return FinishWrite(write, {});
-                     return FinishWrite(write, write->resolve(result.value.existing));
-                   }
-                   // The lease of the write has ended, so the write has to be made anew.
-                   const bool has_lease = write->transaction.writes.front().lease != 0;
-                   if (has_lease && result.ec == ResultCode::kNotFound) {
-                     return FinishWrite(write, ResultCode::kStoreCompareFailed);
-                   }
-                   // Earlier copies were the same, so none of them has taken effect.
-                   if (result.ec == ResultCode::kStoreRejected) {
-                     return FinishWrite(write, result.ec);
-                   }
-                   if (result.ec != ResultCode::kStoreUnavailable) write->outcome_unknown = true;
-                   const TimePoint until = write->outcome_unknown ? write->unknown_deadline : limit;
-                   if (Now() + kRetryDelay < until) {
-                     return timer_(kRetryDelay, [this, write] { TryCommit(write); });
-                   }
-                   FinishWrite(write, write->outcome_unknown ? ResultCode::kOutcomeUnknown
-                                                             : ResultCode::kStoreUnavailable);
-                 });
+  store_->Commit(
+      write->transaction, timeout,
+      [this, write](const Result<store::CommitResult>& result) { OnCommit(write, result); });
+}
+
+void JobService::OnCommit(const std::shared_ptr<PendingWrite>& write,
+                          const Result<store::CommitResult>& result) {
+  RecordOutcome(result.ec);
+  if (result.ok()) {
+    if (result.value.committed) return FinishWrite(write, {});
+    const WriteVerdict verdict = write->resolve(result.value.existing);
+    if (verdict.is_final || !write->outcome_unknown) return FinishWrite(write, verdict.result);
+    return RetryCommit(write);
+  }
+  // The lease of the write has ended, so the write has to be made anew.
+  const bool has_lease = write->transaction.writes.front().lease != 0;
+  if (has_lease && result.ec == ResultCode::kNotFound) {
+    return FinishWrite(write, ResultCode::kStoreCompareFailed);
+  }
+  // Earlier copies were the same, so none of them has taken effect.
+  if (result.ec == ResultCode::kStoreRejected) return FinishWrite(write, result.ec);
+  if (result.ec != ResultCode::kStoreUnavailable) write->outcome_unknown = true;
+  RetryCommit(write);
+}
+
+void JobService::RetryCommit(const std::shared_ptr<PendingWrite>& write) {
+  const TimePoint until =
+      write->outcome_unknown ? write->unknown_deadline : write->refused_deadline;
+  if (Now() + kRetryDelay < until) {
+    return timer_(kRetryDelay, [this, write] { TryCommit(write); });
+  }
+  FinishWrite(write,
+              write->outcome_unknown ? ResultCode::kOutcomeUnknown : ResultCode::kStoreUnavailable);
 }
 
 void JobService::Cancel(const std::string& id, TimePoint deadline,
@@ -244,9 +254,8 @@
     cancel.job = id;
     cancel.transaction.conditions = {{JobKey(id), item.value.revision}, {CancelKey(id), 0}};
     cancel.transaction.writes = {{CancelKey(id), "1", 0}};
-    cancel.resolve = [id](const Items& existing) -> std::error_code {
-      if (Exists(existing, CancelKey(id))) return {};
-      return ResultCode::kStoreCompareFailed;
+    cancel.resolve = [id](const ExistingItems& existing) {
+      return CancellationVerdict(id, existing);
     };
     StartWrite(std::move(cancel), deadline, [again, done](std::error_code ec) {
       // The job has been removed in the meantime.
@@ -270,7 +279,10 @@
     // Written again if it exists, so that it lasts from the last cancellation on.
     forbid.transaction.conditions = {{JobKey(id), 0}};
     forbid.transaction.writes = {{CancelledKey(id), "1", lease.value}};
-    forbid.resolve = [](const Items&) { return ResultCode::kStoreCompareFailed; };
+    // The job exists by now, and `again` reads it.
+    forbid.resolve = [](const ExistingItems&) {
+      return WriteVerdict{ResultCode::kStoreCompareFailed, true};
+    };
     StartWrite(std::move(forbid), deadline,
                [this, lease = lease.value, again, done](std::error_code ec) {
                  if (!ec) return done(ResultCode::kNotFound);
--- a/tests/entry/late_creation_test.cc
+++ b/tests/entry/late_creation_test.cc
@@ -6,6 +6,8 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <thread>
+#include <utility>
 
 #include "entry/job_service.h"
 #include "entry/keys.h"
@@ -19,7 +21,10 @@
 constexpr int kJobs = 3;
 constexpr int kHosts = 3;
 
-std::string IdOf(int n) { return "00000000000000a" + std::to_string(n); }
+std::string IdOf(int n) {
+  const std::string digits = std::to_string(n);
+  return std::string(16 - digits.size(), '0') + digits;
+}
 
 jobs::Job MakeJob(const std::string& id) {
   jobs::Job job;
@@ -66,6 +71,18 @@
     return outcome;
   }
 
+  // The host answers within 1.5 s.
+  void RunTimersUntilAnswered(int host, const std::shared_ptr<Outcome>& outcome) {
+    auto& timers = hosts[static_cast<size_t>(host)]->timers;
+    const TimePoint until = Now() + std::chrono::seconds(3);
+    while (!*outcome && Now() < until) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+      const auto due = std::exchange(timers, {});
+      for (const auto& it : due) it();
+    }
+    ASSERT_TRUE(*outcome);
+  }
+
   bool IsRunnable(const std::string& id) {
     return store.items.count(JobKey(id)) > 0 && store.items.count(CancelKey(id)) == 0;
   }
@@ -180,5 +197,106 @@
   }
 }
 
+// Guards against a submission that is refused and runs (review/13): a copy of its creation without
+// an answer takes effect once the pool has room again.
+TEST_F(LateCreationTest, CreationThatTheStoreHoldsBackIsNotRefusedWhileThePoolIsFull) {
+  store.commit_behaviors = {CommitBehavior::kAppliedLate};
+  store.Apply({{}, {{kPoolFullKey, "1", 0}}, {}});
+  const auto outcome = Submit(0, IdOf(1));
+  RunTimersUntilAnswered(0, outcome);
+  store.Apply({{}, {}, {kPoolFullKey}});
+  store.ApplyDelayedCommits();
+  ASSERT_TRUE(IsRunnable(IdOf(1)));
+  EXPECT_EQ(**outcome, std::error_code(ResultCode::kOutcomeUnknown));
+}
+
+// Guards against the same for the mark of an earlier cancellation that is about to end.
+TEST_F(LateCreationTest, CreationThatTheStoreHoldsBackIsNotRefusedForAMarkThatEnds) {
+  store.Apply({{}, {{CancelledKey(IdOf(1)), "1", 0}}, {}});
+  store.commit_behaviors = {CommitBehavior::kAppliedLate};
+  const auto outcome = Submit(0, IdOf(1));
+  RunTimersUntilAnswered(0, outcome);
+  store.Apply({{}, {}, {CancelledKey(IdOf(1))}});
+  store.ApplyDelayedCommits();
+  ASSERT_TRUE(IsRunnable(IdOf(1)));
+  EXPECT_EQ(**outcome, std::error_code(ResultCode::kOutcomeUnknown));
+}
+
+// Guards against a caller that waits for nothing, or hears that the outcome is unknown, although
+// the mark outlasts all copies of the creation.
+TEST_F(LateCreationTest, RecentCancellationIsToldAtOnce) {
+  store.Apply({{}, {{CancelledKey(IdOf(1)), "1", 0}}, {}});
+  hosts[0]->revisions.Record(Now(), store.revision - 1);
+  store.commit_behaviors = {CommitBehavior::kAppliedLate};
+  const auto outcome = Submit(0, IdOf(1));
+  ASSERT_EQ(hosts[0]->timers.size(), 1U);
+  const auto timer = hosts[0]->timers.front();
+  timer();
+  EXPECT_EQ(*outcome, std::error_code(ResultCode::kCancelled));
+}
+
+// Guards against any order of submissions, lost, refused and late store
+// calls, and a pool that is full and has room in turn, after which a job exists that was refused.
+TEST_F(LateCreationTest, NoOrderOfEventsCreatesARefusedJob) {
+  constexpr const char* kRefusing[] = {"pool_full", "store_unavailable", "cancelled", "overloaded"};
+  int refused = 0;
+  for (int seed = 0; seed < kSeeds; ++seed) {
+    std::mt19937_64 random(static_cast<uint64_t>(seed));
+    const auto below = [&random](int n) {
+      return std::uniform_int_distribution<>(0, n - 1)(random);
+    };
+    std::map<std::string, std::shared_ptr<Outcome>> outcomes;
+    store.items.clear();
+    const auto check = [&] {
+      for (const auto& [id, outcome] : outcomes) {
+        if (!*outcome || store.items.count(JobKey(id)) == 0) continue;
+        const char* name = ResultName(static_cast<ResultCode>((*outcome)->value()));
+        for (const char* it : kRefusing) ASSERT_STRNE(name, it) << "seed " << seed << ", " << id;
+      }
+    };
+    for (int n = 0; n < kStepsPerSeed; ++n) {
+      const std::string id = IdOf(n);
+      const int host = below(kHosts);
+      if (below(3) == 0) {
+        store.commit_behaviors.push_back(static_cast<CommitBehavior>(below(4)));
+      }
+      switch (below(6)) {
+        case 0:
+        case 1:
+          outcomes[id] = Submit(host, id);
+          break;
+        case 2:
+          store.Apply({{}, {{kPoolFullKey, "1", 0}}, {}});
+          break;
+        case 3:
+          store.Apply({{}, {}, {kPoolFullKey}});
+          break;
+        case 4:
+          if (!store.delayed_commits.empty()) {
+            store.Apply(store.delayed_commits.front());
+            store.delayed_commits.pop_front();
+          }
+          break;
+        default: {
+          auto& timers = hosts[static_cast<size_t>(host)]->timers;
+          if (timers.empty()) break;
+          const auto timer = timers.front();
+          timers.pop_front();
+          timer();
+        }
+      }
+      check();
+    }
+    store.Apply({{}, {}, {kPoolFullKey}});
+    store.ApplyDelayedCommits();
+    check();
+    for (const auto& [id, it] : outcomes) refused += *it && **it == ResultCode::kPoolFull ? 1 : 0;
+    store.commit_behaviors.clear();
+    for (const auto& it : hosts) it->timers.clear();
+    for (const auto& it : hosts) it->health.OnSuccess();
+  }
+  EXPECT_GT(refused, kSeeds / 2);
+}
+
 }  // namespace
 }  // namespace pomelopond::entry
