Owner: records are applied and orders sent in slices, between which the ownership is renewed

All orders of a decision were sent in one piece too.

Change: 64 KiB of records and one record more at most a turn, in the order of the store; known records are not decoded again; 100 starts and stops a turn; the limit of the load counts from its last step.

--- a/src/entry/pool_owner.cc
+++ b/src/entry/pool_owner.cc
@@ -23,6 +23,8 @@
 // A host that could not load the state leaves the pool to slower ones for this time.
 constexpr Duration kRequestRest = std::chrono::seconds(30);
 constexpr Duration kSummaryInterval = std::chrono::seconds(2);
+// Starts and stops that one turn of the event loop sends. A gang has up to 10,000 of them at once.
+constexpr int kOrdersPerTurn = 100;
 // While the store answers, the evacuations are confirmed each 0.7 s. If they are not for this time,
 // their watch is broken. An evacuation must be in force within 5 s.
 constexpr Duration kMaxEvacuationAge = std::chrono::seconds(3);
@@ -212,7 +214,8 @@
   next_term_read_ = TimePoint{};
   last_ownership_proof_ = began;
   jobs_loaded_ = false;
-  progress_.clear();
+  last_load_step_ = owner_since_;
+  DropQueues();
   applied_catalog_.reset();
   starts_held_ = false;
   After(options_.lease / kRenewalsPerLease, [this] { RenewOwnerLease(); });
@@ -234,16 +237,25 @@
   worker_calls_->Disconnect();
   dispatcher_.reset();
   commit_.reset();
-  progress_.clear();
+  DropQueues();
   // The watcher may have told of the next owner before this process stepped down.
   if (owner_exists_ && !stopping_.load()) RequestOwnershipLater(owner_);
 }
 
+void PoolOwner::DropQueues() {
+  progress_.clear();
+  job_updates_.clear();
+  applying_jobs_ = false;
+  unsent_starts_.clear();
+  unsent_stops_.clear();
+}
+
 void PoolOwner::Tick() {
   if (!is_owner_.load()) return;
   const TimePoint now = Now();
   if (!jobs_loaded_) {
-    if (now <= owner_since_ + options_.load_timeout) return;
+    // Another host would have as much to load.
+    if (now <= last_load_step_ + options_.load_timeout) return;
     no_request_before_ = now + kRequestRest;
     return StepDown("loading the state timed out");
   }
@@ -314,25 +326,44 @@
   for (const dispatch::TaskAway& it : dispatcher_->ExplainTasksAway(now)) LogTaskAway(it);
 }
 
-void PoolOwner::Send(const dispatch::Orders& orders) {
-  for (const dispatch::StartOrder& it : orders.starts) {
-    metrics_->Count("starts_total");
-    Log(LogLevel::kDebug, "owner", "start",
-        {{"job", it.run.task.job},
-         {"step", it.run.task.step},
-         {"index", it.run.task.index},
-         {"run", it.run.run},
-         {"worker", it.to.worker}});
-    worker_calls_->Start(it, BindToGeneration([this, it](const dispatch::Answer& answer) {
-                           dispatcher_->OnStarted(it, answer, Now());
-                         }));
+void PoolOwner::SendStart(const dispatch::StartOrder& order) {
+  metrics_->Count("starts_total");
+  Log(LogLevel::kDebug, "owner", "start",
+      {{"job", order.run.task.job},
+       {"step", order.run.task.step},
+       {"index", order.run.task.index},
+       {"run", order.run.run},
+       {"worker", order.to.worker}});
+  worker_calls_->Start(order, BindToGeneration([this, order](const dispatch::Answer& answer) {
+                         dispatcher_->OnStarted(order, answer, Now());
+                       }));
+}
+
+void PoolOwner::SendStop(const dispatch::StopOrder& order) {
+  metrics_->Count("stops_total");
+  worker_calls_->Stop(order, BindToGeneration([this, order](const dispatch::Answer& answer) {
+                        dispatcher_->OnStopped(order, answer, Now());
+                      }));
+}
+
+void PoolOwner::SendWaitingOrders() {
+  int left = kOrdersPerTurn;
+  for (; left > 0 && !unsent_stops_.empty(); --left) {
+    SendStop(unsent_stops_.front());
+    unsent_stops_.pop_front();
   }
-  for (const dispatch::StopOrder& it : orders.stops) {
-    metrics_->Count("stops_total");
-    worker_calls_->Stop(it, BindToGeneration([this, it](const dispatch::Answer& answer) {
-                          dispatcher_->OnStopped(it, answer, Now());
-                        }));
+  for (; left > 0 && !unsent_starts_.empty(); --left) {
+    SendStart(unsent_starts_.front());
+    unsent_starts_.pop_front();
   }
+  // The next turn sends more.
+  if (left == 0) loop_->Post([] {});
+}
+
+void PoolOwner::Send(const dispatch::Orders& orders) {
+  unsent_stops_.insert(unsent_stops_.end(), orders.stops.begin(), orders.stops.end());
+  unsent_starts_.insert(unsent_starts_.end(), orders.starts.begin(), orders.starts.end());
+  SendWaitingOrders();
   for (const dispatch::PaceOrder& it : orders.paces) {
     metrics_->Count("paces_total");
     worker_calls_->Pace(it, BindToGeneration([this, it](const dispatch::Answer& answer) {
--- a/src/entry/pool_owner.h
+++ b/src/entry/pool_owner.h
@@ -5,6 +5,7 @@
 #define POMELOPOND_ENTRY_POOL_OWNER_H_
 
 #include <atomic>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -66,6 +67,14 @@
   int64_t JobMemoryBytes() const { return job_memory_bytes_.load(); }
 
  private:
+  // What the watch of the jobs tells: a record, or that all up to a revision have been told.
+  struct JobUpdate {
+    std::optional<store::Item> item;
+    bool inherited = false;  // the record was there when this process took over
+    bool ends_list = false;  // all records of the first list precede this update
+    int64_t seen_revision = 0;
+  };
+
   // Called with the keys below kOwnerKey and with their changes.
   void OnOwnerKeys(const std::vector<store::Item>& items);
   void OnOwnerChanges(const std::vector<store::Change>& changes);
@@ -99,8 +108,15 @@
   void LoadProgress(const std::string& after);
   void StartWatchers();
 
+  // Forgets what is queued for a later turn of the event loop.
+  void DropQueues();
+
   // Operation as the owner.
-  void ApplyJobItems(const std::vector<store::Item>& items, bool inherited);
+  void QueueJobItems(std::vector<store::Item> items, bool inherited);
+  // Applies what is queued, a slice in each turn of the event loop.
+  void ApplyJobUpdates();
+  // Returns true if it has decoded a record.
+  bool ApplyJobItem(const store::Item& item, bool inherited);
   jobs::JobProgress TakeProgress(const std::string& job);
   void ApplyWorkerList(const std::vector<store::Item>& items);
   void ApplyWorkerEntry(const store::Item& item);
@@ -116,6 +132,10 @@
   // Passes the operators' catalog and evacuations on to the dispatcher.
   void ApplyCatalog(TimePoint now);
   void Send(const dispatch::Orders& orders);
+  // Sends starts and stops that wait, a slice in each turn of the event loop.
+  void SendWaitingOrders();
+  void SendStart(const dispatch::StartOrder& order);
+  void SendStop(const dispatch::StopOrder& order);
   void SendPermitOrder(const dispatch::PermitOrder& order);
   void WriteCommit();
   // Reads the term from the store to verify that this process is still the owner, for jobs that are
@@ -171,12 +191,17 @@
   TimePoint owner_since_;
   std::map<std::string, std::string> progress_;  // encoded, of jobs that are not loaded yet
   std::optional<dispatch::Dispatcher> dispatcher_;
+  std::deque<JobUpdate> job_updates_;  // not applied yet, in the order of the store
+  bool applying_jobs_ = false;         // a turn of the event loop that applies them is queued
+  std::deque<dispatch::StartOrder> unsent_starts_;
+  std::deque<dispatch::StopOrder> unsent_stops_;
   std::optional<dispatch::Commit> commit_;  // commit in progress, if any
   bool commit_in_flight_ = false;           // a call with it awaits its answer
   std::shared_ptr<PrefixWatcher> owner_key_watcher_;
   std::shared_ptr<PrefixWatcher> job_watcher_;
   std::shared_ptr<PrefixWatcher> worker_watcher_;
   bool jobs_loaded_ = false;
+  TimePoint last_load_step_;  // when the load of the state last made progress
   TimePoint next_commit_;     // the next call with a commit is due then, if none is in flight
   TimePoint next_term_read_;  // TimePoint::max() while a read is in progress
   // Last time at which this process was certain to be the owner.
--- a/src/entry/pool_owner_watchers.cc
+++ b/src/entry/pool_owner_watchers.cc
@@ -15,6 +15,9 @@
 // Maximum wait of one watch of the jobs. Each answer renews the revision up to which all jobs are
 // known, on which the age of the waiting counts depends.
 constexpr Duration kJobsWatchWait = std::chrono::milliseconds(500);
+// Bytes of records that one turn of the event loop decodes, and one record more at most. It takes a
+// host with a tenth of a core some 0.2 s, a tenth of the time for which the ownership lasts.
+constexpr size_t kJobBytesPerTurn = 65536;
 
 }  // namespace
 
@@ -63,18 +66,22 @@
 void PoolOwner::StartWatchers() {
   WatchHandlers jobs;
   jobs.on_list = BindToGeneration([this](const std::vector<store::Item>& items) {
-    ApplyJobItems(items, !jobs_loaded_);
-    jobs_loaded_ = true;
+    QueueJobItems(items, !jobs_loaded_);
+    job_updates_.push_back({std::nullopt, false, true, 0});
+    ApplyJobUpdates();
   });
   jobs.on_changes = BindToGeneration([this](const std::vector<store::Change>& changes) {
     std::vector<store::Item> items;
     for (const store::Change& it : changes) {
       if (!it.deleted) items.push_back(it.item);
     }
-    ApplyJobItems(items, false);
+    QueueJobItems(std::move(items), false);
+    ApplyJobUpdates();
+  });
+  jobs.on_current = BindToGeneration([this](TimePoint, int64_t revision) {
+    job_updates_.push_back({std::nullopt, false, false, revision});
+    ApplyJobUpdates();
   });
-  jobs.on_current =
-      BindToGeneration([this](TimePoint, int64_t revision) { dispatcher_->OnJobsSeen(revision); });
   WatchHandlers workers;
   workers.on_list =
       BindToGeneration([this](const std::vector<store::Item>& items) { ApplyWorkerList(items); });
@@ -95,26 +102,48 @@
   worker_watcher_->Start();
 }
 
-void PoolOwner::ApplyJobItems(const std::vector<store::Item>& items, bool inherited) {
-  const int64_t wall_ms = WallClockMs();
+void PoolOwner::QueueJobItems(std::vector<store::Item> items, bool inherited) {
+  for (store::Item& it : items) job_updates_.push_back({std::move(it), inherited, false, 0});
+}
+
+void PoolOwner::ApplyJobUpdates() {
+  // The turn that is queued goes on with all updates in their order.
+  if (applying_jobs_) return;
+  const TimePoint began = Now();
+  size_t bytes = 0;
+  while (!job_updates_.empty() && bytes < kJobBytesPerTurn) {
+    const JobUpdate update = std::move(job_updates_.front());
+    job_updates_.pop_front();
+    jobs_loaded_ = jobs_loaded_ || update.ends_list;
+    if (update.seen_revision > 0) dispatcher_->OnJobsSeen(update.seen_revision);
+    if (!update.item) continue;
+    if (ApplyJobItem(*update.item, update.inherited)) bytes += update.item->value.size();
+  }
+  last_load_step_ = Now();
+  RecordPiece(&turn_times_, OwnerWork::kJobs, last_load_step_ - began);
+  applying_jobs_ = !job_updates_.empty();
+  if (!applying_jobs_) return;
+  BindToGeneration([this] {
+    applying_jobs_ = false;
+    ApplyJobUpdates();
+  })();
+}
+
+bool PoolOwner::ApplyJobItem(const store::Item& item, bool inherited) {
+  const std::string id = item.key.substr(std::string(kJobPrefix).size());
   const std::string suffix = kCancelSuffix;
-  std::vector<std::string> cancelled;
-  for (const store::Item& it : items) {
-    const std::string id = it.key.substr(std::string(kJobPrefix).size());
-    const bool cancel = id.size() > suffix.size() &&
-                        id.compare(id.size() - suffix.size(), suffix.size(), suffix) == 0;
-    if (cancel) {
-      cancelled.push_back(id.substr(0, id.size() - suffix.size()));
-      continue;
-    }
-    const Result<jobs::Job> job = jobs::DecodeJob(it.value);
-    if (!job.ok()) {
-      Log(LogLevel::kError, "owner", "bad_job", {{"key", it.key}});
-      continue;
-    }
-    dispatcher_->AddJob(job.value, TakeProgress(id), inherited, it.revision);
+  const bool cancels = id.size() > suffix.size() &&
+                       id.compare(id.size() - suffix.size(), suffix.size(), suffix) == 0;
+  if (cancels) {
+    dispatcher_->CancelJob(id.substr(0, id.size() - suffix.size()), WallClockMs());
+    return false;
   }
-  for (const std::string& it : cancelled) dispatcher_->CancelJob(it, wall_ms);
+  // A list names jobs that are known already, whose records never change.
+  if (dispatcher_->FindJob(id) != nullptr) return false;
+  const Result<jobs::Job> job = jobs::DecodeJob(item.value);
+  if (job.ok()) dispatcher_->AddJob(job.value, TakeProgress(id), inherited, item.revision);
+  if (!job.ok()) Log(LogLevel::kError, "owner", "bad_job", {{"key", item.key}});
+  return true;
 }
 
 jobs::JobProgress PoolOwner::TakeProgress(const std::string& job) {
