Suspect workers are the last choice and get trials, in place of none

Cause: a run that failed after 10 s of work made its step forget the workers on which it had failed, so a step that fails on all of them never became the one at fault; and a suspect worker was closed to all tasks that do not last, and for a second after each failure to all others. A failure each second kept each worker closed for good, and only a run that is done would have opened it.

Change: what the failures of a step tell is kept for 60 s. A suspect worker comes after all others and gets a trial a second (a perpetual task each 0.25 s), which later failures do not put off. A run that is done ends the suspicion. No task fails on the same suspect worker twice, nor spends its last attempt there, and no run is preempted, moved or copied for a trial. A task that has failed does not mark its class as unplaceable, as it may start on fewer workers than the others.

Evidence: FailingTaskTest on the code before: an ordinary job waits 12.7 s beside late failures, 8 s beside failures at any time, over 16 s in a pool of one worker (bound 3 s); the test of a worker that fails all that it starts held before and holds now.

--- a/src/dispatch/choose_worker.cc
+++ b/src/dispatch/choose_worker.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <tuple>
 
+#include "dispatch/failures.h"
+
 namespace pomelopond::dispatch {
 namespace {
 
@@ -77,8 +79,9 @@
     return false;
   }
   if (worker.info.service != request.service || !AcceptsTasks(worker, now)) return false;
-  // Failed runs of a perpetual task consume no attempts, so a suspect worker is better than none.
-  if (now < worker.suspect_until && !step.perpetual) return false;
+  // Otherwise a suspect worker is better than none: the tasks may be at fault, on all workers.
+  if (IsSuspect(worker, now) && (request.avoids_suspect || !MayTry(worker, request, now)))
+    return false;
   if (request.avoids_slow && worker.speed.is_avoided) return false;
   if (!request.rack.empty() && worker.info.rack != request.rack) return false;
   if (!step.required_label.empty() && worker.info.labels.count(step.required_label) == 0) {
--- a/src/dispatch/evacuation.cc
+++ b/src/dispatch/evacuation.cc
@@ -200,6 +200,7 @@
   const bool known = IsUnplaceable(*unplaceable, *entry, step);
   PlacementRequest request = RequestOf(entry, id.task);
   request.task = task;
+  request.avoids_suspect = !step.perpetual;
   const WorkerState* target = known ? nullptr : ChooseWorker(index_, request, now);
   if (target == nullptr) {
     // Tasks of a queue that requires permits may lack only these.
--- a/src/dispatch/failures.cc
+++ b/src/dispatch/failures.cc
@@ -1,6 +1,7 @@
 #include "dispatch/failures.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace pomelopond::dispatch {
 namespace {
@@ -10,17 +11,23 @@
 constexpr int kFailuresBeforeBackoff = 2;
 constexpr Duration kFailureBackoff = std::chrono::seconds(2);
 constexpr Duration kMaxFailureBackoff = std::chrono::seconds(8);
-// Minimum time between perpetual tasks that are tried on a suspect worker for lack of another one.
-constexpr Duration kSuspectRetryInterval = std::chrono::seconds(1);
-
-// Time between trials on a worker whose last runs have failed. Most tasks that fail do so earlier.
-constexpr Duration kTrialInterval = std::chrono::seconds(2);
+// Time from the first suspicion, or from a trial, to the next trial on a suspect worker. A task
+// that waits starts within 3 s also where all workers are suspect. Perpetual tasks lose no
+// attempts.
+constexpr Duration kTrialInterval = std::chrono::seconds(1);
+constexpr Duration kPerpetualTrialInterval = std::chrono::milliseconds(250);
+// A trial keeps its worker suspect for this time. Most tasks that fail do so earlier.
+constexpr Duration kTrialTime = std::chrono::seconds(2);
 
 // Failed runs of a step say nothing more of a worker once runs of the step have failed on this many
 // other workers: the task itself is at fault.
 constexpr size_t kWorkersThatClearOthers = 2;
-// A run that fails after this time has worked until then.
-constexpr Duration kWorkingTime = std::chrono::seconds(10);
+// For this time. Perpetual tasks that fail after they have worked for long fail once in a while on
+// each worker.
+constexpr Duration kStepFailureMemory = std::chrono::seconds(60);
+
+// The attempt that is not spent on a suspect worker.
+constexpr int kLastAttempt = 1;
 
 // A run whose progress doesn't change for this time is stalled.
 constexpr Duration kStallLimit = std::chrono::seconds(3);
@@ -32,10 +39,14 @@
 
 }  // namespace
 
-bool RecordStepFailure(StepState* step, const std::string& worker, Duration took) {
-  if (took >= kWorkingTime) step->failed_on.clear();
+bool IsSuspect(const WorkerState& worker, TimePoint now) { return now < worker.suspect_until; }
+
+bool RecordStepFailure(StepState* step, const std::string& worker, TimePoint now) {
+  for (auto it = step->failed_on.begin(); it != step->failed_on.end();) {
+    it = now > it->second + kStepFailureMemory ? step->failed_on.erase(it) : std::next(it);
+  }
   const size_t others = step->failed_on.size() - step->failed_on.count(worker);
-  step->failed_on.insert(worker);
+  step->failed_on[worker] = now;
   return others < kWorkersThatClearOthers;
 }
 
@@ -46,16 +57,35 @@
   for (int n = kFailuresBeforeBackoff; n < worker->failures && backoff < kMaxFailureBackoff; ++n) {
     backoff *= 2;
   }
-  worker->suspect_retry_at = now + kSuspectRetryInterval;
-  worker->backoff_until = std::max(worker->backoff_until, worker->suspect_retry_at);
+  // Failures of runs that go on there put off no trial: a worker on which many tasks run that fail
+  // would never get one.
+  if (!IsSuspect(*worker, now)) {
+    worker->next_trial = worker->next_perpetual_trial = now + kTrialInterval;
+  }
   worker->suspect_until =
       std::max(worker->suspect_until, now + std::min(backoff, kMaxFailureBackoff));
 }
 
+void ClearSuspicion(WorkerState* worker) {
+  worker->failures = 0;
+  worker->suspect_until = TimePoint{};
+}
+
 bool RecordTrial(WorkerState* worker, bool perpetual, TimePoint now) {
-  if (perpetual || worker->failures < kFailuresBeforeBackoff) return false;
-  worker->suspect_until = std::max(worker->suspect_until, now + kTrialInterval);
-  return true;
+  const bool trial = !perpetual && worker->failures >= kFailuresBeforeBackoff;
+  if (trial) worker->suspect_until = std::max(worker->suspect_until, now + kTrialTime);
+  if (perpetual) worker->next_perpetual_trial = now + kPerpetualTrialInterval;
+  if (!perpetual) worker->next_trial = now + kTrialInterval;
+  return trial;
+}
+
+bool MayTry(const WorkerState& worker, const PlacementRequest& request, TimePoint now) {
+  if (request.step->perpetual) return now >= worker.next_perpetual_trial;
+  if (now < worker.next_trial || request.attempts_left <= kLastAttempt) return false;
+  const std::string& id = worker.info.id;
+  if (request.step->gang)
+    return request.state == nullptr || request.state->failed_on.count(id) == 0;
+  return request.task == nullptr || request.task->failed_on.count(id) == 0;
 }
 
 void UpdateProgress(RunState* run, int percent, Duration covered, TimePoint now) {
--- a/src/dispatch/failures.h
+++ b/src/dispatch/failures.h
@@ -7,22 +7,33 @@
 
 #include "base/time.h"
 #include "dispatch/job_table.h"
+#include "dispatch/placement_request.h"
 #include "dispatch/worker_table.h"
 
 namespace pomelopond::dispatch {
 
-// Records that a run of the step failed on `worker` after `took`. Returns true when that counts
-// against the worker.
-bool RecordStepFailure(StepState* step, const std::string& worker, Duration took);
+// True while the last runs on the worker have failed, so that it may be at fault.
+bool IsSuspect(const WorkerState& worker, TimePoint now);
+
+// Records that a run of the step failed on `worker`. Returns true when that counts against the
+// worker: a step that has failed on several other workers a moment ago is at fault itself.
+bool RecordStepFailure(StepState* step, const std::string& worker, TimePoint now);
 
 // Counts a failed run against the worker, which may make it suspect.
 void CountFailure(WorkerState* worker, TimePoint now);
 
-// Records a start on the worker. If the last runs there have failed, it is a trial: until the
-// worker completes a run, it gets one from time to time, whether its backoff is over or not.
-// Returns true for a trial.
+// A run on the worker is done, so the worker is not at fault.
+void ClearSuspicion(WorkerState* worker);
+
+// Records a start on the worker. On a suspect one it is a trial: until the worker completes a run,
+// it gets one from time to time, whether its backoff is over or not, and whatever fails there
+// meanwhile. Returns true for a trial of a task that is not perpetual.
 bool RecordTrial(WorkerState* worker, bool perpetual, TimePoint now);
 
+// True when the task may start on a suspect worker now. Each failure there costs an attempt, so the
+// last one is kept for another worker, and no task, or gang, fails on the same one twice.
+bool MayTry(const WorkerState& worker, const PlacementRequest& request, TimePoint now);
+
 // Updates the progress of a run from a report that covers at most `covered`. A silent worker may
 // have gone on with its runs, so the time before a late report doesn't count in full.
 void UpdateProgress(RunState* run, int percent, Duration covered, TimePoint now);
--- a/src/dispatch/job_table.h
+++ b/src/dispatch/job_table.h
@@ -48,8 +48,9 @@
   int done = 0;     // number of tasks that are done
   int waiting = 0;  // number of tasks that are not done and have no active run
   std::map<std::string, int> runs_by_worker;  // number of active runs of the tasks
-  // Workers on which runs failed since a run of the step was last seen to work.
-  std::set<std::string> failed_on;
+  // Workers on which runs failed since a run of the step was last done, and when, as far as that
+  // still counts (dispatch/failures.h).
+  std::map<std::string, TimePoint> failed_on;
   StepPermits permits;  // used only if the queue requires permits
   int64_t sweep = 0;    // number of the last sweep in which the gang had its turn (GangSweep)
 };
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -252,14 +252,19 @@
   if (IsUnplaceable(placement_.unplaceable, *entry, what, IsOwed(turn.kind))) return;
   jobs::TaskId id{entry->job.id, occurrence, step, 0};
   const StepState* state = StepStateOf(entry, id);
+  // A task that has failed may start on fewer workers than the others of its class.
+  bool passes_over_failed = false;
   for (id.index = 0; id.index < static_cast<int>(state->tasks.size()); ++id.index) {
     const TaskState& task = state->tasks[static_cast<size_t>(id.index)];
     if (task.progress.done || !task.runs.empty() || IsWithheld(*entry, task)) continue;
     if (!MayStartTask(*entry, id, task)) continue;
     if (IsAtStartLimit()) return;
+    const bool has_failed = !task.failed_on.empty();
+    if (has_failed && passes_over_failed) continue;
     const bool placed = PlaceTask(turn, id, now, orders);
     if (placed && IsOwed(turn.kind)) return;
-    if (placed) continue;
+    passes_over_failed = passes_over_failed || (has_failed && !placed);
+    if (placed || (has_failed && !what.perpetual)) continue;
     if (turn.kind == TurnKind::kFirstRun) {
       placement_.spare_processors[entry->job.rules.service].short_of_first_runs = true;
     }
@@ -340,6 +345,9 @@
   request.step = &StepOf(*entry, id);
   request.state = StepStateOf(entry, id);
   request.colocation = &colocation_;
+  const TaskState* task = FindTask(entry, id);
+  const auto failed = static_cast<int>(task->progress.failed_runs.size());
+  request.attempts_left = entry->job.rules.max_attempts - failed;
   if (request.step->best_effort) {
     const auto [it, added] = placement_.slowdowns.try_emplace(request.step->image);
     if (added) it->second = SlowdownsBy(colocation_, request.step->image);
@@ -425,8 +433,7 @@
       std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(
           ExpectedMs(durations_, step) / ExpectedSpeed(worker->speed)));
   RecordStartOnSlowWorker(&worker->speed, now);
-  const bool trial =
-      limits_.rescue_slow_runs && RecordTrial(worker, worker->runs.at(id).perpetual, now);
+  const bool trial = RecordTrial(worker, worker->runs.at(id).perpetual, now);
   if (trial && TakeRescueLine(now)) {
     Log(LogLevel::kInfo, "dispatch", "worker_trial",
         {{"worker", worker->info.id},
--- a/src/dispatch/placement_request.h
+++ b/src/dispatch/placement_request.h
@@ -3,6 +3,7 @@
 #define POMELOPOND_DISPATCH_PLACEMENT_REQUEST_H_
 
 #include <cstdint>
+#include <limits>
 #include <string>
 
 #include "base/resources.h"
@@ -23,6 +24,8 @@
   const StepPermits* permits = nullptr;  // if set, only workers with a valid permit are eligible
   std::string rack;                      // if set, only workers of this rack are eligible
   bool avoids_slow = false;              // slow workers are not eligible
+  bool avoids_suspect = false;           // suspect workers are not eligible
+  int attempts_left = std::numeric_limits<int>::max();  // of the task, or of the gang
   // A best-effort task may start where others have requested all processor time.
   bool shares_processor = false;
   // Highest ratios of tail latency to target, as reported and as expected with the task, beside
--- a/src/dispatch/preemption.cc
+++ b/src/dispatch/preemption.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <tuple>
 
+#include "dispatch/failures.h"
+
 namespace pomelopond::dispatch {
 namespace {
 
@@ -80,6 +82,8 @@
     const auto found = reserved->find(id);
     const Resources taken = found == reserved->end() ? Resources{} : found->second;
     if (!Fits(need, room - taken)) continue;
+    // A trial is not worth a run that works.
+    if (IsSuspect(it, now) && !request.step->perpetual) continue;
     if (!IsEligible(it, request, now)) continue;
     std::optional<PreemptionCandidate> candidate = FindVictims(it, need, priority, taken, now);
     if (!candidate) continue;
--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -155,12 +155,12 @@
   EndRun(worker, end.id);
   JobEntry* entry = FindEntry(end.id.task.job);
   TaskState* task = entry == nullptr ? nullptr : FindTask(entry, end.id.task);
-  if (end.kind == EndKind::kDone) worker->failures = 0;
+  if (end.kind == EndKind::kDone) ClearSuspicion(worker);
   StepState* state = task == nullptr ? nullptr : StepStateOf(entry, end.id.task);
   if (state != nullptr && end.kind == EndKind::kDone) state->failed_on.clear();
   // A task without state is over; its failure tells nothing that counts.
   if (end.kind == EndKind::kFailed &&
-      (entry == nullptr || (state != nullptr && RecordStepFailure(state, worker->info.id, took)))) {
+      (entry == nullptr || (state != nullptr && RecordStepFailure(state, worker->info.id, now)))) {
     CountFailure(worker, now);
   }
   // The end changes nothing, perhaps because of a change that is not durable itself.
@@ -286,7 +286,7 @@
   // Best-effort runs also stall for want of processor time, which is no fault of the worker.
   if (run.best_effort) return;
   FindTask(entry, id.task)->failed_on.insert(worker->info.id);
-  if (RecordStepFailure(StepStateOf(entry, id.task), worker->info.id, now - run.ordered_at)) {
+  if (RecordStepFailure(StepStateOf(entry, id.task), worker->info.id, now)) {
     CountFailure(worker, now);
   }
 }
--- a/src/dispatch/rescue.cc
+++ b/src/dispatch/rescue.cc
@@ -246,6 +246,7 @@
     PlacementRequest request = dispatcher_.RequestOf(entry, id);
     request.task = FindTask(entry, id);
     request.avoids_slow = true;
+    request.avoids_suspect = !request.step->perpetual;
     return ChooseWorker(dispatcher_.index_, request, now_);
   }
   void Take(WorkerState* worker, const JobEntry& entry, const jobs::TaskId& id) {
--- a/src/dispatch/worker_score.cc
+++ b/src/dispatch/worker_score.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "dispatch/choose_worker.h"
+#include "dispatch/failures.h"
 #include "dispatch/worker_index.h"
 
 namespace pomelopond::dispatch {
@@ -62,7 +63,7 @@
               TimePoint now) {
   const jobs::Step& step = *request.step;
   const bool suspect =
-      now < worker.suspect_until ||
+      IsSuspect(worker, now) ||
       (request.task != nullptr && request.task->failed_on.count(worker.info.id) > 0);
   const int penalty = (suspect ? kSuspectPenalty : 0) +
                       (IsSlowFor(worker, step, now) ? kSlowPenalty : 0) +
--- a/src/dispatch/worker_table.cc
+++ b/src/dispatch/worker_table.cc
@@ -88,7 +88,7 @@
 
 void SetRefusals(WorkerState* worker, const RefusalBackoff& refusals) {
   worker->refusals = refusals;
-  worker->backoff_until = std::max(worker->suspect_retry_at, refusals.until);
+  worker->backoff_until = refusals.until;
 }
 
 void MarkStarted(RunState* run, TimePoint now) {
--- a/src/dispatch/worker_table.h
+++ b/src/dispatch/worker_table.h
@@ -149,12 +149,15 @@
   // A call got no answer since the last report, so the worker may have started again under its id.
   // Answers to other orders don't tell, as they don't name the incarnation.
   bool may_have_restarted = false;
-  int failures = 0;            // consecutive failed runs
-  TimePoint backoff_until;     // accepts no task before this time
-  TimePoint suspect_retry_at;  // earliest time of the next task on a suspect worker
+  int failures = 0;         // consecutive failed runs that count against the worker
+  TimePoint backoff_until;  // accepts no task before this time
   RefusalBackoff refusals;
-  // Until then the worker accepts only perpetual tasks that fit on no other worker.
+  // Until then the worker gets only trials: tasks that fit on no other worker, one at a time.
   TimePoint suspect_until;
+  // Earliest times of the next trial of a perpetual task and of another one. They are separate, as
+  // perpetual tasks that fail and start again would take all trials.
+  TimePoint next_perpetual_trial;
+  TimePoint next_trial;
   WorkerSpeed speed;
 
   Resources used;               // reserved by runs
