Random search: jobs of hard shape beside all troubles

A tenth of the jobs have a hard shape: gangs of up to 400 members that often fit nowhere, many small tasks with a limit per worker, chains of up to 400 steps, and perpetual tasks that fail for ever after 0.5 to 12 s of work.

--- a/tests/dispatch/random_fleet_test.cc
+++ b/tests/dispatch/random_fleet_test.cc
@@ -30,9 +30,10 @@
 // Draws jobs of every kind.
 class JobSource {
  public:
-  // The tasks of `failing_share` of the jobs always fail.
-  JobSource(SimulatedFleet* fleet, double failing_share)
-      : fleet_(*fleet), failing_share_(failing_share) {}
+  // The tasks of `failing_share` of the jobs always fail, and `hard_share` of them have a hard
+  // shape.
+  JobSource(SimulatedFleet* fleet, double failing_share, double hard_share)
+      : fleet_(*fleet), failing_share_(failing_share), hard_share_(hard_share) {}
 
   void SubmitSome(double per_second) {
     if (!fleet_.Chance(per_second / 40)) return;
@@ -69,8 +70,53 @@
     return step;
   }
 
+  jobs::Step SmallStep(int replicas) {
+    jobs::Step step = MakeStep(replicas, fleet_.Between(1, 20) * 10);
+    step.request.memory_mb = 1;
+    step.estimate_ms = 300;
+    return step;
+  }
+
+  // Jobs that cost much more to place than their size suggests, or that fail for ever.
+  std::vector<jobs::Step> DrawHardSteps(bool* fails_late) {
+    const auto many = static_cast<int>(fleet_.Between(50, 400));
+    const auto most = static_cast<int>(fleet_.Between(1, many));
+    std::vector<jobs::Step> steps(static_cast<size_t>(fleet_.Between(1, 5)), SmallStep(many));
+    switch (fleet_.Between(0, 3)) {
+      case 0:  // gangs, of which many fit nowhere
+        for (jobs::Step& it : steps) {
+          it.gang = true;
+          it.max_per_worker = most;
+          it.same_rack = fleet_.Chance(0.3);
+        }
+        return steps;
+      case 1:  // more tasks than the limits per worker permit at once
+        steps.resize(1);
+        steps[0].max_per_worker = static_cast<int>(fleet_.Between(1, 3));
+        return steps;
+      case 2:  // a long chain
+        steps.assign(static_cast<size_t>(many), SmallStep(1));
+        for (size_t n = 1; n < steps.size(); ++n) steps[n].after = {static_cast<int>(n) - 1};
+        return steps;
+      default:  // perpetual tasks on all workers
+        *fails_late = true;
+        steps.assign(1, SmallStep(static_cast<int>(fleet_.Between(4, 12))));
+        steps[0].perpetual = true;
+        steps[0].max_per_worker = static_cast<int>(fleet_.Between(0, 2));
+        return steps;
+    }
+  }
+
   jobs::Job Draw() {
     const std::string id = JobId(++submitted_);
+    if (hard_share_ > 0 && fleet_.Chance(hard_share_)) {
+      bool fails_late = false;
+      jobs::Job job = MakeJob(id, DrawHardSteps(&fails_late));
+      job.accepted_ms = fleet_.WallMs();
+      job.rules.stretch = 3;
+      if (fails_late) job.spec = kLateFailingSpec;
+      return job;
+    }
     std::vector<jobs::Step> steps = {DrawStep()};
     const bool perpetual = fleet_.Chance(0.15);
     if (perpetual) {
@@ -101,6 +147,7 @@
 
   SimulatedFleet& fleet_;
   const double failing_share_;
+  const double hard_share_;
   int submitted_ = 0;
 };
 
@@ -253,6 +300,7 @@
 
 struct DayOptions {
   double failing_share = 0;             // of the jobs: their tasks always fail
+  double hard_share = 0;                // of the jobs: of a hard shape
   int64_t known_value_bytes = 1048576;  // largest value of the store, as the settings say
   int64_t value_bytes = 1048576;
   bool store_troubles = false;
@@ -274,7 +322,7 @@
   const int64_t workers = fleet.Between(3, 10);
   for (int64_t n = 0; n < workers; ++n) fleet.AddWorker();
   fleet.TakeOver(false);
-  JobSource jobs(&fleet, options.failing_share);
+  JobSource jobs(&fleet, options.failing_share, options.hard_share);
   const double per_second = static_cast<double>(fleet.Between(2, 30)) / 10;
   for (int phase = 0; phase < kPhases && fleet.violations().empty(); ++phase) {
     fleet.on_tick = [&] { jobs.SubmitSome(per_second); };
@@ -349,6 +397,15 @@
   PlayDays(options);
 }
 
+// Guards against the same beside jobs of legal size and hard shape: gangs of many members that fit
+// nowhere, many small tasks, long chains, and perpetual tasks that fail for ever after some work.
+TEST(RandomFleetTest, KeepsItsPromisesBesideHardJobs) {
+  DayOptions options;
+  options.failing_share = 0.03;
+  options.hard_share = 0.1;
+  PlayDays(options);
+}
+
 // Guards against records that outgrow a small store: few tasks of a job may be under way, and the
 // others wait.
 TEST(RandomFleetTest, KeepsRecordsWithinTheStoresLimit) {
--- a/tests/dispatch/simulated_fleet.h
+++ b/tests/dispatch/simulated_fleet.h
@@ -22,6 +22,8 @@
 
 // The tasks of a job with this spec fail wherever they run.
 inline constexpr const char* kFailingSpec = "fails";
+// Spec of jobs whose tasks fail on every worker after they have worked for some time.
+inline constexpr const char* kLateFailingSpec = "fails late";
 
 // Rates of the troubles; shares of 1, and events per second for the whole fleet.
 struct Troubles {
--- a/tests/dispatch/simulated_fleet_calls.cc
+++ b/tests/dispatch/simulated_fleet_calls.cc
@@ -82,8 +82,10 @@
   run.step = StepOf(*entry, order.run.task);
   const bool needs_permit = entry->job.rules.needs_permits;
   run.work = run.step.perpetual ? Duration::max() : MsBetween(200, 3000);
+  const Duration late_failure =
+      order.spec == kLateFailingSpec ? MsBetween(500, 12000) : Duration::zero();
   const int64_t incarnation = owner->incarnations[order.to.worker];
-  const auto execute = [this, order, run, needs_permit,
+  const auto execute = [this, order, run, needs_permit, late_failure,
                         incarnation](SimulatedWorker* worker) mutable -> std::optional<Report> {
     if (now_ < worker->unhealthy_until) return AnswerOf(*worker, OrderStatus::kUnhealthy, now_);
     if (needs_permit && (order.permit.empty() || std::stoll(order.permit) < Ms(now_ - kStart))) {
@@ -92,6 +94,10 @@
     run.began = now_;
     run.fails = now_ < worker->poisoned_until || order.spec == kFailingSpec;
     if (run.fails) run.work = milliseconds(100);
+    if (order.spec == kLateFailingSpec) {
+      run.fails = true;
+      run.work = late_failure;
+    }
     const bool known = worker->active.count(order.run) > 0;
     const OrderStatus status = StartOn(worker, order, run, now_);
     const bool same_kind = worker->info.incarnation <= incarnation;
