A creation with an unanswered copy is revoked before it is refused

Change: before the host refuses a creation of which a copy is without an answer, for a full pool or for a mark of unknown age, it writes the mark that each creation names in its conditions, if the job does not exist. No earlier copy can take effect then, so the refusal is true and comes at once. A later submission under the same id names the mark's revision and is handled like a first one.

Evidence: LateCreationTest: after the refusal the late copy creates nothing, the same id is accepted at another host once there is room, and a revocation that the store refuses leads to 504.

--- a/src/entry/job_service.h
+++ b/src/entry/job_service.h
@@ -18,6 +18,7 @@
 #include "entry/revision_history.h"
 #include "entry/shared_lease.h"
 #include "entry/store_health.h"
+#include "entry/write_verdict.h"
 #include "jobs/progress.h"
 #include "metrics/registry.h"
 #include "store/key_store.h"
@@ -83,6 +84,7 @@
                        const std::function<void(Duration)>& retry_after);
   // `large_jobs_revision` is set for a large job.
   PendingWrite CreationOf(const jobs::Job& job, std::optional<int64_t> large_jobs_revision);
+  void NameConditions(PendingWrite* create, const CreationConditions& named) const;
   bool IsRecentCancellation(int64_t revision) const;
   // Commits the transaction, with retries until its outcome is known or the deadline is near.
   void StartWrite(PendingWrite write, TimePoint deadline,
@@ -90,6 +92,9 @@
   void TryCommit(const std::shared_ptr<PendingWrite>& write);
   void OnCommit(const std::shared_ptr<PendingWrite>& write,
                 const Result<store::CommitResult>& result);
+  void OnVerdict(const std::shared_ptr<PendingWrite>& write, const WriteVerdict& verdict,
+                 const ExistingItems& existing);
+  void Revoke(const std::shared_ptr<PendingWrite>& write, std::error_code refusal, int64_t mark);
   void RetryCommit(const std::shared_ptr<PendingWrite>& write);
   void FinishWrite(const std::shared_ptr<PendingWrite>& write, std::error_code ec);
   template <class T>
--- a/src/entry/job_service_writes.cc
+++ b/src/entry/job_service_writes.cc
@@ -31,6 +31,8 @@
   store::Transaction transaction;
   // What a failed condition means, given the items of the conditions' keys.
   std::function<WriteVerdict(const ExistingItems&)> resolve;
+  // Makes a creation name another revision of CancelledKey. Unset for other writes.
+  std::function<void(PendingWrite*, int64_t)> rename;
   TimePoint began;
   TimePoint refused_deadline;    // end of the retries while the store refuses the commit
   TimePoint unknown_deadline;    // end of the retries once a response was lost
@@ -99,17 +101,24 @@
   PendingWrite create;
   create.name = "submit";
   create.job = job.id;
-  create.transaction.conditions = {
-      {JobKey(job.id), 0}, {CancelledKey(job.id), 0}, {kPoolFullKey, 0}};
   create.transaction.writes = {{JobKey(job.id), jobs::Encode(job), 0}};
-  create.resolve = [this, id = job.id, large_jobs_revision](const ExistingItems& existing) {
-    return CreationVerdict(id, existing, large_jobs_revision,
+  NameConditions(&create, {0, large_jobs_revision});
+  return create;
+}
+
+void JobService::NameConditions(PendingWrite* create, const CreationConditions& named) const {
+  const std::string& id = create->job;
+  create->transaction.conditions = {
+      {JobKey(id), 0}, {CancelledKey(id), named.mark}, {kPoolFullKey, 0}};
+  if (named.large_jobs)
+    create->transaction.conditions.push_back({kLargeJobsKey, *named.large_jobs});
+  create->resolve = [this, id, named](const ExistingItems& existing) {
+    return CreationVerdict(id, existing, named,
                            [this](int64_t revision) { return IsRecentCancellation(revision); });
   };
-  if (large_jobs_revision) {
-    create.transaction.conditions.push_back({kLargeJobsKey, *large_jobs_revision});
-  }
-  return create;
+  create->rename = [this, named](PendingWrite* write, int64_t mark) {
+    NameConditions(write, {mark, named.large_jobs});
+  };
 }
 
 void JobService::SubmitLarge(const jobs::Job& job, TimePoint retry_deadline, TimePoint deadline,
@@ -205,9 +214,7 @@
   RecordOutcome(result.ec);
   if (result.ok()) {
     if (result.value.committed) return FinishWrite(write, {});
-    const WriteVerdict verdict = write->resolve(result.value.existing);
-    if (verdict.is_final || !write->outcome_unknown) return FinishWrite(write, verdict.result);
-    return RetryCommit(write);
+    return OnVerdict(write, write->resolve(result.value.existing), result.value.existing);
   }
   // The lease of the write has ended, so the write has to be made anew.
   const bool has_lease = write->transaction.writes.front().lease != 0;
@@ -220,6 +227,36 @@
   RetryCommit(write);
 }
 
+void JobService::OnVerdict(const std::shared_ptr<PendingWrite>& write, const WriteVerdict& verdict,
+                           const ExistingItems& existing) {
+  if (verdict.revoked_by) {
+    write->outcome_unknown = false;
+    const auto rename = write->rename;  // which replaces itself
+    rename(write.get(), *verdict.revoked_by);
+    return TryCommit(write);
+  }
+  if (verdict.is_final || !write->outcome_unknown) return FinishWrite(write, verdict.result);
+  Revoke(write, verdict.result, RevisionOf(existing, CancelledKey(write->job)));
+}
+
+// A copy without an answer may still take effect. Once none can, the refusal is true.
+void JobService::Revoke(const std::shared_ptr<PendingWrite>& write, std::error_code refusal,
+                        int64_t mark) {
+  cancellation_lease_.Get(Now(), [this, write, refusal, mark](const Result<int64_t>& lease) {
+    RecordOutcome(lease.ec);
+    if (!lease.ok()) return RetryCommit(write);
+    store_->Commit(
+        RevocationOf(write->job, mark, refusal, lease.value), kMaxCommitTimeout,
+        [this, write, refusal, lease = lease.value](const Result<store::CommitResult>& result) {
+          RecordOutcome(result.ec);
+          if (result.ok() && result.value.committed) return FinishWrite(write, refusal);
+          if (result.ec == ResultCode::kNotFound) cancellation_lease_.Drop(lease);
+          // The next copy tells what has happened.
+          RetryCommit(write);
+        });
+  });
+}
+
 void JobService::RetryCommit(const std::shared_ptr<PendingWrite>& write) {
   const TimePoint until =
       write->outcome_unknown ? write->unknown_deadline : write->refused_deadline;
@@ -278,10 +315,10 @@
     forbid.job = id;
     // Written again if it exists, so that it lasts from the last cancellation on.
     forbid.transaction.conditions = {{JobKey(id), 0}};
-    forbid.transaction.writes = {{CancelledKey(id), "1", lease.value}};
+    forbid.transaction.writes = {{CancelledKey(id), kCancelledMark, lease.value}};
     // The job exists by now, and `again` reads it.
     forbid.resolve = [](const ExistingItems&) {
-      return WriteVerdict{ResultCode::kStoreCompareFailed, true};
+      return WriteVerdict{ResultCode::kStoreCompareFailed, true, std::nullopt};
     };
     StartWrite(std::move(forbid), deadline,
                [this, lease = lease.value, again, done](std::error_code ec) {
--- a/src/entry/keys.h
+++ b/src/entry/keys.h
@@ -20,6 +20,10 @@
 // kJobPrefix.
 inline constexpr const char* kCancelledPrefix = "pomelopond/cancelled/";
 inline std::string CancelledKey(const std::string& id) { return kCancelledPrefix + id; }
+// Values of the key. A revocation is no cancellation: it only makes the copies of a creation fail
+// that were sent before, so that their caller can be told truthfully that the job is refused.
+inline constexpr const char* kCancelledMark = "1";
+inline constexpr const char* kRevokedMark = "revoked";
 
 // Only the owner writes these keys, on the condition that the stored term is its own.
 inline constexpr const char* kProgressPrefix = "pomelopond/progress/";
--- a/src/entry/write_verdict.h
+++ b/src/entry/write_verdict.h
@@ -18,23 +18,37 @@
   // The condition stays failed, or the write has taken effect, so that no earlier copy can change
   // the result. Otherwise the result is true only if no copy is without an answer.
   bool is_final = true;
+  // Set if the creation was revoked: no copy so far can take effect, and another one has to name
+  // this revision of the mark.
+  std::optional<int64_t> revoked_by;
 };
 
 // Items of the keys that the conditions of a write name, as the store holds them.
 using ExistingItems = std::vector<store::Item>;
 
 bool Exists(const ExistingItems& items, const std::string& key);
+int64_t RevisionOf(const ExistingItems& items, const std::string& key);  // 0: it does not exist
 
-// The creation of a job. `large_jobs_revision` is the one that its condition on kLargeJobsKey
-// names, if it has one. `lasts` tells whether the key of a cancellation, given its revision,
+// Revisions that the conditions of a creation name.
+struct CreationConditions {
+  int64_t mark = 0;                   // of CancelledKey
+  std::optional<int64_t> large_jobs;  // of kLargeJobsKey; unset for a small job
+};
+
+// The creation of a job. `lasts` tells whether the mark of a cancellation, given its revision,
 // outlasts all copies of the creation.
 WriteVerdict CreationVerdict(const std::string& id, const ExistingItems& existing,
-                             std::optional<int64_t> large_jobs_revision,
+                             const CreationConditions& named,
                              const std::function<bool(int64_t)>& lasts);
 
 // The cancellation of a job, on the condition that its record has not changed.
 WriteVerdict CancellationVerdict(const std::string& id, const ExistingItems& existing);
 
+// A write after which no copy of the creation that was sent so far can take effect: they name
+// another revision of the mark. `refusal` is what the caller is told.
+store::Transaction RevocationOf(const std::string& id, int64_t mark, std::error_code refusal,
+                                int64_t lease);
+
 }  // namespace pomelopond::entry
 
 #endif  // POMELOPOND_ENTRY_WRITE_VERDICT_H_
--- a/tests/entry/late_creation_test.cc
+++ b/tests/entry/late_creation_test.cc
@@ -199,11 +199,31 @@
 
 // Guards against a submission that is refused and runs (review/13): a copy of its creation without
 // an answer takes effect once the pool has room again.
-TEST_F(LateCreationTest, CreationThatTheStoreHoldsBackIsNotRefusedWhileThePoolIsFull) {
+TEST_F(LateCreationTest, CreationThatTheStoreHoldsBackFailsAfterARefusalForAFullPool) {
   store.commit_behaviors = {CommitBehavior::kAppliedLate};
   store.Apply({{}, {{kPoolFullKey, "1", 0}}, {}});
   const auto outcome = Submit(0, IdOf(1));
   RunTimersUntilAnswered(0, outcome);
+  EXPECT_EQ(**outcome, std::error_code(ResultCode::kPoolFull));
+  store.Apply({{}, {}, {kPoolFullKey}});
+  store.ApplyDelayedCommits();
+  EXPECT_FALSE(IsRunnable(IdOf(1)));
+  // The caller comes back with the same id, at any host.
+  EXPECT_EQ(*Submit(1, IdOf(1)), std::error_code());
+  EXPECT_TRUE(IsRunnable(IdOf(1)));
+}
+
+// Guards against the same while the store does not tell whether the revocation has taken effect.
+TEST_F(LateCreationTest, CreationThatCannotBeRevokedIsNotRefused) {
+  store.commit_behaviors = {CommitBehavior::kAppliedLate};
+  store.Apply({{}, {{kPoolFullKey, "1", 0}}, {}});
+  const auto outcome = Submit(0, IdOf(1));
+  // Each second commit is a revocation.
+  for (int n = 0; n < 1000; ++n) {
+    store.commit_behaviors.push_back(CommitBehavior::kAnswered);
+    store.commit_behaviors.push_back(CommitBehavior::kRefused);
+  }
+  RunTimersUntilAnswered(0, outcome);
   store.Apply({{}, {}, {kPoolFullKey}});
   store.ApplyDelayedCommits();
   ASSERT_TRUE(IsRunnable(IdOf(1)));
@@ -211,21 +231,22 @@
 }
 
 // Guards against the same for the mark of an earlier cancellation that is about to end.
-TEST_F(LateCreationTest, CreationThatTheStoreHoldsBackIsNotRefusedForAMarkThatEnds) {
-  store.Apply({{}, {{CancelledKey(IdOf(1)), "1", 0}}, {}});
+TEST_F(LateCreationTest, CreationThatTheStoreHoldsBackFailsAfterTheMarkThatRefusedIt) {
+  constexpr int64_t kOldLease = 1000;
+  store.Apply({{}, {{CancelledKey(IdOf(1)), kCancelledMark, kOldLease}}, {}});
   store.commit_behaviors = {CommitBehavior::kAppliedLate};
   const auto outcome = Submit(0, IdOf(1));
   RunTimersUntilAnswered(0, outcome);
-  store.Apply({{}, {}, {CancelledKey(IdOf(1))}});
+  EXPECT_EQ(**outcome, std::error_code(ResultCode::kCancelled));
+  store.ExpireLease(kOldLease);
   store.ApplyDelayedCommits();
-  ASSERT_TRUE(IsRunnable(IdOf(1)));
-  EXPECT_EQ(**outcome, std::error_code(ResultCode::kOutcomeUnknown));
+  EXPECT_FALSE(IsRunnable(IdOf(1)));
 }
 
 // Guards against a caller that waits for nothing, or hears that the outcome is unknown, although
 // the mark outlasts all copies of the creation.
 TEST_F(LateCreationTest, RecentCancellationIsToldAtOnce) {
-  store.Apply({{}, {{CancelledKey(IdOf(1)), "1", 0}}, {}});
+  store.Apply({{}, {{CancelledKey(IdOf(1)), kCancelledMark, 0}}, {}});
   hosts[0]->revisions.Record(Now(), store.revision - 1);
   store.commit_behaviors = {CommitBehavior::kAppliedLate};
   const auto outcome = Submit(0, IdOf(1));
