A placement pauses after a bounded amount of work and goes on in the next decision

A decision tried all steps of all waiting jobs. Steps that fit nowhere, of which none is larger than another in all amounts, were each compared with all others or looked for on all workers, so the decision grew with the square of what clients send.

Change: a decision leaves the rest of its turns to the next one after 200,000 looks at workers, some 5 ms of a core, and the owner decides again at once. A placement that is paused is completed before another one begins, so that the last turns come. Amounts that fit nowhere are compared with 1,000 others at most.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -126,6 +126,8 @@
   size_t sorted = 0;                     // number of turns at the begin that are in order
   bool ended = false;                    // no further turn is taken
   bool limited = false;                  // it has met the limit of start orders in flight
+  bool paused = false;                   // the last decision has left turns for want of time
+  int64_t work = 0;                      // of the present decision, in looks at a worker
   ReservedCapacity reserved;             // by preemptions
   std::set<jobs::TaskId> preempted_for;  // tasks that wait for runs to stop
   UnplaceableRequests unplaceable;
@@ -207,6 +209,8 @@
   // True once a worker has answered that it follows a later owner.
   bool superseded() const { return superseded_; }
   const std::map<std::string, WorkerState>& workers() const { return workers_; }
+  // The last decision has left work for another one that should follow soon.
+  bool HasPausedPlacement() const { return placement_.paused; }
   const JobEntry* FindJob(const std::string& id) const;
   WaitingCounts CurrentWaitingCounts(int64_t wall_ms) const;
   PoolSummary Summary(TimePoint now, int64_t wall_ms) const;
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -31,6 +31,11 @@
 constexpr double kMaxSlowStartTailRatio = 1.2;
 // Number of workers in a permit order, unless many tasks wait.
 constexpr size_t kDefaultPermitWorkers = 30;
+// Work of a decision, in looks at a worker, after which it leaves the other turns to the next one.
+// It takes some 5 ms of a core. The last job may exceed it, by a look at each worker for each step.
+constexpr int64_t kWorkPerDecision = 200000;
+// Work of a step that is passed over, in the same unit.
+constexpr int64_t kWorkPerStep = 20;
 
 Duration PlacementPause(size_t waiting_jobs) {
   if (waiting_jobs <= kJobsWithoutPause) return Duration::zero();
@@ -106,7 +111,10 @@
   // Most decisions follow an answer that frees no capacity.
   const Duration interval =
       capacity_changed_ ? PlacementPause(placeable_.size()) : kPlacementInterval;
-  const bool begins = now >= placement_.began + interval;
+  // A placement that is paused is completed before the next one begins, so that its last turns
+  // come.
+  const bool goes_on = placement_.paused && !placement_.ended;
+  const bool begins = !goes_on && now >= placement_.began + interval;
   if (begins) BeginPlacement(now, wall_ms);
   ContinuePlacement(now, wall_ms, orders);
   if (begins) PlaceGangsAtLimit(now, wall_ms, orders);
@@ -142,7 +150,11 @@
 void Dispatcher::ContinuePlacement(TimePoint now, int64_t wall_ms, Orders* orders) {
   const bool changed = capacity_changed_;
   placement_.most_room.clear();
+  placement_.work = 0;
+  placement_.paused = false;
   while (!placement_.ended && placement_.next < placement_.turns.size() && !IsAtStartLimit()) {
+    placement_.paused = placement_.work >= kWorkPerDecision;
+    if (placement_.paused) break;
     SortNextTurns(&placement_);
     const size_t present = placement_.next;
     const PlacementTurn& turn = placement_.turns[present];
@@ -244,6 +256,7 @@
                            int64_t wall_ms, Orders* orders) {
   JobEntry* entry = turn.entry;
   const jobs::Step& what = entry->job.steps[static_cast<size_t>(step)];
+  placement_.work += kWorkPerStep;
   if (what.gang) return PlaceGang(entry, occurrence, step, now, wall_ms, orders);
   if (what.best_effort && !IsOwed(turn.kind) && !entry->job.rules.needs_permits) {
     const SpareProcessor& spare = placement_.spare_processors[entry->job.rules.service];
@@ -280,6 +293,7 @@
   const std::string& service = turn.entry->job.rules.service;
   bool& wanted = placement_.spare_processors[service].wanted;
   if (wanted || turn.kind != TurnKind::kOnTime) return;
+  placement_.work += static_cast<int64_t>(workers_.size());
   wanted = FitsEmptyWorker(workers_, service, step, now);
 }
 
@@ -292,6 +306,7 @@
   }
   PlacementRequest request = RequestOf(entry, id);
   request.task = task;
+  request.looks = &placement_.work;
   if (IsOwed(turn.kind)) AdmitOwedRun(*entry, turn.kind, now, &request);
   WorkerState* worker = ChooseWorker(index_, request, now);
   if (worker == nullptr) {
@@ -399,6 +414,7 @@
                             const PlacementRequest& request, TimePoint now) {
   if (request.step->best_effort) return false;
   if (placement_.preempted_for.count(id) > 0) return true;
+  placement_.work += static_cast<int64_t>(workers_.size());
   const std::optional<Preemption> choice =
       ChoosePreemption(workers_, request, entry.job.rules.priority, &placement_.reserved, now);
   if (!choice) return false;
--- a/src/dispatch/unplaceable_requests.cc
+++ b/src/dispatch/unplaceable_requests.cc
@@ -3,6 +3,12 @@
 #include <algorithm>
 
 namespace pomelopond::dispatch {
+namespace {
+
+// Each step is compared with all amounts of its class, of which none covers another one.
+constexpr size_t kMostNeeds = 1000;
+
+}  // namespace
 
 TaskClass ClassOf(const JobEntry& entry, const jobs::Step& step, bool owed_run) {
   TaskClass out;
@@ -20,6 +26,7 @@
                        const jobs::Step& step, bool owed_run) {
   if (step.max_per_worker > 0) return;
   std::vector<Resources>& needs = (*unplaceable)[ClassOf(entry, step, owed_run)];
+  if (needs.size() >= kMostNeeds) return;
   // Of two comparable amounts only the smaller one is kept, as it covers the larger one.
   needs.erase(std::remove_if(needs.begin(), needs.end(),
                              [&step](const Resources& it) { return Fits(step.request, it); }),
--- a/src/entry/pool_owner.cc
+++ b/src/entry/pool_owner.cc
@@ -264,6 +264,7 @@
   Measure(&turn_times_, OwnerWork::kDecide,
           [&] { orders = dispatcher_->Decide(now, WallClockMs()); });
   Measure(&turn_times_, OwnerWork::kSend, [&] { Send(orders); });
+  if (dispatcher_->HasPausedPlacement()) loop_->Post([] {});
   if (dispatcher_->superseded()) return StepDown("a worker reported a later epoch");
   Measure(&turn_times_, OwnerWork::kCommit, [&] { WriteCommit(); });
   VerifyTermForNewJobs();
--- a/tests/dispatch/hard_jobs_test.cc
+++ b/tests/dispatch/hard_jobs_test.cc
@@ -134,5 +134,30 @@
   EXPECT_TRUE(HasStarted(IdOf(99)));
 }
 
+// Guards against the same for ordinary steps that fit nowhere, of which none is larger than another
+// in all amounts: each has to be compared with the others, or to be looked for on all workers.
+TEST_F(HardJobsTest, DistinctStepsThatFitNowhereCostADecisionLittle) {
+  constexpr int kJobs = 20;
+  constexpr int kSteps = 1000;
+  std::vector<WorkerInfo> infos;
+  for (int n = 1; n <= 400; ++n) {
+    infos.push_back(MakeWorker("w" + std::to_string(n)));
+    infos.back().capacity = n % 2 == 0 ? Resources{16000, 1000, 0} : Resources{1000, 64000, 0};
+  }
+  it.AddWorkers(infos);
+  for (int n = 0; n < kJobs; ++n) {
+    std::vector<jobs::Step> steps;
+    for (int k = 1; k <= kSteps; ++k) {
+      steps.push_back(MakeStep(1, 1000 + k));
+      steps.back().request.memory_mb = 1001 + (kSteps - k) * kJobs + n;
+    }
+    Add(IdOf(n), steps);
+  }
+  Add(IdOf(99), {MakeStep(1)});
+  DecideFor(milliseconds(1000));
+  EXPECT_LE(longest, kDecisionBound) << longest.count() << " us";
+  EXPECT_TRUE(HasStarted(IdOf(99)));
+}
+
 }  // namespace
 }  // namespace pomelopond::dispatch
