--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -265,7 +265,6 @@
   if (IsUnplaceable(placement_.unplaceable, *entry, what, IsOwed(turn.kind))) return;
   jobs::TaskId id{entry->job.id, occurrence, step, 0};
   const StepState* state = StepStateOf(entry, id);
-  // A task that has failed may start on fewer workers than the others of its class.
   bool passes_over_failed = false;
   for (id.index = 0; id.index < static_cast<int>(state->tasks.size()); ++id.index) {
     const TaskState& task = state->tasks[static_cast<size_t>(id.index)];
@@ -276,8 +275,7 @@
     if (has_failed && passes_over_failed) continue;
     const bool placed = PlaceTask(turn, id, now, orders);
     if (placed && IsOwed(turn.kind)) return;
-    passes_over_failed = passes_over_failed || (has_failed && !placed);
-    if (placed || (has_failed && !what.perpetual)) continue;
+    if (placed) continue;
     if (turn.kind == TurnKind::kFirstRun) {
       placement_.spare_processors[entry->job.rules.service].short_of_first_runs = true;
     }
@@ -285,6 +283,9 @@
     // other steps may still find a worker.
     if (entry->job.rules.needs_permits) return;
     if (what.best_effort) RecordWanted(turn, what, now);
+    // A task that has failed may start on fewer workers than the others of its class.
+    passes_over_failed = has_failed && !what.perpetual;
+    if (passes_over_failed) continue;
     return RecordUnplaceable(&placement_.unplaceable, *entry, what, IsOwed(turn.kind));
   }
 }
