--- a/spec/late_creation.pml
+++ b/spec/late_creation.pml
@@ -1,6 +1,6 @@
 /* A job that is cancelled while its creation is under way (docs/platform.md, Acceptance).
  *
- * Code: src/entry/job_service_writes.cc (Submit, TryCancel, CancelUnknown).
+ * Code: src/entry/job_service_writes.cc (Submit), src/entry/job_service_cancel.cc (TryCancel, CancelUnknown).
  * Bounds: one job, two copies of its creation and two cancellations, each at any time and on any host. Each
  * transaction of the store is one step. A read and the transaction that follows are two steps. The lease of the
  * cancellation mark is taken to last longer than any creation is under way.
--- a/spec/refused_creation.pml
+++ b/spec/refused_creation.pml
@@ -1,7 +1,7 @@
 /* A creation that is refused because the pool is full, beside copies of it without an answer (docs/platform.md,
  * Acceptance).
  *
- * Code: src/entry/write_verdict.h, src/entry/job_service_writes.cc (OnVerdict, Revoke).
+ * Code: src/entry/write_verdict.h, src/entry/job_service_commits.cc (OnVerdict, Revoke).
  * Bounds: one job, one host, three copies of the creation. The store may carry out a copy without an answer at any
  * later time, if its condition holds then; the revocation, whose answer may be lost as well, makes the condition of all
  * copies so far fail. The pool is full and has room in turn. Each transaction of the store is one step. The mark of the
--- a/src/entry/job_service_writes.cc
+++ b/src/entry/job_service_writes.cc
@@ -1,5 +1,4 @@
-// The part of JobService that writes: jobs that callers submit and cancel.
-#include <algorithm>
+// The part of JobService that creates jobs.
 #include <cstdlib>
 #include <utility>
 
@@ -7,6 +6,7 @@
 #include "base/result_code.h"
 #include "dispatch/job_memory.h"
 #include "entry/internal/job_service_retries.h"
+#include "entry/internal/pending_write.h"
 #include "entry/job_service.h"
 #include "entry/keys.h"
 #include "entry/write_verdict.h"
@@ -15,31 +15,11 @@
 namespace pomelopond::entry {
 namespace {
 
-// Maximum time to retry a refused commit. A store that refuses calls for this long is unlikely to
-// accept one before the caller's deadline.
-constexpr Duration kMaxRefusedTime = std::chrono::milliseconds(300);
-constexpr Duration kMaxCommitTimeout = std::chrono::milliseconds(800);
 // The store carries out a write that it does not answer within this time, or never.
 constexpr Duration kLongestLateWrite = std::chrono::seconds(60);
 
 }  // namespace
 
-// The write of one key, which is retried until its outcome is known.
-struct JobService::PendingWrite {
-  const char* name = "";
-  std::string job;
-  store::Transaction transaction;
-  // What a failed condition means, given the items of the conditions' keys.
-  std::function<WriteVerdict(const ExistingItems&)> resolve;
-  // Makes a creation name another revision of CancelledKey. Unset for other writes.
-  std::function<void(PendingWrite*, int64_t)> rename;
-  TimePoint began;
-  TimePoint refused_deadline;    // end of the retries while the store refuses the commit
-  TimePoint unknown_deadline;    // end of the retries once a response was lost
-  bool outcome_unknown = false;  // an earlier attempt may still take effect
-  std::function<void(std::error_code)> done;
-};
-
 void JobService::Submit(const jobs::Job& job, TimePoint deadline,
                         std::function<void(std::error_code)> done,
                         const std::function<void(Duration)>& retry_after) {
@@ -179,156 +159,4 @@
   });
 }
 
-void JobService::StartWrite(PendingWrite pending, TimePoint deadline,
-                            std::function<void(std::error_code)> done) {
-  const auto write = std::make_shared<PendingWrite>(std::move(pending));
-  write->began = Now();
-  write->refused_deadline = RetryDeadline(write->began, kMaxRefusedTime, deadline);
-  write->unknown_deadline = RetryDeadline(write->began, kMaxUnknownTime, deadline);
-  write->done = std::move(done);
-  TryCommit(write);
-}
-
-void JobService::FinishWrite(const std::shared_ptr<PendingWrite>& write, std::error_code ec) {
-  const TimePoint now = Now();
-  metrics_->Count(metrics::Labelled(std::string(write->name) + "_total", "result",
-                                    ResultName(static_cast<ResultCode>(ec.value()))));
-  metrics_->Observe(std::string(write->name) + "_time", now - write->began);
-  Log(LogLevel::kInfo, "jobs", write->name,
-      {{"job", write->job},
-       {"result", ResultName(static_cast<ResultCode>(ec.value()))},
-       {"ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - write->began).count()}});
-  write->done(ec);
-}
-
-void JobService::TryCommit(const std::shared_ptr<PendingWrite>& write) {
-  const Duration timeout =
-      std::clamp<Duration>(write->unknown_deadline - Now(), kRetryDelay, kMaxCommitTimeout);
-  store_->Commit(
-      write->transaction, timeout,
-      [this, write](const Result<store::CommitResult>& result) { OnCommit(write, result); });
-}
-
-void JobService::OnCommit(const std::shared_ptr<PendingWrite>& write,
-                          const Result<store::CommitResult>& result) {
-  RecordOutcome(result.ec);
-  if (result.ok()) {
-    if (result.value.committed) return FinishWrite(write, {});
-    return OnVerdict(write, write->resolve(result.value.existing), result.value.existing);
-  }
-  // The lease of the write has ended, so the write has to be made anew.
-  const bool has_lease = write->transaction.writes.front().lease != 0;
-  if (has_lease && result.ec == ResultCode::kNotFound) {
-    return FinishWrite(write, ResultCode::kStoreCompareFailed);
-  }
-  // Earlier copies were the same, so none of them has taken effect.
-  if (result.ec == ResultCode::kStoreRejected) return FinishWrite(write, result.ec);
-  if (result.ec != ResultCode::kStoreUnavailable) write->outcome_unknown = true;
-  RetryCommit(write);
-}
-
-void JobService::OnVerdict(const std::shared_ptr<PendingWrite>& write, const WriteVerdict& verdict,
-                           const ExistingItems& existing) {
-  if (verdict.revoked_by) {
-    write->outcome_unknown = false;
-    const auto rename = write->rename;  // which replaces itself
-    rename(write.get(), *verdict.revoked_by);
-    return TryCommit(write);
-  }
-  if (verdict.is_final || !write->outcome_unknown) return FinishWrite(write, verdict.result);
-  Revoke(write, verdict.result, RevisionOf(existing, CancelledKey(write->job)));
-}
-
-// A copy without an answer may still take effect. Once none can, the refusal is true.
-void JobService::Revoke(const std::shared_ptr<PendingWrite>& write, std::error_code refusal,
-                        int64_t mark) {
-  cancellation_lease_.Get(Now(), [this, write, refusal, mark](const Result<int64_t>& lease) {
-    RecordOutcome(lease.ec);
-    if (!lease.ok()) return RetryCommit(write);
-    store_->Commit(
-        RevocationOf(write->job, mark, refusal, lease.value), kMaxCommitTimeout,
-        [this, write, refusal, lease = lease.value](const Result<store::CommitResult>& result) {
-          RecordOutcome(result.ec);
-          if (result.ok() && result.value.committed) return FinishWrite(write, refusal);
-          if (result.ec == ResultCode::kNotFound) cancellation_lease_.Drop(lease);
-          // The next copy tells what has happened.
-          RetryCommit(write);
-        });
-  });
-}
-
-void JobService::RetryCommit(const std::shared_ptr<PendingWrite>& write) {
-  const TimePoint until =
-      write->outcome_unknown ? write->unknown_deadline : write->refused_deadline;
-  if (Now() + kRetryDelay < until) {
-    return timer_(kRetryDelay, [this, write] { TryCommit(write); });
-  }
-  FinishWrite(write,
-              write->outcome_unknown ? ResultCode::kOutcomeUnknown : ResultCode::kStoreUnavailable);
-}
-
-void JobService::Cancel(const std::string& id, TimePoint deadline,
-                        const std::function<void(std::error_code)>& done) {
-  if (!Admit("cancel", id)) return done(ResultCode::kStoreUnavailable);
-  TryCancel(id, RetryDeadline(Now(), kMaxUnknownTime, deadline), deadline, done);
-}
-
-void JobService::TryCancel(const std::string& id, TimePoint retry_deadline, TimePoint deadline,
-                           const std::function<void(std::error_code)>& done) {
-  const auto again = [this, id, retry_deadline, deadline, done](std::error_code ec) {
-    RetryRead<int>(
-        retry_deadline, ec,
-        [this, id, retry_deadline, deadline, done] {
-          TryCancel(id, retry_deadline, deadline, done);
-        },
-        [done](const Result<int>& result) { done(result.ec); });
-  };
-  store_->Get(JobKey(id), [this, id, deadline, again, done](const Result<store::Item>& item) {
-    if (!item.ok()) return again(item.ec);
-    if (item.value.revision == 0) return CancelUnknown(id, deadline, again, done);
-    PendingWrite cancel;
-    cancel.name = "cancel";
-    cancel.job = id;
-    cancel.transaction.conditions = {{JobKey(id), item.value.revision}, {CancelKey(id), 0}};
-    cancel.transaction.writes = {{CancelKey(id), "1", 0}};
-    cancel.resolve = [id](const ExistingItems& existing) {
-      return CancellationVerdict(id, existing);
-    };
-    StartWrite(std::move(cancel), deadline, [again, done](std::error_code ec) {
-      // The job has been removed in the meantime.
-      if (ec == ResultCode::kStoreCompareFailed) return again(ec);
-      done(ec);
-    });
-  });
-}
-
-// The caller is told that no such job exists, so a creation that was sent before must not take
-// effect afterwards. It may be held by a host that is frozen, or by the store.
-void JobService::CancelUnknown(const std::string& id, TimePoint deadline,
-                               const std::function<void(std::error_code)>& again,
-                               const std::function<void(std::error_code)>& done) {
-  cancellation_lease_.Get(Now(), [this, id, deadline, again, done](const Result<int64_t>& lease) {
-    RecordOutcome(lease.ec);
-    if (!lease.ok()) return again(lease.ec);
-    PendingWrite forbid;
-    forbid.name = "cancel_unknown";
-    forbid.job = id;
-    // Written again if it exists, so that it lasts from the last cancellation on.
-    forbid.transaction.conditions = {{JobKey(id), 0}};
-    forbid.transaction.writes = {{CancelledKey(id), kCancelledMark, lease.value}};
-    // The job exists by now, and `again` reads it.
-    forbid.resolve = [](const ExistingItems&) {
-      return WriteVerdict{ResultCode::kStoreCompareFailed, true, std::nullopt};
-    };
-    StartWrite(std::move(forbid), deadline,
-               [this, lease = lease.value, again, done](std::error_code ec) {
-                 if (!ec) return done(ResultCode::kNotFound);
-                 if (ec != ResultCode::kStoreCompareFailed) return done(ec);
-                 // The job exists by now, or the lease has ended.
-                 cancellation_lease_.Drop(lease);
-                 again(ec);
-               });
-  });
-}
-
 }  // namespace pomelopond::entry
