--- a/src/dispatch/failures.cc
+++ b/src/dispatch/failures.cc
@@ -22,8 +22,8 @@
 // Failed runs of a step say nothing more of a worker once runs of the step have failed on this many
 // other workers: the task itself is at fault.
 constexpr size_t kWorkersThatClearOthers = 2;
-// For this time. Perpetual tasks that fail after they have worked for long fail once in a while on
-// each worker.
+// Time for which a failure of a step counts. Perpetual tasks that fail after they have worked for
+// long fail once in a while on each worker.
 constexpr Duration kStepFailureMemory = std::chrono::seconds(60);
 
 // The attempt that is not spent on a suspect worker.
--- a/tests/dispatch/hard_jobs_test.cc
+++ b/tests/dispatch/hard_jobs_test.cc
@@ -97,7 +97,8 @@
   EXPECT_FALSE(HasStarted(IdOf(1)));
 }
 
-// Guards against the same for a gang whose members find room.
+// Guards against the same for a gang whose members find room. Their start cannot be divided, so it
+// may take the processor time of half the lease.
 TEST_F(HardJobsTest, LargestGangStartsInOneDecision) {
   AddWorkers(kWorkers);
   Add(IdOf(1), {GangOf(kMostReplicas)});
