A trial that fails does not keep its worker suspect for longer

Each trial a second renewed the suspicion, so it never ended, and all but one task a second waited.

Change: only failures of runs that were started while the worker was not suspect renew it; the first start after the backoff makes the worker suspect only with rescue_slow_runs, as before.

--- a/src/dispatch/failures.cc
+++ b/src/dispatch/failures.cc
@@ -50,9 +50,9 @@
   return others < kWorkersThatClearOthers;
 }
 
-void CountFailure(WorkerState* worker, TimePoint now) {
+void CountFailure(WorkerState* worker, bool trial, TimePoint now) {
   worker->failures += 1;
-  if (worker->failures < kFailuresBeforeBackoff) return;
+  if (worker->failures < kFailuresBeforeBackoff || trial) return;
   Duration backoff = kFailureBackoff;
   for (int n = kFailuresBeforeBackoff; n < worker->failures && backoff < kMaxFailureBackoff; ++n) {
     backoff *= 2;
@@ -71,12 +71,15 @@
   worker->suspect_until = TimePoint{};
 }
 
-bool RecordTrial(WorkerState* worker, bool perpetual, TimePoint now) {
-  const bool trial = !perpetual && worker->failures >= kFailuresBeforeBackoff;
-  if (trial) worker->suspect_until = std::max(worker->suspect_until, now + kTrialTime);
-  if (perpetual) worker->next_perpetual_trial = now + kPerpetualTrialInterval;
-  if (!perpetual) worker->next_trial = now + kTrialInterval;
-  return trial;
+bool RecordTrial(WorkerState* worker, RunState* run, bool one_by_one, TimePoint now) {
+  run->is_trial = IsSuspect(*worker, now);
+  const bool after_failures = !run->perpetual && worker->failures >= kFailuresBeforeBackoff;
+  if (after_failures && one_by_one) {
+    worker->suspect_until = std::max(worker->suspect_until, now + kTrialTime);
+  }
+  if (run->perpetual) worker->next_perpetual_trial = now + kPerpetualTrialInterval;
+  if (!run->perpetual) worker->next_trial = now + kTrialInterval;
+  return after_failures;
 }
 
 bool MayTry(const WorkerState& worker, const PlacementRequest& request, TimePoint now) {
--- a/src/dispatch/failures.h
+++ b/src/dispatch/failures.h
@@ -16,19 +16,21 @@
 bool IsSuspect(const WorkerState& worker, TimePoint now);
 
 // Records that a run of the step failed on `worker`. Returns true when that counts against the
-// worker: a step that has failed on several other workers a moment ago is at fault itself.
+// worker: a step that has failed on several other workers in the last minute is at fault itself.
 bool RecordStepFailure(StepState* step, const std::string& worker, TimePoint now);
 
-// Counts a failed run against the worker, which may make it suspect.
-void CountFailure(WorkerState* worker, TimePoint now);
+// Counts a failed run against the worker, which may make it suspect. The failure of a trial does
+// not keep it suspect for longer: tasks that fail everywhere would do so for ever.
+void CountFailure(WorkerState* worker, bool trial, TimePoint now);
 
 // A run on the worker is done, so the worker is not at fault.
 void ClearSuspicion(WorkerState* worker);
 
 // Records a start on the worker. On a suspect one it is a trial: until the worker completes a run,
 // it gets one from time to time, whether its backoff is over or not, and whatever fails there
-// meanwhile. Returns true for a trial of a task that is not perpetual.
-bool RecordTrial(WorkerState* worker, bool perpetual, TimePoint now);
+// meanwhile. `one_by_one`: so is the first start after the backoff, which makes the worker suspect
+// again. Returns true for a start on a worker whose last runs have failed.
+bool RecordTrial(WorkerState* worker, RunState* run, bool one_by_one, TimePoint now);
 
 // True when the task may start on a suspect worker now. Each failure there costs an attempt, so the
 // last one is kept for another worker, and no task, or gang, fails on the same one twice.
--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -147,6 +147,7 @@
   RecordStart(FindEntry(end.id.task.job));
   BeginReported(end.id.task, wall_ms);
   const auto run = worker->runs.find(end.id);
+  const bool trial = run != worker->runs.end() && run->second.is_trial;
   const Duration took = run == worker->runs.end() ? Duration::zero() : now - run->second.ordered_at;
   if (run != worker->runs.end()) {
     LogWatchedRun(*worker, end, run->second, now);
@@ -161,7 +162,7 @@
   // A task without state is over; its failure tells nothing that counts.
   if (end.kind == EndKind::kFailed &&
       (entry == nullptr || (state != nullptr && RecordStepFailure(state, worker->info.id, now)))) {
-    CountFailure(worker, now);
+    CountFailure(worker, trial, now);
   }
   // The end changes nothing, perhaps because of a change that is not durable itself.
   if (task == nullptr || jobs::IsFinal(entry->state)) return !IsDurable(end.id.task.job);
@@ -287,7 +288,7 @@
   if (run.best_effort) return;
   FindTask(entry, id.task)->failed_on.insert(worker->info.id);
   if (RecordStepFailure(StepStateOf(entry, id.task), worker->info.id, now)) {
-    CountFailure(worker, now);
+    CountFailure(worker, run.is_trial, now);
   }
 }
 
--- a/src/dispatch/task_placement.cc
+++ b/src/dispatch/task_placement.cc
@@ -170,7 +170,7 @@
       std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(
           ExpectedMs(durations_, step) / ExpectedSpeed(worker->speed)));
   RecordStartOnSlowWorker(&worker->speed, now);
-  const bool trial = RecordTrial(worker, worker->runs.at(id).perpetual, now);
+  const bool trial = RecordTrial(worker, &worker->runs.at(id), limits_.rescue_slow_runs, now);
   if (trial && TakeRescueLine(now)) {
     Log(LogLevel::kInfo, "dispatch", "worker_trial",
         {{"worker", worker->info.id},
--- a/src/dispatch/worker_table.h
+++ b/src/dispatch/worker_table.h
@@ -72,7 +72,8 @@
   TimePoint next_call;     // earliest time of the next order for the run
   RunProgress progress;
   SpeedMeter meter;
-  bool is_copy = false;  // started beside another run of its task
+  bool is_copy = false;   // started beside another run of its task
+  bool is_trial = false;  // started on a suspect worker
   // Time that reports cover without a change of the progress.
   Duration without_progress{};
   int64_t load = 0;       // as last reported; see ActiveRun
--- a/tests/dispatch/job_wait_test.cc
+++ b/tests/dispatch/job_wait_test.cc
@@ -128,7 +128,9 @@
       {"reserved", WorkerWith(memory)},   {"busy", WorkerWith(batch)},
       {"slow", WorkerWith(service, 100)}, {"sensitive", WorkerWith(service, 50)}};
   workers["silent"].unanswered_calls = 1;
+  // Its last trial was a moment ago.
   workers["suspect"].suspect_until = TimePoint(seconds(1));
+  workers["suspect"].next_trial = TimePoint(seconds(1));
   workers["elsewhere"].info.service = "other";
   ColocationModel colocation;
   colocation.baseline_tail_ms["service"] = 79;  // 12 cores lengthen it beyond 80
