--- a/tests/entry/owner_turns_test.cc
+++ b/tests/entry/owner_turns_test.cc
@@ -21,32 +21,32 @@
 constexpr int kLargeJobs = 100;
 #endif
 
-// Records the longest time between two renewals of a lease.
+// Records the longest time between two renewals_ of a lease.
 class RenewedStore : public MemoryStore {
  public:
   void RenewLease(int64_t lease, store::StoreCallback<store::Lease> done) override {
     {
       const std::lock_guard<std::recursive_mutex> lock(mutex);
       const TimePoint now = Now();
-      if (renewals > 0) longest_gap = std::max<Duration>(longest_gap, now - renewed_at);
-      renewed_at = now;
-      renewals += 1;
+      if (renewals_ > 0) longest_gap_ = std::max<Duration>(longest_gap_, now - renewed_at_);
+      renewed_at_ = now;
+      renewals_ += 1;
     }
     MemoryStore::RenewLease(lease, std::move(done));
   }
   Duration LongestGap() {
     const std::lock_guard<std::recursive_mutex> lock(mutex);
-    return longest_gap;
+    return longest_gap_;
   }
   int Renewals() {
     const std::lock_guard<std::recursive_mutex> lock(mutex);
-    return renewals;
+    return renewals_;
   }
 
  private:
-  Duration longest_gap{};
-  TimePoint renewed_at;
-  int renewals = 0;
+  Duration longest_gap_{};
+  TimePoint renewed_at_;
+  int renewals_ = 0;
 };
 
 // Takes the time of an order on a slow host for each start.
