--- a/tests/entry/owner_turns_test.cc
+++ b/tests/entry/owner_turns_test.cc
@@ -21,7 +21,7 @@
 constexpr int kLargeJobs = 100;
 #endif
 
-// Records the longest time between two renewals_ of a lease.
+// Records the longest time between two renewals of a lease.
 class RenewedStore : public MemoryStore {
  public:
   void RenewLease(int64_t lease, store::StoreCallback<store::Lease> done) override {
