--- a/tests/http/thread_pool_test.cc
+++ b/tests/http/thread_pool_test.cc
@@ -12,15 +12,6 @@
 
 constexpr Duration kTimeout = std::chrono::seconds(20);
 
-// Drains the pool before the process ends. At exit, the library discards the work still queued and
-// does not free it, which the leak check reports for whichever test ran last.
-class DrainedExit : public testing::Environment {
- public:
-  void TearDown() override { EXPECT_TRUE(DrainThreadPool(kTimeout)); }
-};
-
-const testing::Environment* const kDrainedExit = testing::AddGlobalTestEnvironment(new DrainedExit);
-
 // Guards against a drain that ends while running work is about to queue more.
 TEST(ThreadPoolTest, DrainRunsWorkThatOtherWorkQueues) {
   constexpr int kSteps = 20;
