--- a/tests/entry/owner_support.h
+++ b/tests/entry/owner_support.h
@@ -36,17 +36,22 @@
  public:
   void Heartbeat(const dispatch::HeartbeatOrder&,
                  std::function<void(dispatch::Report)> done) override {
-    if (!reported_.exchange(true)) done({{dispatch::OrderStatus::kAccepted, 1, 1}, {}, {}});
+    if (!reported_.exchange(true)) done({Accepted(), {}, {}});
   }
   void Start(const dispatch::StartOrder&, std::function<void(dispatch::Answer)> done) override {
     starts += 1;
-    if (answers_starts) done({dispatch::OrderStatus::kAccepted, 1, 1});
+    if (answers_starts) done(Accepted());
   }
 
   std::atomic<int> starts{0};
   std::atomic<bool> answers_starts{true};
 
  private:
+  // The worker's clock runs like the local one.
+  static dispatch::Answer Accepted() {
+    return {dispatch::OrderStatus::kAccepted, Milliseconds(Now().time_since_epoch()), 1};
+  }
+
   std::atomic<bool> reported_{false};
 };
 
