--- a/tests/soak/entry_soak_test.cc
+++ b/tests/soak/entry_soak_test.cc
@@ -34,6 +34,11 @@
 constexpr int kMaxAttempts = 3;
 constexpr int kMaxReplicas = 4;
 constexpr int64_t kTaskMs = 300;
+// The first workers run each task for longer than their longest lease, 10 s.
+constexpr int kLongWorkers = 2;
+constexpr int64_t kLongTaskMs = 11000;
+// They have room for more, as a worker whose room is taken gets no start after a restart.
+constexpr int64_t kLongWorkerCpuMilli = 64000;
 constexpr int64_t kWorkersKnownMs = 4000;
 constexpr Duration kCallTimeout = std::chrono::seconds(3);
 // Callers may be told what was true this long before their request.
@@ -48,7 +53,7 @@
 constexpr int64_t kEvacuateMs = 5000;
 // The failure domain of all workers.
 constexpr const char* kEvacuationKey = "op/evacuate/seeb-a";
-// All jobs have to be completed this long after the last trouble.
+// All jobs have to be completed this long after the last trouble, besides the time of a long task.
 constexpr Duration kFinishTime = std::chrono::seconds(30);
 constexpr const char* kQueueHost = "nony24.example";
 
@@ -87,7 +92,8 @@
       options.id = "i-5ea4c10" + std::to_string(n);
       options.address = "127.0.0." + std::to_string(80 + n);
       options.service = review::kService;
-      options.task_ms = kTaskMs;
+      options.task_ms = n < kLongWorkers ? kLongTaskMs : kTaskMs;
+      if (n < kLongWorkers) options.cpu_milli = kLongWorkerCpuMilli;
       workers_.push_back(new review::Worker(options, &cluster_->store, &cluster_->ledger));
       workers_.back()->Start();
     }
@@ -127,6 +133,7 @@
   void MakeTrouble(Random* random);
   void StopHost(Random* random, int signal, Duration pause);
   void FailWorker(Random* random);
+  void RestartAndCutWorker(Random* random);
   void AddQueue();
   void StopStore(Duration length);
   void SlowStore(int delay_ms, Duration length);
@@ -149,6 +156,7 @@
   std::multimap<TimePoint, std::function<void()>> ends_;  // of troubles
   std::set<size_t> troubled_hosts_;
   std::set<size_t> troubled_workers_;
+  int restart_cuts_ = 0;  // cuts after a restart that a start has brought about
   bool store_troubled_ = false;
   std::atomic<int> commit_delay_ms_{0};  // between the effect of a commit and its answer
   int config_version_ = 1;
@@ -351,6 +359,25 @@
   });
 }
 
+// A worker with long tasks starts again, is cut off at the next start that it carries out, and
+// registers only after that.
+void EntrySoakTest::RestartAndCutWorker(Random* random) {
+  const size_t n = static_cast<size_t>(random->Between(0, kLongWorkers - 1));
+  if (!troubled_workers_.insert(n).second) return;
+  review::Worker* worker = workers_[n];
+  worker->Crash();
+  const Duration down = random->MsBetween(50, 1000);
+  const int cut_ms = random->Between(3000, 10000);
+  After(down, [worker, cut_ms] {
+    worker->CutAtNextStart();
+    worker->StartAgain(std::chrono::milliseconds(cut_ms));
+  });
+  After(down + std::chrono::milliseconds(cut_ms), [this, n, worker] {
+    restart_cuts_ += worker->EndCut() ? 1 : 0;
+    troubled_workers_.erase(n);
+  });
+}
+
 void EntrySoakTest::AddQueue() {
   const std::lock_guard<std::mutex> lock(mutex_);
   std::vector<std::string> prefixes;
@@ -415,7 +442,7 @@
 }
 
 void EntrySoakTest::MakeTrouble(Random* random) {
-  switch (random->Between(0, 12)) {
+  switch (random->Between(0, 16)) {
     case 0:
     case 1:
       return StopHost(random, SIGSTOP, random->MsBetween(500, 6000));
@@ -437,6 +464,11 @@
       return LapseAndLoseOwner(random);
     case 10:
       return Evacuate(random->MsBetween(2000, 9000));
+    case 11:
+    case 12:
+    case 13:
+    case 14:
+      return RestartAndCutWorker(random);
     default:
       return FailWorker(random);
   }
@@ -479,7 +511,7 @@
   EndTroubles(true);
   stopping_.store(true);
   for (std::thread& it : callers) it.join();
-  const TimePoint finish = Now() + kFinishTime;
+  const TimePoint finish = Now() + kFinishTime + std::chrono::milliseconds(kLongTaskMs);
   while (!AllCompleted() && Now() < finish) review::SleepMs(100);
   EXPECT_TRUE(AllCompleted()) << "jobs are lost";
   for (const std::string& it : faults_) ADD_FAILURE() << it;
@@ -490,7 +522,7 @@
   EXPECT_GT(left_jobs_.size(), 0U);
   EXPECT_GT(recent_counts_.load(), 0);
   std::cout << jobs_.size() << " jobs, " << recent_counts_.load() << " counts, "
-            << evacuations_.size() << " evacuations\n";
+            << evacuations_.size() << " evacuations, " << restart_cuts_ << " cuts after restarts\n";
   cluster_->ledger.Write("record-" + std::to_string(FromEnvironment("SOAK_SEED", 1)) + ".txt");
 }
 
