--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -164,6 +164,7 @@
     state.unanswered_heartbeats = kHeartbeatsBeforeBound;
   }
   state.lease_ends = now + left;
+  state.inherited_until = state.lease_ends;
   CheckSoon(state);
   unreconciled_.insert(worker.id);
   Reindex(&index_, &state);
--- a/src/dispatch/job_table.h
+++ b/src/dispatch/job_table.h
@@ -35,7 +35,7 @@
   int64_t last_run = 0;             // highest run number used
   // The one run that earlier owners can have left was active when none of them could be told of its
   // end any more. Set for perpetual tasks only: another task may already be done by an earlier run
-  // whose end is not known yet.
+  // whose end is not known yet. Until that run is lost with its worker.
   bool adopted = false;
   int rescues = 0;  // from slow workers
   TimePoint rescued_at{};
--- a/src/dispatch/restarts.cc
+++ b/src/dispatch/restarts.cc
@@ -19,6 +19,10 @@
   Log(LogLevel::kInfo, "dispatch", "run_lost",
       {{"job", id.task.job}, {"run", id.run}, {"worker", worker->info.id}});
   EndRun(worker, id);
+  JobEntry* entry = FindEntry(id.task.job);
+  TaskState* task = entry == nullptr ? nullptr : FindTask(entry, id.task);
+  // An earlier owner may notice the loss as well, and start the task on a worker that obeys it.
+  if (task != nullptr) task->adopted = false;
 }
 
 void Dispatcher::MarkRunsLost(WorkerState* worker, TimePoint now) {
@@ -41,6 +45,12 @@
   }
   for (const RunId& it : lost) LoseRun(worker, it);
   ForgetIncarnation(worker, now);
+  if (now < worker->inherited_until) {
+    // The new incarnation has forgotten the epoch of this owner, so it obeys an earlier one as
+    // well.
+    unreconciled_.insert(worker->info.id);
+    worker->lease_ends = std::max(worker->lease_ends, worker->inherited_until);
+  }
   if (worker->runs.empty()) return;
   unsettled_workers_.insert(worker->info.id);
   // The end of the lease in the order is a time on the clock of the earlier incarnation, so on the
--- a/src/dispatch/worker_table.h
+++ b/src/dispatch/worker_table.h
@@ -124,8 +124,10 @@
   // The worker has answered as an incarnation that is not registered yet, so it may have another
   // capacity and other labels than `info`.
   bool info_outdated = false;
-  bool recorded = false;     // contained in the durable list of workers in use
-  bool inherited = false;    // an earlier owner may have started runs that are not known yet
+  bool recorded = false;   // contained in the durable list of workers in use
+  bool inherited = false;  // an earlier owner may have started runs that are not known yet
+  // An earlier owner that does not know of its replacement may extend leases until then.
+  TimePoint inherited_until{};
   bool contacted = false;    // has answered this owner and so obeys no earlier one
   TimePoint contacted_at{};  // when `contacted` was set
 
--- a/tests/dispatch/overlapping_owners_test.cc
+++ b/tests/dispatch/overlapping_owners_test.cc
@@ -97,6 +97,21 @@
   }
   std::string Other() const { return Place() == "w1" ? "w2" : "w1"; }
 
+  // Tells both owners that the worker has started again.
+  void RestartForBoth(const std::string& worker) {
+    WorkerInfo restarted = MakeWorker(worker);
+    restarted.incarnation = 2;
+    first.dispatcher.UpdateWorker(restarted, first.now);
+    second.dispatcher.UpdateWorker(restarted, second.now);
+  }
+  void ReportToFirst(const std::string& worker, int64_t incarnation) {
+    HeartbeatOrder order;
+    order.to = {worker, MakeWorker(worker).endpoint};
+    first.dispatcher.OnReport(order,
+                              {{OrderStatus::kAccepted, first.ClockMs(), incarnation}, {}, {}},
+                              first.now, first.WallMs());
+  }
+
   Scenario first;
   Scenario second;
   RunId run;
@@ -152,6 +167,64 @@
   EXPECT_TRUE(second.orders.starts.empty());
 }
 
+// Guards against a task that runs twice. A worker that has answered the second owner restarts. The
+// new incarnation has not, and takes runs from the first owner.
+TEST_F(UnawareOwnerTest, WorkerThatRestartsAfterItsAnswerIsWaitedForAgain) {
+  const std::string place = Place();
+  const std::string other = Other();
+  second.Report(place, {{run, "", 100, 0}}, {});
+  second.Report(other, {}, {});
+  second.Decide();
+  RestartForBoth(place);
+  first.TimeOut(other);
+  ReportToFirst(place, 2);
+  first.now += milliseconds(100);
+  first.Decide();
+  second.Decide();
+  EXPECT_FALSE(first.orders.starts.empty());
+  EXPECT_TRUE(second.orders.starts.empty());
+}
+
+// Guards against a second owner that waits for such a worker after its answer.
+TEST_F(UnawareOwnerTest, RestartedWorkerThatAnswersIsNotWaitedFor) {
+  const std::string place = Place();
+  second.Report(place, {{run, "", 100, 0}}, {});
+  second.Report(Other(), {}, {});
+  second.Decide();
+  RestartForBoth(place);
+  HeartbeatOrder order;
+  order.to = {place, MakeWorker(place).endpoint};
+  second.dispatcher.OnReport(order, {{OrderStatus::kAccepted, 1, 2}, {}, {}}, second.now,
+                             second.WallMs());
+  second.Decide();
+  EXPECT_EQ(second.orders.starts.size(), 1U);
+}
+
+// Guards against a task that runs twice. The second owner has seen its run when the first could no
+// longer be told of its end, but both notice that it is lost with its worker.
+TEST_F(UnawareOwnerTest, AdoptedRunThatIsLostFreesTheTaskOnce) {
+  const std::string place = Place();
+  const std::string other = Other();
+  for (int n = 0; n < 2; ++n) {
+    second.Report(place, {{run, "", 100, 0}}, {});
+    second.now += seconds(2);
+    first.now += seconds(2);
+    second.dispatcher.OnOwnershipProof(second.now);
+    second.Decide();
+  }
+  second.Report(place, {{run, "", 100, 0}}, {});
+  RestartForBoth(place);
+  first.Decide();
+  HeartbeatOrder order;
+  order.to = {place, MakeWorker(place).endpoint};
+  second.dispatcher.OnReport(order, {{OrderStatus::kAccepted, 1, 2}, {}, {}}, second.now,
+                             second.WallMs());
+  second.Decide();
+  ASSERT_FALSE(first.orders.starts.empty());
+  EXPECT_EQ(first.orders.starts[0].to.worker, other);
+  EXPECT_TRUE(second.orders.starts.empty());
+}
+
 // Guards against a next owner that starts a task while w1 still runs it. The lease of w1 has ended
 // and its registration has lapsed while its bound is written; then w1 comes back.
 TEST(StaleBoundTest, WorkerThatComesBackGetsNoTaskUntilItsBoundIsWithdrawn) {
