--- a/src/dispatch/answers.cc
+++ b/src/dispatch/answers.cc
@@ -11,8 +11,6 @@
 
 // Start and stop orders are repeated after this time.
 constexpr Duration kCallRetry = std::chrono::milliseconds(200);
-// Stop and pace orders that are answered were sent at most this long before.
-constexpr Duration kLongestCall = std::chrono::seconds(2);
 
 }  // namespace
 
@@ -72,14 +70,18 @@
   start_answer_time_ = UpdateLowerQuartile(start_answer_time_, now - order.sent_at);
 }
 
-void Dispatcher::OnStarted(const StartOrder& order, const Answer& answer, TimePoint now) {
-  RecordStartAnswer(order, answer, now);
+void Dispatcher::OnStarted(const StartOrder& order, const Answer& received, TimePoint now) {
+  RecordStartAnswer(order, received, now);
   WorkerState* worker = FindWorker(order.to.worker);
   if (worker == nullptr) return;
-  if (IsClockBehind(*worker, answer, order.sent_at)) {
+  Answer answer = received;
+  if (worker->info.endpoint == order.to.endpoint && IsClockBehind(*worker, answer, order.sent_at)) {
     AwaitReport(worker, answer, now);
-    // The connection has outlived the earlier incarnation, so only the worker bounds its lease.
-    worker->lease_ends = std::max(worker->lease_ends, now + LongestLease(limits_.max_lease));
+    // The connection has outlived the incarnation that it was made to, so only the worker bounds
+    // its lease, and the answer is of another one.
+    const Duration longest = std::max(limits_.lease_horizon, limits_.max_lease);
+    worker->lease_ends = std::max(worker->lease_ends, now + LongestLease(longest));
+    if (answer.incarnation == order.incarnation) answer.incarnation = 0;
   }
   if (worker->runs.count(order.run) == 0) return;
   if (worker->info.endpoint != order.to.endpoint) {
@@ -144,7 +146,7 @@
   found->second.call_in_flight = false;
   found->second.next_call = now + kCallRetry;
   if (worker->info.endpoint != order.to.endpoint) return;
-  if (IsClockBehind(*worker, answer, now - kLongestCall)) AwaitReport(worker, answer, now);
+  if (IsClockBehind(*worker, answer, order.sent_at)) AwaitReport(worker, answer, now);
   if (!HandleAnswer(worker, answer, now)) return;
   if (answer.status != OrderStatus::kAccepted) return;
   // An earlier incarnation took the stop with it.
@@ -159,7 +161,7 @@
   const auto found = worker->runs.find(order.run);
   if (found != worker->runs.end()) found->second.call_in_flight = false;
   if (worker->info.endpoint != order.to.endpoint) return;
-  if (IsClockBehind(*worker, answer, now - kLongestCall)) AwaitReport(worker, answer, now);
+  if (IsClockBehind(*worker, answer, order.sent_at)) AwaitReport(worker, answer, now);
   const bool usable = HandleAnswer(worker, answer, now);
   if (!usable || answer.status == OrderStatus::kAccepted) return;
   // HandleAnswer() may have removed the run.
--- a/src/dispatch/decide.cc
+++ b/src/dispatch/decide.cc
@@ -223,7 +223,6 @@
   order.number = ++last_start_order_;
   order.sent_at = now;
   order.incarnation = worker->info.incarnation;
-  order.proven_at = worker->proven_at;
   worker->last_start = now;
   SetRefusals(worker, AfterStartOrder(worker->refusals, now));
   if (!run->outcome_unknown) timely_starts_.emplace(order.number, now);
@@ -251,7 +250,7 @@
     if (run.call_in_flight || now < run.next_call) continue;
     if (run.phase == RunPhase::kStopping && !run.stop_confirmed) {
       run.call_in_flight = true;
-      orders->stops.push_back({AddressOf(*worker), epoch_, id, worker->info.incarnation});
+      orders->stops.push_back({AddressOf(*worker), epoch_, id, worker->info.incarnation, now});
     }
     if (run.phase != RunPhase::kStarting) continue;
     // The domain may have been evacuated without this owner's knowledge, and the start, which got
@@ -293,7 +292,7 @@
   RecordPace(&run, change.pace, now);
   run.call_in_flight = true;
   worker->paced_at = now;
-  orders->paces.push_back({AddressOf(*worker), epoch_, change.id, change.pace});
+  orders->paces.push_back({AddressOf(*worker), epoch_, change.id, change.pace, now});
 }
 
 // The run that interferes most goes on elsewhere.
--- a/src/dispatch/reports.cc
+++ b/src/dispatch/reports.cc
@@ -388,7 +388,6 @@
   if (!HandleAnswer(worker, report.answer, now)) return;
   if (report.answer.status != OrderStatus::kAccepted) return;
   RecordClock(worker, report.answer, now);
-  worker->proven_at = worker->heartbeat_sent_at;
   if (!worker->contacted) {
     Log(LogLevel::kInfo, "dispatch", "worker_contacted",
         {{"worker", worker->info.id},
--- a/src/dispatch/worker_calls.h
+++ b/src/dispatch/worker_calls.h
@@ -42,8 +42,6 @@
   int64_t number = 0;       // of this order among the start orders of the owner; not sent
   TimePoint sent_at;        // not sent
   int64_t incarnation = 0;  // of the worker; the order reaches this one or none
-  // Connections that were made before reach no later incarnation.
-  TimePoint proven_at{};
 };
 
 // Stops a run.
@@ -52,6 +50,7 @@
   int64_t epoch = 0;
   RunId run;
   int64_t incarnation = 0;  // of the worker when the order was made; not sent
+  TimePoint sent_at{};      // not sent
 };
 
 // Limits the processor share of a best-effort run.
@@ -59,7 +58,8 @@
   WorkerAddress to;
   int64_t epoch = 0;
   RunId run;
-  int percent = 100;  // share of its processor time; 100 is the full share
+  int percent = 100;    // share of its processor time; 100 is the full share
+  TimePoint sent_at{};  // not sent
 };
 
 // All calls return at once; `done` runs exactly once, later, on a thread of the implementation.
@@ -67,8 +67,9 @@
  public:
   virtual ~WorkerCalls() = default;
   virtual void Heartbeat(const HeartbeatOrder& order, std::function<void(Report)> done) = 0;
-  // On a connection that was made after `order.proven_at` the worker is asked for a report first.
-  // If that names another incarnation the order is not sent, and the answer is kUnreachable.
+  // The worker is asked for a report first on a connection that has not carried one of the order's
+  // incarnation. Unless that report names it, the order is not sent, and the answer is kUnreachable
+  // or tells why the report was refused.
   virtual void Start(const StartOrder& order, std::function<void(Answer)> done) = 0;
   virtual void Stop(const StopOrder& order, std::function<void(Answer)> done) = 0;
   virtual void Pace(const PaceOrder& order, std::function<void(Answer)> done) = 0;
--- a/src/dispatch/worker_lease.cc
+++ b/src/dispatch/worker_lease.cc
@@ -16,6 +16,8 @@
 
 bool IsClockBehind(const WorkerState& worker, const Answer& answer, TimePoint sent) {
   if (answer.clock_ms == 0 || worker.clock_ms == 0) return false;
+  // Another worker at the address shows its own clock.
+  if (answer.status == OrderStatus::kWrongIncarnation) return false;
   const Duration passed = sent - worker.clock_at;
   // Before the report a clock at the full rate is furthest behind, after it a slow one.
   const double rate = passed < Duration::zero() ? 1 : kMinClockRate;
--- a/src/dispatch/worker_table.h
+++ b/src/dispatch/worker_table.h
@@ -128,7 +128,9 @@
   bool inherited = false;  // an earlier owner may have started runs that are not known yet
   // An earlier owner that does not know of its replacement may extend leases until then.
   TimePoint inherited_until{};
-  bool contacted = false;    // has answered this owner and so obeys no earlier one
+  // The known incarnation has answered this owner and so obeys no earlier one, and nothing tells of
+  // a later incarnation.
+  bool contacted = false;
   TimePoint contacted_at{};  // when `contacted` was set
 
   // The worker's clock showed `clock_ms` at or before `clock_at`.
@@ -136,9 +138,6 @@
   TimePoint clock_at;
   // All runs on the worker end by this time unless another order extends the lease.
   TimePoint lease_ends;
-  // When the last report of the known incarnation was requested. A connection ends with the process
-  // at its other end, so one that was made before then reaches no later incarnation.
-  TimePoint proven_at{};
   TimePoint last_start{};  // when a start order was last sent
   // The next owner may rely on a written bound of the lease, so no order may extend it.
   bool lease_bounded = false;
--- a/src/http/connection_pool.cc
+++ b/src/http/connection_pool.cc
@@ -106,7 +106,7 @@
   // connections costs less than one at each that is used.
   while (has_answers && !taken_.calls.empty()) {
     reactor_.Wait(false, now);
-    reactor_.HandleReady(Now());
+    reactor_.HandleReady(now);
     if (!reactor_.may_have_more()) break;
   }
   const bool has_work = has_answers || !taken_.calls.empty();
@@ -143,7 +143,8 @@
   auto call = std::make_unique<PoolCall>(lane, request, timeout, std::move(done),
                                          impl_->max_answer_bytes(), Now());
   call->tied_to = tie.connection;
-  call->made_before = tie.made_before;
+  call->process = tie.process;
+  call->is_from_process = tie.is_from_process;
   if (tie.IsTied()) call->other_text = RequestText(tie.other_request, lane.endpoint);
   impl_->Send(std::move(call));
 }
--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -4,7 +4,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/endpoint.h"
@@ -22,14 +24,17 @@
   int max_connections = 1;  // further calls wait for one
 };
 
-// Ties a request to connections. A connection ends with the process at its other end, so what only
-// that process may be told does not reach its successor.
+// Ties a request to a connection, or to the connections to one process. A connection ends with the
+// process at its other end, so what only that process may be told does not reach its successor.
 struct ConnectionTie {
-  uint64_t connection = 0;    // HttpResult::connection of an earlier call; 0: any
-  TimePoint made_before{};    // the connection was made by then; zero: at any time
-  HttpRequest other_request;  // sent in place of the request on any other connection
+  uint64_t connection = 0;         // HttpResult::connection of an earlier call; 0: any
+  std::optional<int64_t> process;  // by the caller's numbering; none: any
+  HttpRequest other_request;       // sent in place of the request on any other connection
+  // Whether the answer to `other_request` comes from `process`. Then the connection is one to
+  // `process`, and the request follows on it with a timeout of its own. Runs on the pool's thread.
+  std::function<bool(const HttpResult&)> is_from_process;
 
-  bool IsTied() const { return connection != 0 || made_before != TimePoint{}; }
+  bool IsTied() const { return connection != 0 || process.has_value(); }
 };
 
 struct ConnectionPoolOptions {
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -22,9 +22,8 @@
   Duration took{};    // time from the call to its result, with the wait
   // Number of the connection of a ConnectionPool that carried the request; 0: none.
   uint64_t connection = 0;
-  // When that connection was made, or somewhat later; zero: none was made.
-  TimePoint connected_at{};
-  bool sent_other = false;  // ConnectionTie::other_request was sent in place of the request
+  // ConnectionTie::other_request was sent in place of the request. The request was not.
+  bool sent_other = false;
 };
 
 using HttpCallback = std::function<void(HttpResult)>;
--- a/src/http/internal/pool_call.cc
+++ b/src/http/internal/pool_call.cc
@@ -50,15 +50,17 @@
   return out;
 }
 
-PoolCall::PoolCall(const ServerLane& the_lane, const HttpRequest& the_request, Duration timeout,
-                   HttpCallback on_done, size_t max_answer_bytes, TimePoint now)
+PoolCall::PoolCall(const ServerLane& the_lane, const HttpRequest& the_request, Duration the_timeout,
+                   HttpCallback on_done, size_t most_answer_bytes, TimePoint now)
     : lane(the_lane.lane),
       max_connections(the_lane.max_connections),
       text(RequestText(the_request, the_lane.endpoint)),
       done(std::move(on_done)),
-      parser(max_answer_bytes),
+      max_answer_bytes(most_answer_bytes),
+      timeout(the_timeout),
       created_at(now),
-      deadline(now + timeout) {
+      deadline(now + the_timeout) {
+  parser.emplace(max_answer_bytes);
   address.sin_family = AF_INET;
   const bool is_address =
       inet_pton(AF_INET, the_lane.endpoint.address.c_str(), &address.sin_addr) == 1;
@@ -72,8 +74,7 @@
   result.queued = (sent_at == TimePoint{} ? now : sent_at) - created_at;
   result.took = now - created_at;
   result.connection = connection_number;
-  result.connected_at = connected_at;
-  result.sent_other = sent_other;
+  result.sent_other = sends_other;
   std::exchange(done, nullptr)(std::move(result));
 }
 
--- a/src/http/internal/pool_lane.h
+++ b/src/http/internal/pool_lane.h
@@ -4,6 +4,7 @@
 
 #include <list>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "http/internal/pool_call.h"
@@ -20,8 +21,8 @@
   bool closes = false;   // after the answer to its call
   size_t written = 0;    // bytes of the request
   PoolLane* lane = nullptr;
-  PoolCallPtr call;  // null while idle
-  TimePoint connected_at;
+  PoolCallPtr call;                // null while idle
+  std::optional<int64_t> process;  // at the other end, once an answer has told
   TimePoint idle_since;
 };
 
--- a/src/http/internal/pool_reactor.cc
+++ b/src/http/internal/pool_reactor.cc
@@ -30,12 +30,10 @@
 
 int OpenSocket() { return socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0); }
 
-// True when the request of the call may go out on the connection. One that is being made is later
-// than any time.
+// True when the request of the call may go out on the connection.
 bool IsTiedTo(const PoolCall& call, const PoolConnection& it) {
   if (call.tied_to != 0 && call.tied_to != it.number) return false;
-  if (call.made_before == TimePoint{}) return true;
-  return it.connected_at != TimePoint{} && it.connected_at <= call.made_before;
+  return !call.process || call.process == it.process;
 }
 
 // Returns the error of a call that ends without an answer. Only a request of which no byte was
@@ -148,11 +146,7 @@
     call->sent_at = now;
     call->connection = it;
     call->connection_number = it->number;
-    call->connected_at = it->connected_at;
-    if (!IsTiedTo(*call, *it)) {
-      call->text.swap(call->other_text);
-      call->sent_other = true;
-    }
+    call->sends_other = !IsTiedTo(*call, *it);
     it->call = std::move(call);
     it->written = 0;
     if (it->state != ConnectionState::kConnecting) Write(it, now);
@@ -229,8 +223,6 @@
     getsockopt(it->fd, SOL_SOCKET, SO_ERROR, &error, &size);
     if (error != 0) return Fail(it, ResultCode::kTargetUnreachable, now);
     it->state = ConnectionState::kWriting;
-    it->connected_at = now;
-    it->call->connected_at = now;
     return Write(it, now);
   }
   if ((events & ~uint32_t{EPOLLOUT}) != 0) return Read(it, now);
@@ -238,7 +230,7 @@
 }
 
 void PoolReactor::Write(PoolConnection* it, TimePoint now) {
-  const std::string& text = it->call->text;
+  const std::string& text = it->call->sends_other ? it->call->other_text : it->call->text;
   const ssize_t n =
       send(it->fd, text.data() + it->written, text.size() - it->written, MSG_NOSIGNAL);
   if (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
@@ -256,34 +248,57 @@
     if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) return;
     if (n <= 0) return Fail(it, ErrorOf(*it, ResultCode::kTruncatedAnswer), now);
     const auto size = static_cast<size_t>(n);
-    const AnswerState state = it->call->parser.Read({buf_.data(), size});
-    // Bytes that follow the answer may be left. They would be taken for the next answer.
-    it->closes = it->closes || size == buf_.size();
-    if (state == AnswerState::kComplete) return Complete(it, now);
+    const AnswerState state = it->call->parser->Read({buf_.data(), size});
+    if (state == AnswerState::kComplete) {
+      // Bytes that follow the answer may be left. They would be taken for the next answer.
+      it->closes = it->closes || size == buf_.size();
+      return Complete(it, now);
+    }
     if (state == AnswerState::kMalformed) return Fail(it, ResultCode::kTruncatedAnswer, now);
     if (size < buf_.size()) return;
   }
 }
 
 void PoolReactor::Complete(PoolConnection* it, TimePoint now) {
+  const bool is_written = it->state == ConnectionState::kReading;
+  const bool stays = is_written && !it->closes && it->call->parser->KeepsConnection();
+  HttpResult answer;
+  answer.response = it->call->parser->TakeResponse();
+  if (it->call->sends_other && it->call->process && it->call->is_from_process(answer)) {
+    if (!stays) return Fail(it, ResultCode::kTargetUnreachable, now);
+    it->process = it->call->process;
+    return SendTied(it, now);
+  }
   const PoolCallPtr call = std::move(it->call);
   call->unlink();
-  const bool is_written = it->state == ConnectionState::kReading;
-  if (is_written && !it->closes && call->parser.KeepsConnection()) {
+  if (stays) {
     it->state = ConnectionState::kIdle;
     it->idle_since = now;
   } else {
     Close(it);
   }
   SendWaiting(call->pool_lane, now);
-  call->Finish({}, call->parser.TakeResponse(), now);
+  call->Finish({}, std::move(answer.response), now);
+}
+
+void PoolReactor::SendTied(PoolConnection* it, TimePoint now) {
+  PoolCall* const call = it->call.get();
+  call->sends_other = false;
+  call->parser.emplace(call->max_answer_bytes);
+  call->unlink();
+  call->deadline = now + call->timeout;
+  deadlines_[RoundUp(call->deadline)].push_back(*call);
+  it->written = 0;
+  Write(it, now);
 }
 
 void PoolReactor::Fail(PoolConnection* it, std::error_code ec, TimePoint now) {
   const PoolCallPtr call = std::move(it->call);
   call->unlink();
   Close(it);
-  call->Finish(ec, {}, now);
+  // A request that waits for the answer to another one was not sent.
+  const bool waits = call->sends_other && call->process;
+  call->Finish(waits ? ResultCode::kTargetUnreachable : ec, {}, now);
   SendWaiting(call->pool_lane, now);
 }
 
--- a/src/http/internal/pool_reactor.h
+++ b/src/http/internal/pool_reactor.h
@@ -62,6 +62,8 @@
   void Read(PoolConnection* it, TimePoint now);
   // Ends the call of a connection: with its answer, or with an error, which closes the connection.
   void Complete(PoolConnection* it, TimePoint now);
+  // Sends the request of the connection's call, whose other request has been answered.
+  void SendTied(PoolConnection* it, TimePoint now);
   void Fail(PoolConnection* it, std::error_code ec, TimePoint now);
   void EndCall(PoolCall* call, TimePoint now);
 
--- a/tests/dispatch/expired_start_test.cc
+++ b/tests/dispatch/expired_start_test.cc
@@ -113,6 +113,7 @@
   const Answer restarted{OrderStatus::kAccepted, 600, 0};
   PaceOrder pace;
   pace.to = first.to;
+  pace.sent_at = it.now;
   it.dispatcher.OnPaced(pace, restarted, it.now);
   for (int n = 0; n < 5; ++n) {
     it.Decide();
