--- a/spec/start_incarnation.pml
+++ b/spec/start_incarnation.pml
@@ -18,12 +18,15 @@
  * Not modelled: IsClockBehind and AwaitReport, which act only if a connection outlives its process; other owners and
  * epochs; cut reports; several connections for orders; gangs; permits; perpetual tasks, whose repeated orders keep the
  * first lease end (start_lease.pml).
+ * Heartbeats prove the connections for orders that were made before they were sent. With -DASKED they prove none: each
+ * connection is proven by a report on itself, which holds for the later orders to the same incarnation.
  * start_incarnation/late-stop holds: no start reaches another incarnation, so none has to be stopped there.
  *
  * verify: start_incarnation                   | start_incarnation | safety | - |
  * verify: start_incarnation/two-restarts      | start_incarnation | safety | - | -DRESTARTS=2 -DLAST=2 -DCLOSES=0 -DEXTENDS=0
  * verify: start_incarnation/long-lease        | start_incarnation | safety | - | -DTTL=2 -DCLOSES=0 -DEXTENDS=0
  * verify: start_incarnation/three-runs        | start_incarnation | safety | - | -DRUNS=3 -DLAST=1 -DCLOSES=0 -DEXTENDS=0
+ * verify: start_incarnation/asked             | start_incarnation | safety | - | -DASKED -DLAST=2
  * verify: start_incarnation/late-stop         | start_incarnation | safety | - | -DLATE_STOP -DLAST=2
  * verify: start_incarnation/any-connection    | start_incarnation | safety | R2_one_place | -DANY_CONNECTION
  * verify: start_incarnation/early-request     | start_incarnation | safety | R2_one_place | -DEARLY_REQUEST
@@ -107,8 +110,8 @@
 
 /* Connections for orders. */
 byte connection[2];
-bool proven[2];          /* the last report of the known incarnation was requested later */
-bool is_older[2];        /* the report that is on its way was requested later */
+bool proven[2];          /* it reaches no later incarnation than the known one */
+bool is_older[2];        /* the report that is on its way was requested after it was made */
 
 /* Start orders. */
 byte call[RUNS], order_end[RUNS], order_incarnation[RUNS];
@@ -142,8 +145,12 @@
 #ifdef EARLY_REQUEST
 #define PROVES(w) (connection[w] != CLOSED)
 #else
+#ifdef ASKED
+#define PROVES(w) proven[w]
+#else
 #define PROVES(w) is_older[w]
 #endif
+#endif
 #ifdef OTHER_INCARNATION
 #define NAMES_INCARNATION(w, n) true
 #else
@@ -191,7 +198,7 @@
 
 inline handle_restart(w, incarnation) {
   known[w] = incarnation;
-  forget_incarnation(w);
+  forget_incarnation(w); proven[w] = false;
   if :: report[w] == ANSWERED && report_incarnation[w] < known[w] -> clear_report(w) :: else fi;
   if
   :: IS_ON(w) && IS_LOST -> end_run()
@@ -313,7 +320,11 @@
 /* StartOnProven. Without an answer nothing is sent. */
 inline ask_for_report(n, w) {
   if
-  :: connection[w] == OPEN && NAMES_INCARNATION(w, n) -> order_proven[n] = true
+  :: connection[w] == OPEN && NAMES_INCARNATION(w, n) ->
+     order_proven[n] = true;
+#ifdef ASKED
+     proven[w] = DECIDES && order_incarnation[n] == known[w]
+#endif
   :: else -> start_without_effect(n)
   fi
 }
