--- a/tests/platform/worker_start_test.cc
+++ b/tests/platform/worker_start_test.cc
@@ -62,7 +62,7 @@
     return calls[path];
   }
 
-  const Endpoint endpoint{"127.77.2.202", 7600};
+  Endpoint endpoint{"", 7600};  // each test has an address of its own
   std::mutex mutex;
   std::map<std::string, int> calls;
   int64_t born = 0;
@@ -75,6 +75,7 @@
 // Guards against a task that runs twice: a later incarnation carries out a start whose lease end is
 // a time on the clock of the earlier one (issue 77).
 TEST_F(WorkerStartTest, StartReachesNoLaterIncarnation) {
+  endpoint.address = "127.77.2.202";
   Listen(5);
   const Answer first = Start(5);
   EXPECT_EQ(first.status, OrderStatus::kAccepted);
@@ -90,6 +91,7 @@
 
 // Guards against a report for each start in a burst.
 TEST_F(WorkerStartTest, BurstNeedsOneReportAConnection) {
+  endpoint.address = "127.77.2.203";
   Listen(5);
   std::vector<std::future<Answer>> answers;
   for (int n = 0; n < 50; ++n) answers.push_back(Send(5));
@@ -100,6 +102,7 @@
 
 // Guards against refusals that an owner takes for silence.
 TEST_F(WorkerStartTest, RefusedReportTellsWhy) {
+  endpoint.address = "127.77.2.204";
   Listen(5);
   const std::map<int, OrderStatus> answers = {{409, OrderStatus::kStaleEpoch},
                                               {421, OrderStatus::kWrongIncarnation},
