--- a/tests/dispatch/simulated_fleet_calls.cc
+++ b/tests/dispatch/simulated_fleet_calls.cc
@@ -1,5 +1,7 @@
 // The network of a simulated fleet: calls from owners to workers and to the policy service.
 #include <algorithm>
+#include <functional>
+#include <memory>
 #include <utility>
 
 #include "tests/dispatch/simulated_fleet.h"
@@ -12,6 +14,10 @@
 // Longest time that a task of a job with kLongSpec works.
 constexpr int64_t kLongestWorkMs = 15000;
 
+// Share and longest delay of answers that wait at their owner.
+constexpr double kLateAnswerShare = 0.05;
+constexpr int64_t kLatestAnswerMs = 900;
+
 Report NoAnswer() { return WithoutAnswer(OrderStatus::kNoAnswer); }
 
 // The policy allows two of three pairs of step and worker.
@@ -28,6 +34,15 @@
   return true;
 }
 
+// Passes on the first answer only. A call that its sender gave up on has no further answer, as its
+// connection is closed.
+std::function<void(const Report&)> FirstAnswer(const std::function<void(const Report&)>& finish) {
+  const auto answered = std::make_shared<bool>(false);
+  return [finish, answered](const Report& report) {
+    if (!std::exchange(*answered, true)) finish(report);
+  };
+}
+
 }  // namespace
 
 bool SimulatedFleet::IsAllowed(const StepId& step, const std::string& worker) {
@@ -142,7 +157,7 @@
 
 void SimulatedFleet::SendHeartbeat(SimulatedOwner* owner, const HeartbeatOrder& order) {
   owner->heartbeats.insert(order.to.worker);
-  const Finish finish = [this, order, epoch = owner->epoch](const Report& report) {
+  const Finish apply = [this, order, epoch = owner->epoch](const Report& report) {
     ForOwners([&](SimulatedOwner* owner) {
       if (owner->epoch != epoch) return;
       EraseOne(&owner->heartbeats, order.to.worker);
@@ -151,6 +166,8 @@
       Check(owner);
     });
   };
+  // Without connections, the report of a heartbeat that was carried out late comes as well.
+  const Finish finish = has_connections ? FirstAnswer(apply) : apply;
   const auto execute = [this, order, finish](SimulatedWorker* worker) -> std::optional<Report> {
     std::vector<EndedRun> forgotten;
     const OrderStatus status = HoldOn(worker, order, now_, &forgotten);
@@ -223,8 +240,13 @@
   SendAnswer(to.endpoint, *report, finish);
 }
 
-// With connections, the answer of a worker that is cut off meanwhile is lost.
+// With connections, an answer may reach its owner after the worker has started again, and that of a
+// worker that is cut off meanwhile is lost.
 void SimulatedFleet::SendAnswer(const Endpoint& from, const Report& report, const Finish& finish) {
+  if (has_connections && Chance(kLateAnswerShare)) {
+    At(now_ + MsBetween(20, kLatestAnswerMs), [finish, report] { finish(report); });
+    return;
+  }
   At(now_ + MsBetween(1, 15), [this, from, report, finish] {
     if (!has_connections || !IsCutOff(from)) return finish(report);
     At(now_ + kCallTimeout, [finish] { finish(NoAnswer()); });
