--- a/tests/dispatch/simulated_connections.h
+++ b/tests/dispatch/simulated_connections.h
@@ -5,10 +5,10 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "base/endpoint.h"
-#include "base/time.h"
 #include "dispatch/worker.h"
 
 namespace pomelopond::dispatch {
@@ -20,9 +20,9 @@
 // sends something.
 struct OrderConnection {
   int64_t number = 0;
-  int64_t incarnation = 0;                    // of the worker at its other end
-  TimePoint connected_at = TimePoint::max();  // when its owner found it made
-  bool busy = true;                           // is being made or carries a call
+  int64_t incarnation = 0;                   // of the worker at its other end
+  std::optional<int64_t> named_incarnation;  // by a report on the connection
+  bool busy = true;                          // is being made or carries a call
 };
 
 // Names a connection of the owner with this epoch.
@@ -32,18 +32,12 @@
   int64_t number = 0;
 };
 
-// True when the connection reaches no later incarnation than the one whose report was requested at
-// `proven_at`.
-inline bool IsProven(const OrderConnection& it, TimePoint proven_at) {
-  return it.connected_at <= proven_at;
-}
-
-// Returns an idle connection, if possible a proven one; null if there is none.
-inline OrderConnection* FindIdle(std::vector<OrderConnection>* connections, TimePoint proven_at) {
+// Returns an idle connection, if possible one to `incarnation`; null if there is none.
+inline OrderConnection* FindIdle(std::vector<OrderConnection>* connections, int64_t incarnation) {
   OrderConnection* found = nullptr;
   for (OrderConnection& it : *connections) {
     if (it.busy) continue;
-    if (IsProven(it, proven_at)) return &it;
+    if (it.named_incarnation == incarnation) return &it;
     found = &it;
   }
   return found;
@@ -61,8 +55,9 @@
 // The answer to a start that was not sent, as `report` does not name its incarnation.
 inline Report AnswerWithoutStart(const Report& report) {
   const OrderStatus status = report.answer.status;
-  const bool refused =
-      status == OrderStatus::kStaleEpoch || status == OrderStatus::kWrongIncarnation;
+  const bool refused = status == OrderStatus::kStaleEpoch ||
+                       status == OrderStatus::kWrongIncarnation ||
+                       status == OrderStatus::kUnhealthy;
   return refused ? report : WithoutAnswer(OrderStatus::kUnreachable);
 }
 
--- a/tests/dispatch/simulated_fleet_connections.cc
+++ b/tests/dispatch/simulated_fleet_connections.cc
@@ -32,7 +32,7 @@
   const Endpoint& endpoint = call.order.to.endpoint;
   CloseEnded(owner, endpoint);
   std::vector<OrderConnection>& open = owner->connections[endpoint];
-  OrderConnection* it = FindIdle(&open, call.order.proven_at);
+  OrderConnection* it = FindIdle(&open, call.order.incarnation);
   if (it == nullptr && open.size() < kMaxOrderConnections) return Connect(owner, call);
   if (it == nullptr) {
     At(now_ + kBusyRetry, [this, call] { StartBefore(call); });
@@ -40,7 +40,7 @@
   }
   it->busy = true;
   const ConnectionId id{owner->epoch, endpoint, it->number};
-  if (!IsProven(*it, call.order.proven_at)) return RequestReport(call, id, *it);
+  if (it->named_incarnation != call.order.incarnation) return RequestReport(call, id, *it);
   SendStartOn(call, id, *it);
 }
 
@@ -77,7 +77,6 @@
       if (owner == nullptr) return;
       OrderConnection* it = FindConnection(owner, id);
       it->incarnation = incarnation;
-      it->connected_at = now_;
       RequestReport(call, id, *it);
     });
   });
@@ -88,8 +87,8 @@
   if (owner != nullptr) Close(&owner->connections[id.endpoint], id.number);
 }
 
-// Asks for a report, which neither acknowledges nor extends anything. The start follows if that
-// names its incarnation.
+// Asks for a report, which neither acknowledges nor extends anything. If that names the incarnation
+// of the start, the start follows on the same connection.
 void SimulatedFleet::RequestReport(const StartCall& call, const ConnectionId& id,
                                    const OrderConnection& connection) {
   HeartbeatOrder request;
@@ -98,13 +97,16 @@
   const auto execute = [this, request](SimulatedWorker* worker) -> std::optional<Report> {
     return ReportOf(*worker, HoldOn(worker, request, now_), now_);
   };
-  const auto finish = [this, call, connected_at = connection.connected_at](const Report& report) {
-    const bool is_proven = report.answer.status == OrderStatus::kAccepted &&
-                           report.answer.incarnation == call.order.incarnation;
-    if (!is_proven) return call.finish(AnswerWithoutStart(report));
-    StartCall proven = call;
-    proven.order.proven_at = std::max(proven.order.proven_at, connected_at);
-    StartBefore(proven);
+  const auto finish = [this, call, id](const Report& report) {
+    const bool names_it = report.answer.status == OrderStatus::kAccepted &&
+                          report.answer.incarnation == call.order.incarnation;
+    if (!names_it) return call.finish(AnswerWithoutStart(report));
+    OrderConnection* it = FindConnection(OwnerOf(id.epoch), id);
+    it->named_incarnation = call.order.incarnation;
+    it->busy = true;
+    StartCall start = call;
+    start.deadline = now_ + kCallTimeout;
+    SendStartOn(start, id, *it);
   };
   SendOn({id, call.order.to, connection.incarnation, call.deadline, execute, finish});
 }
@@ -118,7 +120,8 @@
     return call.execute(worker);
   };
   const auto finish = [call](Report report) {
-    if (report.answer.status != OrderStatus::kWrongIncarnation) {
+    const bool is_own = report.answer.status != OrderStatus::kWrongIncarnation;
+    if (is_own && report.answer.incarnation == 0) {
       report.answer.incarnation = call.order.incarnation;
     }
     call.finish(report);
