--- a/src/dispatch/answers.cc
+++ b/src/dispatch/answers.cc
@@ -79,8 +79,7 @@
     AwaitReport(worker, answer, now);
     // The connection has outlived the incarnation that it was made to, so only the worker bounds
     // its lease, and the answer is of another one.
-    const Duration longest = std::max(limits_.lease_horizon, limits_.max_lease);
-    worker->lease_ends = std::max(worker->lease_ends, now + LongestLease(longest));
+    worker->lease_ends = std::max(worker->lease_ends, now + LongestLease(limits_));
     if (answer.incarnation == order.incarnation) answer.incarnation = 0;
   }
   if (worker->runs.count(order.run) == 0) return;
--- a/src/dispatch/restarts.cc
+++ b/src/dispatch/restarts.cc
@@ -55,8 +55,7 @@
   unsettled_workers_.insert(worker->info.id);
   // The end of the lease in the order is a time on the clock of the earlier incarnation, so on the
   // new one only the worker's own maximum bounds the lease.
-  const Duration longest = std::max(limits_.lease_horizon, limits_.max_lease);
-  worker->lease_ends = std::max(worker->lease_ends, now + LongestLease(longest));
+  worker->lease_ends = std::max(worker->lease_ends, now + LongestLease(limits_));
   for (auto& [id, it] : worker->runs) {
     // Each incarnation begins a run at the full share.
     if (it.best_effort) it.pace = -1;
--- a/src/dispatch/worker_lease.cc
+++ b/src/dispatch/worker_lease.cc
@@ -1,11 +1,15 @@
 #include "dispatch/worker_lease.h"
 
+#include <algorithm>
+
 #include "base/log.h"
+#include "dispatch/dispatcher.h"
 
 namespace pomelopond::dispatch {
 
-Duration LongestLease(Duration max_lease) {
-  return std::chrono::duration_cast<Duration>(max_lease / kMinClockRate) + kTimerSlack;
+Duration LongestLease(const DispatchLimits& limits) {
+  const Duration longest = std::max(limits.lease_horizon, limits.max_lease);
+  return std::chrono::duration_cast<Duration>(longest / kMinClockRate) + kTimerSlack;
 }
 
 void RecordClock(WorkerState* worker, const Answer& answer, TimePoint now) {
--- a/src/dispatch/worker_lease.h
+++ b/src/dispatch/worker_lease.h
@@ -8,8 +8,10 @@
 
 namespace pomelopond::dispatch {
 
+struct DispatchLimits;
+
 // Longest time for which a worker grants a lease, by the local clock.
-Duration LongestLease(Duration max_lease);
+Duration LongestLease(const DispatchLimits& limits);
 
 // Takes the clock from a report. Answers to orders don't tell whose clock they show.
 void RecordClock(WorkerState* worker, const Answer& answer, TimePoint now);
--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -46,8 +46,8 @@
   // While calls and answers follow each other closely, they are collected for this long and handled
   // together, because each wake-up of the thread costs as much as a call.
   Duration coalescing = std::chrono::milliseconds(1);
-  // Size of the buffer into which all connections read. A connection whose answer fills it carries
-  // no other request.
+  // Size of the buffer into which all connections read. A connection whose answer ends with a full
+  // buffer carries no other request.
   size_t read_bytes = size_t{64} << 10;
 };
 
