Calls of a pool test have one deadline, however late they are sent

ConnectionPoolTest.CallsThatWaitedTooLongOpenNoConnection failed once beside load, with sanitizers: 404 in place of 209, and a second connection. The pool rounds deadlines up to 20 ms, so calls that the test sent in a later step had time left when the first one ended, and one of them was rightly sent.

--- a/tests/http/connection_pool_test.cc
+++ b/tests/http/connection_pool_test.cc
@@ -276,7 +276,9 @@
 TEST_F(ConnectionPoolTest, CallsThatWaitedTooLongOpenNoConnection) {
   Listen();
   std::vector<std::future<HttpResult>> results;
-  for (int n = 0; n < 5; ++n) results.push_back(Send("/a", kShort));
+  const TimePoint deadline = Now() + kShort;
+  // A call that this thread sends late must have no time left either.
+  for (int n = 0; n < 5; ++n) results.push_back(Send("/a", deadline - milliseconds(n) - Now()));
   ServerConnection server = Accept();
   EXPECT_EQ(results.front().get().ec, ResultCode::kTimeout);
   for (size_t n = 1; n < results.size(); ++n) {
