The soak's restarted workers register before the cut in half of the cases

review/ stays as it is, so the cut by time that added to its stand-in goes. A worker that registers soon gets starts again, and is cut off at the first of them.

--- a/review/worker.cc
+++ b/review/worker.cc
@@ -87,18 +87,6 @@
   cut_at_start_ = true;
 }
 
-void Worker::CutOff() {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  if (!cut_) Cut();
-}
-
-void Worker::Cut() {
-  cut_at_start_ = false;
-  cut_ = true;
-  ledger_->Record("worker is cut off and runs on: " + options_.id);
-  server_.Reset();
-}
-
 bool Worker::EndCut() {
   const std::lock_guard<std::mutex> lock(mutex_);
   cut_at_start_ = false;
@@ -178,7 +166,12 @@
   active.began = Clock::now();
   active.ends = active.began + milliseconds(options_.task_ms);
   running_[run] = active;
-  if (cut_at_start_) Cut();
+  if (cut_at_start_) {
+    cut_at_start_ = false;
+    cut_ = true;
+    ledger_->Record("worker is cut off and runs on: " + options_.id);
+    server_.Reset();
+  }
   return Answer(200, Json::object());
 }
 
--- a/review/worker.h
+++ b/review/worker.h
@@ -46,8 +46,6 @@
   // Cuts the worker off right after the next start that it carries out: connections are reset and
   // new ones refused, and what runs there goes on.
   void CutAtNextStart();
-  // The same at once, whether or not it has carried out a start.
-  void CutOff();
   // Returns false if no start has come, so that there was no cut.
   bool EndCut();
 
@@ -56,8 +54,6 @@
   int ListedEnds();
 
  private:
-  void Cut();  // under the lock of `mutex_`
-
   using Clock = std::chrono::steady_clock;
   using RunKey = std::pair<std::string, int64_t>;
   struct Active {
